--- a/src/main/java/landingusher/WireCodec.java
+++ b/src/main/java/plumpost/benchlink/WireCodec.java
@@ -1,4 +1,4 @@
-package landingusher;
+package plumpost.benchlink;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import plumpost.decision.Dispatcher;
 
 /** Reads the wire's values into the vocabulary of {@link Dispatcher}; no state, no decisions. */
 final class WireCodec {
--- a/src/main/java/landingusher/WireHost.java
+++ b/src/main/java/plumpost/benchlink/WireHost.java
@@ -1,4 +1,4 @@
-package landingusher;
+package plumpost.benchlink;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -16,6 +16,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import plumpost.decision.Dispatcher;
+import plumpost.decision.Logic;
 
 /** Hosts many instances on the wire: one reply a batch, each event handed to its instance. Decides nothing. */
 public final class WireHost {
@@ -50,12 +52,12 @@
             }
             return 0;
         } catch (WireCodec.BadInput e) {
-            err.println("landingusher: " + e.getMessage());
+            err.println("plumpost: " + e.getMessage());
         } catch (JsonProcessingException e) {
-            err.println("landingusher: input is not JSON: " + e.getOriginalMessage() + " at line "
+            err.println("plumpost: input is not JSON: " + e.getOriginalMessage() + " at line "
                 + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()));
         } catch (IOException e) {
-            err.println("landingusher: the wire broke: " + e.getMessage());
+            err.println("plumpost: the wire broke: " + e.getMessage());
         }
         return 1;
     }
@@ -133,7 +135,7 @@
             call.run();
         } catch (RuntimeException e) {
             failed = true;
-            err.println("landingusher: instance " + i + " failed on " + type + ": " + e);
+            err.println("plumpost: instance " + i + " failed on " + type + ": " + e);
             e.printStackTrace(err);
             new Out(i).write("bailOut", "words", type + ": " + e);
         }
--- a/src/test/java/landingusher/WireHostTest.java
+++ b/src/test/java/plumpost/benchlink/WireHostTest.java
@@ -1,4 +1,4 @@
-package landingusher;
+package plumpost.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/landingusher/Bench.java
+++ b/src/test/java/plumpost/decision/Bench.java
@@ -1,4 +1,4 @@
-package landingusher;
+package plumpost.decision;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/landingusher/LogicTest.java
+++ b/src/test/java/plumpost/decision/LogicTest.java
@@ -1,16 +1,16 @@
-package landingusher;
+package plumpost.decision;
 
-import static landingusher.Bench.job;
-import static landingusher.Bench.outcome;
-import static landingusher.Bench.worker;
+import static plumpost.decision.Bench.job;
+import static plumpost.decision.Bench.outcome;
+import static plumpost.decision.Bench.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import landingusher.Dispatcher.Ending;
-import landingusher.Dispatcher.ListMode;
-import landingusher.Dispatcher.Phase;
+import plumpost.decision.Dispatcher.Ending;
+import plumpost.decision.Dispatcher.ListMode;
+import plumpost.decision.Dispatcher.Phase;
 import org.junit.jupiter.api.Test;
 
 /** One small test for each failure found and each part of the ordinary path. */
--- a/src/test/java/landingusher/ModuleSizeTest.java
+++ b/src/test/java/plumpost/decision/ModuleSizeTest.java
@@ -1,4 +1,4 @@
-package landingusher;
+package plumpost.decision;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,7 +12,7 @@
 class ModuleSizeTest {
     @Test
     void theModuleStaysWithinItsLimits() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/landingusher/Logic.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/plumpost/decision/Logic.java"));
         long written = lines.stream().filter(l -> !l.isBlank()).count();
         assertTrue(written <= 550, "Logic.java holds " + written + " lines that are not blank");
         for (String l : lines) {
--- a/src/test/java/landingusher/RulesTest.java
+++ b/src/test/java/plumpost/decision/RulesTest.java
@@ -1,4 +1,4 @@
-package landingusher;
+package plumpost.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import landingusher.Dispatcher.Ending;
-import landingusher.Dispatcher.Phase;
+import plumpost.decision.Dispatcher.Ending;
+import plumpost.decision.Dispatcher.Phase;
 import org.junit.jupiter.api.Test;
 
 /** Plays seeded random, odd but legal orders of events and checks the four rules on every action. */
