Gearman front: packet codec, clients, workers as route nodes, admin lines

The second front on the same core, ledger and Logic instance. Clients' submissions become jobs, workers become listed route nodes, freshly started and so cold. A job the worker has not grabbed never ran; one it had grabbed when it was lost is a reset. Resubmits under a unique key join the open job or get the outcome that the core keeps.

In the module, a worker's line now says which classes it runs (all, for the platform's nodes), since Gearman workers choose their functions; choose() passes over those that lack the job's class.

--- a/src/main/java/plumpost/cli/Main.java
+++ b/src/main/java/plumpost/cli/Main.java
@@ -22,6 +22,12 @@
         System.exit(run(args, System.out, System.err));
     }
 
+    /** The version that the build has written into the jar. */
+    static String version() {
+        String v = Main.class.getPackage().getImplementationVersion();
+        return v == null ? "unbuilt" : v;
+    }
+
     static int run(String[] args, PrintStream out, PrintStream err) throws IOException {
         Options options = new Options();
         options.addOption("c", "config", true, "configuration file; NODE_CONFIG where it is not given");
@@ -40,7 +46,7 @@
                 case "benchlink" -> {
                     return new WireHost(System.in, out, err).run();
                 }
-                case "version" -> out.println("plumpost " + Main.class.getPackage().getImplementationVersion());
+                case "version" -> out.println("plumpost " + version());
                 case "help" -> new HelpFormatter().printHelp(USAGE, options);
                 default -> throw new ParseException("usage: " + USAGE);
             }
--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -9,6 +9,7 @@
 import plumpost.dispatch.DispatchRoom;
 import plumpost.dispatch.SystemClock;
 import plumpost.dispatch.TimerWheel;
+import plumpost.gearman.GearmanDoor;
 import plumpost.net.SelectorLoop;
 import plumpost.platform.Platform;
 
@@ -25,6 +26,7 @@
     private final SelectorLoop loop;
     private final DispatchRoom room;
     private final Platform platform;
+    private final GearmanDoor gearman;
     private double stopAt = Double.NaN;
 
     Serve(NodeConfig config) throws IOException {
@@ -33,6 +35,8 @@
         room = new DispatchRoom(config.settings(), config.seed(), clock, wheel, counters,
             new DispatchRoom.Bounds(4096, 16 << 20, 16_384, 8 << 20), this::log);
         platform = new Platform(config, room, loop, clock, wheel, counters, this::log, loop::lagMs);
+        gearman = config.gearman() == null ? null : new GearmanDoor(config.name(), Main.version(), config.seed(), room,
+            clock, wheel, counters, config.settings());
     }
 
     static NodeConfig config(String file) {
@@ -52,6 +56,9 @@
         if (config.listen() != null) {
             loop.listen(config.listen(), platform::accept, Platform.connections(config));
         }
+        if (gearman != null) {
+            loop.listen(config.gearman(), gearman::accept, config.sockets() / 8);
+        }
         platform.begin(room);
         platform.ready();
         log("ready");
@@ -64,7 +71,8 @@
     }
 
     private boolean done() {
-        return !Double.isNaN(stopAt) && clock.nowMs() - stopAt >= GOING_MS && room.open() == 0 && platform.quiet();
+        return !Double.isNaN(stopAt) && clock.nowMs() - stopAt >= GOING_MS && room.open() == 0 && platform.quiet()
+            && (gearman == null || gearman.quiet());
     }
 
     /** On SIGTERM: lets the loop finish what it holds, then ends with 0 in place of the signal's code. */
@@ -73,6 +81,10 @@
             stopAt = clock.nowMs();
             log("stopping, " + room.open() + " jobs open");
             platform.stop();
+            if (gearman != null) {
+                // Clients go on submitting on the connections they have, as new ones keep coming at the platform's.
+                wheel.at(stopAt + GOING_MS, gearman::stop);
+            }
         });
         try {
             ended.await();
--- a/src/main/java/plumpost/decision/Dispatcher.java
+++ b/src/main/java/plumpost/decision/Dispatcher.java
@@ -85,8 +85,17 @@
         }
     }
 
-    /** A line of the worker list; {@code cameUpMs} is when the worker last started, 0 for long ago. */
-    record WorkerEntry(String id, int zone, int kind, int cell, Phase phase, double units, double cameUpMs) { }
+    /**
+     * A line of the worker list; {@code cameUpMs} is when the worker last started, 0 for long ago, and bit n of
+     * {@code runs} is set where it runs jobs of class n.
+     */
+    record WorkerEntry(String id, int zone, int kind, int cell, Phase phase, double units, double cameUpMs,
+                       long runs) {
+        /** A worker that runs jobs of every class. */
+        public WorkerEntry(String id, int zone, int kind, int cell, Phase phase, double units, double cameUpMs) {
+            this(id, zone, kind, cell, phase, units, cameUpMs, -1);
+        }
+    }
 
     /** A job taken from a client; {@code costMs} and {@code memory} are NaN where unknown. */
     record Job(String id, int cls, int tenant, String key, double patienceMs, double costMs, double slots,
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -49,7 +49,7 @@
     private final int lowest;
     private int hintCount, ejected, probesOut;
     private long order;
-    private boolean recheckSet;
+    private boolean recheckSet, mixed;
     private double now, meanRun = 1000, promptShare = 1, listBackoff = 500;
     private double pressedUntil = Double.NEGATIVE_INFINITY;
 
@@ -58,8 +58,7 @@
         set = settings;
         out = actions;
         random = new SplittableRandom(seed);
-        kinds = new Kind[settings.kinds()];
-        Arrays.setAll(kinds, k -> new Kind());
+        Arrays.setAll(kinds = new Kind[settings.kinds()], k -> new Kind());
         prompt = new double[settings.zones()];
         waits = new double[settings.zones()];
         Arrays.setAll(prompt, z -> z == settings.zone() ? 20 : 60);
@@ -68,8 +67,7 @@
         pulls = !tells && settings.reports() != Reports.SILENT && settings.limits().probes();
         lowest = settings.classes().stream().mapToInt(JobClass::priority).min().orElse(0);
         topImportance = settings.classes().stream().mapToDouble(JobClass::importance).max().orElse(1);
-        credit = new double[settings.tenants().size()];
-        Arrays.fill(credit, 3);
+        Arrays.fill(credit = new double[settings.tenants().size()], 3);
         creditAt = new double[credit.length];
         fullPatience = new double[settings.classes().size()];
     }
@@ -89,7 +87,7 @@
         double cameUp, own, running, room;
         double seenAt = Double.NEGATIVE_INFINITY, reportAt = seenAt, lastSent = seenAt;
         double links, idleSince, cost, run, badUntil, coldSince, coldDraw;
-        long turn;
+        long turn, runs;
         int[] heard = new int[0];
 
         Worker(String id) { this.id = id; }
@@ -140,6 +138,7 @@
             serving.clear();
             known.values().removeIf(w -> w.phase == Phase.DELETED && w.own == 0 && !w.probing);
             known.values().stream().filter(w -> w.phase == Phase.SERVING).forEach(serving::add);
+            mixed = serving.stream().anyMatch(w -> w.runs != -1);
             serving.sort((a, b) -> Long.compare(a.turn, b.turn));
             release();
         }
@@ -154,6 +153,7 @@
         w.zone = Math.min(Math.max(e.zone(), 0), prompt.length - 1);
         w.kind = Math.min(Math.max(e.kind(), 0), kinds.length - 1);
         w.cell = e.cell();
+        w.runs = e.runs();
         if (e.cameUpMs() > w.cameUp) {
             w.cameUp = e.cameUpMs();
             w.coldSince = now;
@@ -318,7 +318,7 @@
             int kind = recallable(r, 1) ? 1 : 0;
             boolean hopeless = r.dead && promptShare < SPARE_SHARE || r.job.slots() >= blocked[kind];
             Worker w = hopeless ? null : choose(r);
-            if (w == null && r.cls.kind() < 0 && r.attempts.isEmpty() && !asks(r)) {
+            if (w == null && r.cls.kind() < 0 && !mixed && r.attempts.isEmpty() && !asks(r)) {
                 blocked[kind] = Math.min(blocked[kind], r.job.slots());
             }
             if (w == null || !send(r, w)) passed.add(r);
@@ -341,7 +341,7 @@
         for (int i = 0; i < serving.size(); i++) {
             Worker w = serving.get(i);
             if (asks && now - w.reportAt > meanRun) continue;
-            if (!ignoreBad && w.badUntil > now || !mayRun(r, w)) continue;
+            if (!ignoreBad && w.badUntil > now || !mayRun(r, w) || (w.runs >> r.job.cls() & 1) == 0) continue;
             boolean near = w.zone == set.zone();
             double room = roomNow(w);
             if (wary) room -= Math.max(0, 1 - weight(w)) * (THETA - w.own);
--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -48,6 +48,11 @@
         room.progressed(this, share);
     }
 
+    /** The node warns of something; the job goes on. */
+    public void warned(ByteBuffer words) {
+        room.warned(this, words);
+    }
+
     /** The attempt was served. */
     public void served(ByteBuffer result, LoadReport report) {
         room.ended(this, Ending.OK, result, report);
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -81,6 +81,31 @@
         return ledger.size();
     }
 
+    /** Open jobs of a class, and those of them that a node has. */
+    public record Tally(long open, long running) { }
+
+    /** Counts the open jobs of a class. */
+    public Tally tally(int cls) {
+        return new Tally(ledger.values().stream().filter(e -> e.sheet.cls() == cls).count(),
+            ledger.values().stream().filter(e -> e.sheet.cls() == cls && e.running()).count());
+    }
+
+    /** The open job of an id, or null. */
+    public LedgerEntry entry(String id) {
+        return ledger.get(id);
+    }
+
+    /** The open job of any class under a unique key, or null. */
+    public LedgerEntry entryOf(String unique) {
+        for (int cls = 0; cls < set.classes().size(); cls++) {
+            LedgerEntry e = byUnique.get(cls + "/" + unique);
+            if (e != null) {
+                return e;
+            }
+        }
+        return null;
+    }
+
     boolean serving(String node) {
         Node n = nodes.get(node);
         return n != null && n.serving();
@@ -245,6 +270,12 @@
         }
     }
 
+    void warned(Attempt a, ByteBuffer words) {
+        if (a.ending == null) {
+            List.copyOf(a.job.waiting).forEach(r -> r.warned(words));
+        }
+    }
+
     void ended(Attempt a, Ending how, ByteBuffer result, LoadReport report) {
         if (a.ending != null) {
             return;
@@ -342,7 +373,7 @@
             return;
         }
         Node n = nodes.get(node);
-        String broken = n == null || !n.serving() ? "drain"
+        String broken = n == null || !n.serving() || (n.line.entry().runs() >> e.sheet.cls() & 1) == 0 ? "drain"
             : e.out() != null ? "second_copy"
             : e.attempts.size() >= set.limits().maxAttempts() ? "attempts"
             : e.mayHaveRun() && e.cls.effect() != Effect.FREE ? "repeat"
--- a/src/main/java/plumpost/dispatch/LedgerEntry.java
+++ b/src/main/java/plumpost/dispatch/LedgerEntry.java
@@ -41,6 +41,11 @@
         return out() != null;
     }
 
+    /** How many wait for its answer. */
+    public int clients() {
+        return waiting.size();
+    }
+
     /** The share that is done, as last told. */
     public double share() {
         return share;
--- a/src/main/java/plumpost/dispatch/ReplyTo.java
+++ b/src/main/java/plumpost/dispatch/ReplyTo.java
@@ -15,4 +15,7 @@
 
     /** News on the way: the share of the job that is done. */
     default void progressed(double share) { }
+
+    /** News on the way: a route node's warning. */
+    default void warned(ByteBuffer words) { }
 }
--- /dev/null
+++ b/src/main/java/plumpost/gearman/Packet.java
@@ -0,0 +1,71 @@
+package plumpost.gearman;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One packet of Gearman's binary protocol: its type, and its arguments as the type splits them. */
+public record Packet(Type type, List<ByteBuffer> parts) {
+
+    /** Packet types by their numbers, each with the number of its arguments. */
+    public enum Type {
+        CAN_DO(1, 1), CANT_DO(2, 1), RESET_ABILITIES(3, 0), PRE_SLEEP(4, 0), NOOP(6, 0), SUBMIT_JOB(7, 3),
+        JOB_CREATED(8, 1), GRAB_JOB(9, 0), NO_JOB(10, 0), JOB_ASSIGN(11, 3), WORK_STATUS(12, 3), WORK_COMPLETE(13, 2),
+        WORK_FAIL(14, 1), GET_STATUS(15, 1), ECHO_REQ(16, 1), ECHO_RES(17, 1), SUBMIT_JOB_BG(18, 3), ERROR(19, 2),
+        STATUS_RES(20, 5), SUBMIT_JOB_HIGH(21, 3), SET_CLIENT_ID(22, 1), CAN_DO_TIMEOUT(23, 2), ALL_YOURS(24, 0),
+        WORK_EXCEPTION(25, 2), OPTION_REQ(26, 1), OPTION_RES(27, 1), WORK_DATA(28, 2), WORK_WARNING(29, 2),
+        GRAB_JOB_UNIQ(30, 0), JOB_ASSIGN_UNIQ(31, 4), SUBMIT_JOB_HIGH_BG(32, 3), SUBMIT_JOB_LOW(33, 3),
+        SUBMIT_JOB_LOW_BG(34, 3), SUBMIT_JOB_SCHED(35, 8), SUBMIT_JOB_EPOCH(36, 4), SUBMIT_REDUCE_JOB(37, 4),
+        SUBMIT_REDUCE_JOB_BACKGROUND(38, 4), GRAB_JOB_ALL(39, 0), JOB_ASSIGN_ALL(40, 5), GET_STATUS_UNIQUE(41, 1),
+        STATUS_RES_UNIQUE(42, 6);
+
+        private static final Map<Integer, Type> BY_CODE = new HashMap<>();
+
+        static {
+            for (Type t : values()) {
+                BY_CODE.put(t.code, t);
+            }
+        }
+
+        final int code;
+        final int count;
+
+        Type(int code, int count) {
+            this.code = code;
+            this.count = count;
+        }
+
+        static Type of(int code) {
+            return BY_CODE.get(code);
+        }
+    }
+
+    /** The head of a packet that a client or worker sends. */
+    public static final int REQUEST = 0x00524551;
+    /** The head of a packet that a server sends. */
+    public static final int RESPONSE = 0x00524553;
+
+    /** An argument as text. */
+    public String text(int i) {
+        return StandardCharsets.UTF_8.decode(parts.get(i).duplicate()).toString();
+    }
+
+    /** The bytes of a packet, ready to be written in order. */
+    public static ByteBuffer[] bytes(int magic, Type type, Object... arguments) {
+        ByteBuffer[] all = new ByteBuffer[Math.max(1, 2 * arguments.length)];
+        int size = Math.max(0, arguments.length - 1);
+        for (int i = 0; i < arguments.length; i++) {
+            ByteBuffer part = arguments[i] instanceof ByteBuffer b ? b.duplicate()
+                : ByteBuffer.wrap(String.valueOf(arguments[i]).getBytes(StandardCharsets.UTF_8));
+            all[2 * i + 1] = part;
+            size += part.remaining();
+            if (i > 0) {
+                all[2 * i] = ByteBuffer.allocate(1);
+            }
+        }
+        all[0] = ByteBuffer.allocate(12).putInt(magic).putInt(type.code).putInt(size).flip();
+        return all;
+    }
+}
