--- /dev/null
+++ b/src/test/java/plumpost/gearman/GearmanTest.java
@@ -0,0 +1,304 @@
+package plumpost.gearman;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import plumpost.Scenario;
+
+/** The Gearman front, clients and workers, in memory. Workers are warm once the scenario has waited for it. */
+class GearmanTest {
+    private static final String WORKER = """
+        plug9 send CAN_DO|route-plan
+        plug9 send CAN_DO|pickup-order
+        plug9 send GRAB_JOB_UNIQ
+        plug9 expect NO_JOB
+        plug9 send PRE_SLEEP
+        wait 500
+        """;
+
+    private static Scenario play(String steps) {
+        return new Scenario(0).play(WORKER + steps);
+    }
+
+    /** Guards the plain path: created, woken, assigned, news, complete; the worker is told each word of the job. */
+    @Test
+    void aJobIsAssignedAndCompletes() {
+        play("""
+            plug1 send SUBMIT_JOB|pickup-order|u|towels
+            plug1 expect JOB_CREATED|H:t:*
+            plug9 expect NOOP
+            plug9 send GRAB_JOB_UNIQ
+            plug9 expect JOB_ASSIGN_UNIQ|H:t:*|pickup-order|u|towels
+            plug2 send GET_STATUS|$
+            plug2 expect STATUS_RES|H:t:*|1|1|0|100
+            plug9 send WORK_STATUS|$|1|4
+            plug1 expect WORK_STATUS|H:t:*|25|100
+            plug9 send WORK_DATA|$|van
+            plug9 send WORK_WARNING|$|rain
+            plug1 expect WORK_WARNING|H:t:*|rain
+            plug2 send GET_STATUS_UNIQUE|u
+            plug2 expect STATUS_RES_UNIQUE|u|1|1|25|100|1
+            plug9 send WORK_COMPLETE|$| sent
+            plug1 expect WORK_COMPLETE|H:t:*|van sent
+            plug1 expect nothing
+            plug2 send GET_STATUS|$
+            plug2 expect STATUS_RES|H:t:*|0|0|0|0
+            """);
+    }
+
+    /** Guards against an order that runs twice when its worker is lost: it fails; one not grabbed goes on. */
+    @Test
+    void anOrderWhoseWorkerIsLostFails() {
+        play("""
+            plug1 send SUBMIT_JOB|pickup-order||towels
+            plug1 expect JOB_CREATED|*
+            plug9 expect NOOP
+            plug9 send GRAB_JOB
+            plug9 expect JOB_ASSIGN|*
+            plug9 close
+            plug1 expect WORK_FAIL|H:t:*
+            plug1 expect nothing
+            """);
+        Scenario s = play("""
+            plug1 send SUBMIT_JOB|pickup-order||towels
+            plug1 expect JOB_CREATED|*
+            plug9 close
+            plug8 send CAN_DO|pickup-order
+            plug8 send PRE_SLEEP
+            wait 700
+            plug8 expect NOOP
+            plug8 send GRAB_JOB_ALL
+            plug8 expect JOB_ASSIGN_ALL|H:t:*|pickup-order|||towels
+            plug8 send WORK_COMPLETE|$|van
+            plug1 expect WORK_COMPLETE|H:t:*|van
+            """);
+        assertThat(s.counters.of("attempts.connect_failed")).isEqualTo(1);
+    }
+
+    /** Guards that a route plan whose worker is lost goes to another one. */
+    @Test
+    void aRoutePlanWhoseWorkerIsLostGoesAgain() {
+        play("""
+            plug1 send SUBMIT_JOB_HIGH|route-plan||x
+            plug1 expect JOB_CREATED|*
+            plug9 expect NOOP
+            plug9 send GRAB_JOB
+            plug9 expect JOB_ASSIGN|*
+            plug9 close
+            plug1 expect nothing
+            plug8 send CAN_DO|route-plan
+            plug8 send PRE_SLEEP
+            wait 700
+            plug8 expect NOOP
+            plug8 send GRAB_JOB
+            plug8 expect JOB_ASSIGN|H:t:*|route-plan|x
+            plug8 send WORK_COMPLETE|$|r
+            plug1 expect WORK_COMPLETE|H:t:*|r
+            """);
+    }
+
+    /** Guards the hard case of a resubmit: its client left, it joins the run, and later gets the kept outcome. */
+    @Test
+    void aResubmitNeverRunsTwice() {
+        Scenario s = play("""
+            plug1 send SUBMIT_JOB|pickup-order|u|towels
+            plug1 expect JOB_CREATED|*
+            plug9 expect NOOP
+            plug9 send GRAB_JOB
+            plug9 expect JOB_ASSIGN|*
+            plug1 close
+            plug2 send SUBMIT_JOB|pickup-order|u|towels
+            plug2 expect JOB_CREATED|*
+            plug3 send SUBMIT_JOB|pickup-order|u|towels
+            plug3 expect JOB_CREATED|*
+            plug9 send WORK_COMPLETE|$|van
+            plug2 expect WORK_COMPLETE|*|van
+            plug3 expect WORK_COMPLETE|*|van
+            wait 19000
+            plug4 send SUBMIT_JOB|pickup-order|u|towels
+            plug4 expect JOB_CREATED|*
+            plug4 expect WORK_COMPLETE|*|van
+            plug9 expect nothing
+            """);
+        assertThat(s.counters.of("attempts.out")).isEqualTo(1);
+    }
+
+    /** Guards that the kept outcome of a failed order is its failure, not a new run. */
+    @Test
+    void aResubmitOfAFailedOrderFails() {
+        Scenario s = play("""
+            plug1 send SUBMIT_JOB|pickup-order|u|towels
+            plug1 expect JOB_CREATED|*
+            plug9 expect NOOP
+            plug9 send GRAB_JOB
+            plug9 expect JOB_ASSIGN|*
+            plug9 send WORK_EXCEPTION|$|no van
+            plug1 expect WORK_FAIL|*
+            plug9 send WORK_FAIL|$
+            plug1 expect nothing
+            plug1 send SUBMIT_JOB_LOW|pickup-order|u|towels
+            plug1 expect JOB_CREATED|*
+            plug1 expect WORK_FAIL|*
+            """);
+        assertThat(s.counters.of("attempts.out")).isEqualTo(1);
+    }
+
+    /** Guards the one answer in time: a worker that never ends, and a class that no worker runs. */
+    @Test
+    void theDeadlineIsAWorkFail() {
+        play("""
+            plug1 send SUBMIT_JOB|pickup-order||x
+            plug1 expect JOB_CREATED|*
+            plug9 expect NOOP
+            plug9 send GRAB_JOB
+            plug9 expect JOB_ASSIGN|*
+            wait 19900
+            plug1 expect nothing
+            wait 110
+            plug1 expect WORK_FAIL|*
+            plug9 send WORK_COMPLETE|$|late
+            plug1 expect nothing
+            """);
+        new Scenario(0).play("plug1 send SUBMIT_JOB|route-plan||x\nplug1 expect JOB_CREATED|*\nwait 8010\n"
+            + "plug1 expect WORK_FAIL|*\nplug1 expect nothing");
+    }
+
+    /** Guards the refusal's packet: with the option, an exception that says when to come back; else a failure. */
+    @Test
+    void aRefusalSaysWhenToComeBack() {
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 64; i++) {
+            many.append("plug1 send SUBMIT_JOB_BG|route-plan||x\nplug1 expect JOB_CREATED|*\n");
+        }
+        new Scenario(0).play(many + """
+            plug2 send OPTION_REQ|exceptions
+            plug2 expect OPTION_RES|exceptions
+            plug2 send SUBMIT_JOB|route-plan||x
+            plug2 expect JOB_CREATED|*
+            plug2 expect WORK_EXCEPTION|*|refused, try again after 1000 ms
+            plug2 expect nothing
+            plug3 send SUBMIT_JOB|route-plan||x
+            plug3 expect JOB_CREATED|*
+            plug3 expect WORK_FAIL|*
+            """);
+    }
+
+    /** Guards drains: after CANT_DO nothing new of that class, what was not grabbed goes back, the rest goes on. */
+    @Test
+    void cantDoIsADrain() {
+        play("""
+            plug1 send SUBMIT_JOB|route-plan||x
+            plug1 expect JOB_CREATED|*
+            plug9 expect NOOP
+            plug9 send CANT_DO|route-plan
+            plug9 send GRAB_JOB
+            plug9 expect NO_JOB
+            plug9 send PRE_SLEEP
+            wait 3000
+            plug1 send SUBMIT_JOB|pickup-order||y
+            plug1 expect JOB_CREATED|*
+            plug9 expect NOOP
+            plug9 send GRAB_JOB
+            plug9 expect JOB_ASSIGN|H:t:*|pickup-order|y
+            plug9 send RESET_ABILITIES
+            plug9 send WORK_COMPLETE|$|van
+            plug1 expect WORK_COMPLETE|*|van
+            plug9 send GRAB_JOB
+            plug9 expect NO_JOB
+            """);
+    }
+
+    /** Guards cold workers: a fresh one is not given jobs beyond what it may warm up on. */
+    @Test
+    void aFreshWorkerIsNotFlooded() {
+        StringBuilder many = new StringBuilder("plug9 send CAN_DO|route-plan\nplug9 send PRE_SLEEP\n");
+        for (int i = 0; i < 20; i++) {
+            many.append("plug1 send SUBMIT_JOB_BG|route-plan||x\nplug1 expect JOB_CREATED|*\n");
+        }
+        Scenario s = new Scenario(0).play(many + "wait 100");
+        assertThat(s.counters.of("attempts.out")).isLessThanOrEqualTo(1);
+        s.play("wait 700");
+        assertThat(s.counters.of("attempts.out")).isPositive();
+    }
+
+    /** Guards the worker that sleeps on: what it does not grab in a second goes elsewhere, never having run. */
+    @Test
+    void whatIsNotGrabbedGoesElsewhere() {
+        Scenario s = play("plug1 send SUBMIT_JOB|pickup-order||x\nplug1 expect JOB_CREATED|*\nwait 1010");
+        assertThat(s.counters.of("attempts.connect_failed")).isEqualTo(1);
+        s.play("plug1 expect nothing");
+    }
+
+    /** Guards the worker's own limit: CAN_DO_TIMEOUT ends the attempt, and the order is not sent again. */
+    @Test
+    void aWorkersOwnLimitEndsTheAttempt() {
+        new Scenario(0).play("plug9 send CAN_DO_TIMEOUT|pickup-order|2\nplug9 send PRE_SLEEP\nwait 500\n" + """
+            plug1 send SUBMIT_JOB|pickup-order||x
+            plug1 expect JOB_CREATED|*
+            plug9 expect NOOP
+            plug9 send GRAB_JOB
+            plug9 expect JOB_ASSIGN|*
+            wait 2010
+            plug1 expect WORK_FAIL|*
+            """);
+    }
+
+    /** Guards both ways across: an HTTP front desk served by a Gearman worker, a Gearman client by an HTTP node. */
+    @Test
+    void eitherFrontIsServedByEitherKindOfNode() {
+        play("""
+            desk1 send POST /pickup-order a 20000 towels
+            plug9 expect NOOP
+            plug9 send GRAB_JOB
+            plug9 expect JOB_ASSIGN|H:t:a|pickup-order|towels
+            plug9 send WORK_COMPLETE|$|van
+            desk1 expect 200 van
+            """);
+        new Scenario(1).play("""
+            plug1 send SUBMIT_JOB|route-plan|u|x
+            plug1 expect JOB_CREATED|*
+            node1 expect POST /route-plan * x
+            """);
+    }
+
+    /** Guards the admin's lines. */
+    @Test
+    void adminLinesAreAnswered() {
+        play("""
+            plug9 send SET_CLIENT_ID|old van
+            plug1 send SUBMIT_JOB_BG|route-plan||x
+            plug1 expect JOB_CREATED|*
+            plug2 send text:status
+            plug2 expect "route-plan\\t1\\t1\\t1\\npickup-order\\t0\\t0\\t1\\n.\\n"
+            plug2 send text:workers
+            plug2 expect "0 - old_van : route-plan pickup-order\\n.\\n"
+            plug2 send text:version
+            plug2 expect "OK 0\\n"
+            plug2 send text:shutdown
+            plug2 expect "ERR UNKNOWN_COMMAND Unknown+server+command\\n"
+            plug2 send ECHO_REQ|hello
+            plug2 expect ECHO_RES|hello
+            """);
+    }
+
+    /** Guards against malformed packets: ERROR, then the connection ends. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\\000RES\\0\\0\\0\\020\\0\\0\\0\\0", "\\000REQ\\0\\0\\0\\143\\0\\0\\0\\0",
+        "\\000REQ\\0\\0\\0\\007\\0\\0\\0\\002ab", "\\000REQ\\0\\0\\0\\007\\377\\0\\0\\0", "\\001abc",
+        "\\000REQ\\0\\0\\0\\011\\0\\0\\0\\001a", "\\000REQ\\0\\0\\0\\007\\0\\177\\0\\0"})
+    void malformedPacketsEndTheConnection(String bytes) {
+        new Scenario(0).play("plug1 send \"" + bytes + "\"\nplug1 expect ERROR|*\nplug1 expect closed");
+    }
+
+    /** Guards against well-formed packets that ask for what is not offered: ERROR, and the connection goes on. */
+    @ParameterizedTest
+    @CsvSource({"SUBMIT_JOB|laundry|u|x,unknown_function", "OPTION_REQ|magic,unknown_option",
+        "SUBMIT_JOB_EPOCH|route-plan|u|1|x,unsupported"})
+    void whatIsNotOfferedIsAnError(String packet, String code) {
+        new Scenario(0).play("plug1 send " + packet + "\nplug1 expect ERROR|" + code + "|*\nplug1 send ECHO_REQ|x\n"
+            + "plug1 expect ECHO_RES|x");
+    }
+}
