--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -44,29 +44,10 @@
         this.lookedAt = clock.nowMs();
     }
 
-    /** Runs until told to stop. */
+    /** Runs until told to stop, then ends all connections. */
     public void run(BooleanSupplier until) throws IOException {
         while (!until.getAsBoolean()) {
-            double now = clock.nowMs();
-            double sleep = soon.isEmpty() ? wheel.quietUntil(now, LONGEST_SLEEP_MS) - now : 0;
-            if (sleep <= 0) {
-                selector.selectNow();
-            } else {
-                selector.select((long) Math.ceil(sleep));
-            }
-            double woke = clock.nowMs();
-            for (SelectionKey key : selector.selectedKeys()) {
-                guarded(() -> ((Ready) key.attachment()).ready(key));
-            }
-            selector.selectedKeys().clear();
-            lookedAt = woke;
-            wheelTurn();
-            for (Runnable r = fromOutside.poll(); r != null; r = fromOutside.poll()) {
-                guarded(r);
-            }
-            for (int n = soon.size(); n > 0; n--) {
-                guarded(soon.poll());
-            }
+            turn(LONGEST_SLEEP_MS);
         }
         for (SelectionKey key : selector.keys()) {
             key.channel().close();
@@ -74,8 +55,28 @@
         selector.close();
     }
 
-    private void wheelTurn() {
+    /** One turn: waits for sockets no longer than given or than until the next timer, and does what is due. */
+    public void turn(double longestMs) throws IOException {
+        double now = clock.nowMs();
+        double sleep = soon.isEmpty() ? wheel.quietUntil(now, longestMs) - now : 0;
+        if (sleep <= 0) {
+            selector.selectNow();
+        } else {
+            selector.select((long) Math.ceil(sleep));
+        }
+        double woke = clock.nowMs();
+        for (SelectionKey key : selector.selectedKeys()) {
+            guarded(() -> ((Ready) key.attachment()).ready(key));
+        }
+        selector.selectedKeys().clear();
+        lookedAt = woke;
         guarded(() -> wheel.turnTo(clock.nowMs()));
+        for (Runnable r = fromOutside.poll(); r != null; r = fromOutside.poll()) {
+            guarded(r);
+        }
+        for (int n = soon.size(); n > 0; n--) {
+            guarded(soon.poll());
+        }
     }
 
     /** How long ago sockets were last looked at: what is read now may have come that much earlier. */
