--- a/src/main/java/plumpost/benchlink/WireCodec.java
+++ b/src/main/java/plumpost/benchlink/WireCodec.java
@@ -2,6 +2,7 @@
 
 import plumpost.config.Json;
 import plumpost.config.Json.Fields;
+import plumpost.config.LoadReports;
 import plumpost.decision.Dispatcher;
 
 /** Reads the wire's events into the vocabulary of {@link Dispatcher}; no state, no decisions. */
@@ -16,12 +17,6 @@
     }
 
     static Dispatcher.LoadReport report(Fields f, boolean x0IsFreeSlots) {
-        if (!f.has("serverStats")) {
-            return null;
-        }
-        Fields r = f.object("serverStats");
-        return new Dispatcher.LoadReport(r.number("inflight", Double.NaN), r.number("queue", Double.NaN),
-            r.number("latency_ms", Double.NaN), r.number("eps", Double.NaN),
-            x0IsFreeSlots ? r.number("x0", Double.NaN) : Double.NaN, r.number("x1", Double.NaN));
+        return f.has("serverStats") ? LoadReports.read(f.object("serverStats"), x0IsFreeSlots) : null;
     }
 }
--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -10,8 +10,10 @@
 import plumpost.dispatch.SystemClock;
 import plumpost.dispatch.TimerWheel;
 import plumpost.gearman.GearmanDoor;
+import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
 import plumpost.platform.Platform;
+import plumpost.platform.Rehearsal;
 
 /** Runs one real scheduler until SIGTERM, and ends it in order. */
 final class Serve {
@@ -34,9 +36,10 @@
         loop = new SelectorLoop(clock, wheel, counters, this::log);
         room = new DispatchRoom(config.settings(), config.seed(), clock, wheel, counters,
             new DispatchRoom.Bounds(4096, 16 << 20, 16_384, 8 << 20), this::log);
-        platform = new Platform(config, room, loop, clock, wheel, counters, this::log, loop::lagMs);
-        gearman = config.gearman() == null ? null : new GearmanDoor(config.name(), Main.version(), config.seed(), room,
-            clock, wheel, counters, config.settings());
+        Kit kit = new Kit(loop, clock, wheel, counters, this::log);
+        platform = new Platform(config, room, kit, loop::lagMs);
+        gearman = config.gearman() == null ? null : new GearmanDoor(config.gearman(), config.name(), Main.version(),
+            config.seed(), room, kit, config.settings());
     }
 
     static NodeConfig config(String file) {
@@ -57,9 +60,10 @@
             loop.listen(config.listen(), platform::accept, Platform.connections(config));
         }
         if (gearman != null) {
-            loop.listen(config.gearman(), gearman::accept, config.sockets() / 8);
+            loop.listen(config.gearman().listen(), gearman::accept, config.sockets() / 8);
         }
         platform.begin(room);
+        Rehearsal.play(config);
         platform.ready();
         log("ready");
         try {
--- a/src/main/java/plumpost/platform/LoadReports.java
+++ b/src/main/java/plumpost/config/LoadReports.java
@@ -1,26 +1,26 @@
-package plumpost.platform;
+package plumpost.config;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
 import plumpost.decision.Dispatcher.LoadReport;
 
-/** Reads a route node's load report, as an object or as {@code name=value} pairs. */
-final class LoadReports {
+/** Reads a route node's load report: from named fields, or from a body that is an object or {@code name=value} pairs. */
+public final class LoadReports {
     private LoadReports() { }
 
-    static LoadReport read(Fields r, boolean freeSlots) {
+    /** The report in named fields. */
+    public static LoadReport read(Fields r, boolean freeSlots) {
         return new LoadReport(r.number("inflight", Double.NaN), r.number("queue", Double.NaN),
             r.number("latency_ms", Double.NaN), r.number("eps", Double.NaN),
             freeSlots ? r.number("x0", Double.NaN) : Double.NaN, r.number("x1", Double.NaN));
     }
 
     /** The report in a body or field of an answer; null for an empty one. */
-    static LoadReport read(ByteBuffer body, boolean freeSlots) {
+    public static LoadReport read(ByteBuffer body, boolean freeSlots) {
         byte[] bytes = new byte[body.remaining()];
         body.duplicate().get(bytes);
         String text = new String(bytes, StandardCharsets.ISO_8859_1).strip();
@@ -31,7 +31,7 @@
     }
 
     /** Numbers given as {@code name=value,name=value}. */
-    static Map<String, Object> pairs(String text) {
+    public static Map<String, Object> pairs(String text) {
         Map<String, Object> named = new LinkedHashMap<>();
         for (String pair : text.split("[,\\s]+")) {
             int is = pair.indexOf('=');
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
@@ -21,10 +22,13 @@
  * @param settings the settings in the module's words
  * @param raw the settings as given
  * @param known the list of route nodes as last had
- * @param gearman where Gearman clients and workers connect, or null while that front is off
+ * @param gearman the Gearman front, or null while it is off
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                         Dispatcher.Settings settings, Fields raw, Fields known, InetSocketAddress gearman) {
+                         Dispatcher.Settings settings, Fields raw, Fields known, Gearman gearman) {
+
+    /** Where Gearman clients and workers connect, and the plant and model that its workers are listed under. */
+    public record Gearman(InetSocketAddress listen, int plant, int model) { }
 
     /** Reads the file and lets the environment's NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before it. */
     public static NodeConfig read(Path file, Map<String, String> environment) {
@@ -41,11 +45,10 @@
         } catch (IllegalArgumentException e) {
             throw new BadInput("configuration: " + e.getMessage());
         }
-        Fields gearman = f.objectOrEmpty("gearman");
         NodeConfig c = new NodeConfig(environment.getOrDefault("NODE_NAME", f.text("name", "plumpost")),
             address(environment, "NODE_LISTEN", f, "listen"), address(environment, "NODE_DISCOVERY", f, "discovery"),
             seed(f.text("seed", "0")), (int) f.objectOrEmpty("limits").number("sockets", 1024), settings, raw,
-            f.objectOrEmpty("known"), address(Map.of(), "", gearman, "listen"));
+            f.objectOrEmpty("known"), gearman(f.objectOrEmpty("gearman"), raw));
         if (c.listen == null && c.gearman == null) {
             throw new BadInput("configuration: neither listen nor gearman.listen is given");
         }
@@ -55,6 +58,20 @@
         return c;
     }
 
+    private static Gearman gearman(Fields f, Fields settings) {
+        InetSocketAddress listen = address(Map.of(), "", f, "listen");
+        return listen == null ? null : new Gearman(listen, index(settings.listOrEmpty("dcs"), f, "plant"),
+            index(settings.listOrEmpty("shapes"), f, "model"));
+    }
+
+    private static int index(List<?> names, Fields f, String field) {
+        int i = f.has(field) ? names.indexOf(f.text(field)) : 0;
+        if (i < 0) {
+            throw new BadInput("configuration: gearman." + field + " is not in the settings: " + f.text(field));
+        }
+        return i;
+    }
+
     private static InetSocketAddress address(Map<String, String> environment, String variable, Fields f, String field) {
         String text = environment.getOrDefault(variable, f.text(field, null));
         return text == null || text.isEmpty() ? null
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -284,7 +284,7 @@
         counters.count("attempts." + how.name().toLowerCase(Locale.ROOT));
         Node n = nodes.get(a.node);
         if (n != null) {
-            n.out--;
+            n.out = Math.max(0, n.out - 1); // a node dropped and listed anew began at 0
         }
         if (how == Ending.OK && !a.job.answered) {
             answer(a.job, "served", result, r -> r.served(result.duplicate()));
@@ -383,6 +383,7 @@
         e.attempts.add(a);
         if (broken != null) {
             counters.count("guard." + broken);
+            log.accept("guard " + broken + ": attempt " + a.number + " of " + id + " on " + node + " not sent");
             a.ending = Ending.MOOT;
             event(() -> logic.ended(nowMs(), new Dispatcher.Outcome(id, a.number, node, Ending.MOOT, 0, e.answered,
                 null)));
--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -32,7 +32,7 @@
 
     void write(Type type, Object... arguments) {
         if (!over) {
-            door.counters.count("gearman.out." + type);
+            door.kit.counters().count("gearman.out." + type);
             wire.write(Packet.bytes(Packet.RESPONSE, type, arguments));
         }
     }
@@ -40,7 +40,7 @@
     /** Since when a packet has been under way in either direction, or infinity. */
     double slowSince() {
         boolean waiting = reader.midway() || !wire.flushed();
-        waitingSince = !waiting ? Double.NaN : Double.isNaN(waitingSince) ? door.clock.nowMs() : waitingSince;
+        waitingSince = !waiting ? Double.NaN : Double.isNaN(waitingSince) ? door.kit.clock().nowMs() : waitingSince;
         return waiting ? waitingSince : Double.POSITIVE_INFINITY;
     }
 
@@ -64,7 +64,7 @@
                 Packet p = reader.next(in);
                 String line = p == null ? reader.line() : null;
                 if (p != null) {
-                    door.counters.count("gearman.in." + p.type());
+                    door.kit.counters().count("gearman.in." + p.type());
                     packet(p);
                 } else if (line != null) {
                     wire.write(ByteBuffer.wrap(door.admin(line).getBytes(StandardCharsets.UTF_8)));
@@ -79,7 +79,7 @@
 
     /** Says what is wrong and ends the connection; what hangs on it ends as if the peer had left. */
     void error(String code, String words) {
-        door.counters.count("gearman.bad." + code);
+        door.kit.counters().count("gearman.bad." + code);
         write(Type.ERROR, code, words);
         ended();
         wire.finish();
@@ -123,7 +123,7 @@
             limitS = Long.parseLong(p.text(1));
         }
         if (cls < 0) {
-            door.counters.count("gearman.unknown_function"); // no job of such a function will ever come
+            door.kit.counters().count("gearman.unknown_function"); // no job of such a function will ever come
         } else {
             seat.canDo(cls, limitS * 1000);
         }
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanDoor.java
@@ -4,14 +4,15 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import plumpost.config.NodeConfig;
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.ListMode;
-import plumpost.dispatch.Clock;
-import plumpost.dispatch.Counters;
+import plumpost.decision.Dispatcher.Phase;
+import plumpost.decision.Dispatcher.WorkerEntry;
 import plumpost.dispatch.DispatchRoom;
 import plumpost.dispatch.ListedNode;
 import plumpost.dispatch.NodeList;
-import plumpost.dispatch.TimerWheel;
+import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
 
@@ -23,10 +24,9 @@
     private static final double SWEEP_MS = 500;
 
     final DispatchRoom room;
-    final Clock clock;
-    final TimerWheel wheel;
-    final Counters counters;
+    final Kit kit;
     final Dispatcher.Settings set;
+    private final NodeConfig.Gearman config;
     private final String name;
     private final String version;
     private final long firstId;
@@ -35,18 +35,17 @@
     private boolean stopping;
 
     /** A front whose handles carry the scheduler's name, and whose job ids start anew with each seed. */
-    public GearmanDoor(String name, String version, long seed, DispatchRoom room, Clock clock, TimerWheel wheel,
-                       Counters counters, Dispatcher.Settings set) {
+    public GearmanDoor(NodeConfig.Gearman config, String name, String version, long seed, DispatchRoom room,
+                       Kit kit, Dispatcher.Settings set) {
+        this.config = config;
         this.name = name;
         this.version = version;
-        this.firstId = seed ^ Double.doubleToLongBits(clock.nowMs()) * 0x9E3779B97F4A7C15L;
+        this.firstId = seed ^ Double.doubleToLongBits(kit.clock().nowMs()) * 0x9E3779B97F4A7C15L;
         this.room = room;
-        this.clock = clock;
-        this.wheel = wheel;
-        this.counters = counters;
+        this.kit = kit;
         this.set = set;
         room.add(this);
-        wheel.at(clock.nowMs() + SWEEP_MS, this::sweep);
+        kit.wheel().at(kit.clock().nowMs() + SWEEP_MS, this::sweep);
     }
 
     /** Takes a connection in. */
@@ -98,6 +97,10 @@
         return -1;
     }
 
+    WorkerEntry entry(String id, Phase phase, double cameUpMs, long runs) {
+        return new WorkerEntry(id, config.plant(), config.model(), 0, phase, 1, cameUpMs, runs);
+    }
+
     void listed(ListedNode line) {
         room.listed(this, ListMode.INCREMENTAL, List.of(line));
     }
@@ -107,14 +110,14 @@
     }
 
     private void sweep() {
-        double now = clock.nowMs();
+        double now = kit.clock().nowMs();
         for (Caller c : new ArrayList<>(callers)) {
             if (c.slowSince() < now - SLOW_MS) {
-                counters.count("gearman.slow");
+                kit.counters().count("gearman.slow");
                 c.error("timeout", "too slow");
             }
         }
-        wheel.at(now + SWEEP_MS, this::sweep);
+        kit.wheel().at(now + SWEEP_MS, this::sweep);
     }
 
     /** The answer to an admin's line. */
--- a/src/main/java/plumpost/gearman/WorkerSeat.java
+++ b/src/main/java/plumpost/gearman/WorkerSeat.java
@@ -8,7 +8,6 @@
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.LoadReport;
 import plumpost.decision.Dispatcher.Phase;
-import plumpost.decision.Dispatcher.WorkerEntry;
 import plumpost.dispatch.Attempt;
 import plumpost.dispatch.ListedNode;
 import plumpost.dispatch.NodeLink;
@@ -43,7 +42,7 @@
         this.door = door;
         this.caller = caller;
         this.id = "gearman-" + door.newId();
-        this.cameUpMs = door.clock.nowMs();
+        this.cameUpMs = door.kit.clock().nowMs();
     }
 
     boolean does(int cls) {
@@ -69,7 +68,7 @@
         listed = true;
         long runs = limits.keySet().stream().mapToLong(c -> 1L << c).sum();
         Phase phase = lost ? Phase.DELETED : limits.isEmpty() ? Phase.DRAINING : Phase.SERVING;
-        door.listed(new ListedNode(new WorkerEntry(id, door.set.zone(), 0, 0, phase, 1, cameUpMs, runs), this));
+        door.listed(new ListedNode(door.entry(id, phase, cameUpMs, runs), this));
     }
 
     void packet(Packet p) {
@@ -130,7 +129,7 @@
             handle = null;
         }
         if (!known || running == null) {
-            door.counters.count("gearman.stale");
+            door.kit.counters().count("gearman.stale");
             return false;
         }
         return true;
@@ -151,7 +150,7 @@
 
     private void say(ByteBuffer more) {
         if (said.remaining() + more.remaining() > GearmanDoor.PACKET_LIMIT) {
-            door.counters.count("gearman.result_too_large");
+            door.kit.counters().count("gearman.result_too_large");
             end().ended(Ending.ERROR, null);
             return;
         }
@@ -197,7 +196,7 @@
         }
         double limit = limits.getOrDefault(a.sheet().cls(), 0.0);
         if (limit > 0) {
-            door.wheel.at(door.clock.nowMs() + limit, () -> {
+            door.kit.wheel().at(door.kit.clock().nowMs() + limit, () -> {
                 if (running == a) {
                     end().ended(Ending.TIMEOUT, null);
                 }
@@ -215,14 +214,14 @@
             caller.write(Type.NOOP);
         }
         if (grab == null) {
-            grab = door.wheel.at(door.clock.nowMs() + GRAB_MS, this::notGrabbed);
+            grab = door.kit.wheel().at(door.kit.clock().nowMs() + GRAB_MS, this::notGrabbed);
         }
     }
 
     private void notGrabbed() {
         grab = null;
         if (!busy) {
-            door.counters.count("gearman.not_grabbed");
+            door.kit.counters().count("gearman.not_grabbed");
             handBack();
         }
     }
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -23,6 +23,7 @@
     private static final double LINGER_MS = 500;
     private static final int GATHER = 16;
     private static final int BUFFER = 64 * 1024;
+    private static final int MOST_UNREAD = 2 << 20;
 
     private final Selector selector;
     private final Clock clock;
@@ -216,6 +217,7 @@
         private SelectionKey key;
         private WireUser user;
         private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
+        private long unread;
         private boolean connected;
         private boolean gone;
         private boolean finishing;
@@ -260,9 +262,9 @@
                 }
             } catch (IOException e) {
                 broken();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | OutOfMemoryError e) {
                 broken();
-                throw e;
+                throw new IllegalStateException("on a connection: " + e, e);
             }
         }
 
@@ -301,8 +303,15 @@
             for (ByteBuffer p : parts) {
                 if (p.hasRemaining()) {
                     out.add(p.duplicate());
+                    unread += p.remaining();
                 }
             }
+            if (unread > MOST_UNREAD) {
+                // A peer that does not read what it asks for must not fill the memory.
+                counters.count("net.unread");
+                soon.add(this::broken);
+                return;
+            }
             if (connected) {
                 push();
             }
@@ -320,7 +329,7 @@
                         }
                         gather[i++] = b;
                     }
-                    channel.write(gather);
+                    unread -= channel.write(gather);
                     while (!out.isEmpty() && !out.peek().hasRemaining()) {
                         out.poll();
                     }
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -8,10 +8,9 @@
 import java.util.Set;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
+import plumpost.config.LoadReports;
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.JobClass;
-import plumpost.dispatch.Clock;
-import plumpost.dispatch.Counters;
 import plumpost.dispatch.DispatchRoom;
 import plumpost.dispatch.JobSheet;
 import plumpost.dispatch.LedgerEntry;
@@ -20,6 +19,7 @@
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
+import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
 
@@ -31,9 +31,7 @@
     private static final double SWEEP_MS = 500;
 
     private final DispatchRoom room;
-    private final Clock clock;
-    private final TimerWheel wheel;
-    private final Counters counters;
+    private final Kit kit;
     private final Dispatcher.Settings set;
     private final int most;
     private final Lag lag;
@@ -46,16 +44,13 @@
         double ms();
     }
 
-    FrontDoor(DispatchRoom room, Clock clock, TimerWheel wheel, Counters counters, Dispatcher.Settings set, int most,
-              Lag lag) {
+    FrontDoor(DispatchRoom room, Kit kit, Dispatcher.Settings set, int most, Lag lag) {
         this.room = room;
-        this.clock = clock;
-        this.wheel = wheel;
-        this.counters = counters;
+        this.kit = kit;
         this.set = set;
         this.most = most;
         this.lag = lag;
-        wheel.at(clock.nowMs() + SWEEP_MS, this::sweep);
+        kit.wheel().at(kit.clock().nowMs() + SWEEP_MS, this::sweep);
     }
 
     /** Takes a connection in. */
@@ -86,21 +81,21 @@
 
     /** Ends what is slow or has idled too long, sooner while connections run short. */
     private void sweep() {
-        double now = clock.nowMs();
+        double now = kit.clock().nowMs();
         double idleMs = desks.size() >= most - 8 ? 1_000 : IDLE_MS;
         for (Desk d : List.copyOf(desks)) {
             double since = now - d.since;
             if (!d.wire.flushed() && !d.working && since > SLOW_MS) {
-                counters.count("front.slow");
+                kit.counters().count("front.slow");
                 d.drop();
             } else if (d.reader.midway() && !d.working && since > SLOW_MS) {
-                counters.count("front.slow");
+                kit.counters().count("front.slow");
                 d.refuseBytes(408, "");
             } else if (d.idle() && since > idleMs) {
                 d.finish();
             }
         }
-        wheel.at(now + SWEEP_MS, this::sweep);
+        kit.wheel().at(now + SWEEP_MS, this::sweep);
     }
 
     /** One connection of a front desk. */
@@ -109,7 +104,7 @@
         private final RequestReader reader = new RequestReader(BODY_LIMIT);
         private LedgerEntry entry;
         private ByteBuffer ahead = ByteBuffer.allocate(0);
-        private double since = clock.nowMs();
+        private double since = kit.clock().nowMs();
         private boolean working;
         private boolean reading;
         private boolean over;
@@ -147,7 +142,7 @@
             try {
                 while (!over && !working && in.hasRemaining()) {
                     if (!reader.midway()) {
-                        since = clock.nowMs();
+                        since = kit.clock().nowMs();
                     }
                     if (reader.feed(in)) {
                         working = true;
@@ -168,18 +163,18 @@
         }
 
         private void refuseBytes(int status, String why) {
-            counters.count("front.bad." + status);
+            kit.counters().count("front.bad." + status);
             working = true;
             answer(status, Answers.ascii(why), "", true);
         }
 
         private void request() {
-            counters.count("front.requests");
+            kit.counters().count("front.requests");
             String path = reader.path();
             switch (path) {
                 case "/health/ready" -> get(() -> answer(ready && !stopping ? 200 : 503, Answers.ascii(""), "", false));
                 case "/health/live" -> get(() -> answer(200, Answers.ascii(""), "", false));
-                case "/counters" -> get(() -> answer(200, Answers.ascii(counters.toString()), "", false));
+                case "/counters" -> get(() -> answer(200, Answers.ascii(kit.counters().toString()), "", false));
                 default -> job(path);
             }
         }
@@ -188,7 +183,7 @@
             if (reader.method().equals("GET")) {
                 then.run();
             } else {
-                counters.count("front.bad.405");
+                kit.counters().count("front.bad.405");
                 answer(405, Answers.ascii(""), "Allow: GET\r\n", true);
             }
         }
@@ -203,7 +198,7 @@
             if (cls == set.classes().size()) {
                 refuseBytes(404, "no such class");
             } else if (!reader.method().equals("POST")) {
-                counters.count("front.bad.405");
+                kit.counters().count("front.bad.405");
                 answer(405, Answers.ascii(""), "Allow: POST\r\n", true);
             } else {
                 try {
@@ -272,12 +267,12 @@
             if (over) {
                 return;
             }
-            counters.count("front.answers." + status);
+            kit.counters().count("front.answers." + status);
             boolean last = close || stopping || reader.closes();
             working = false;
             continued = false;
             entry = null;
-            since = clock.nowMs();
+            since = kit.clock().nowMs();
             wire.write(Answers.head(status, body.remaining(), last, fields), body);
             if (last) {
                 finish();
@@ -286,7 +281,7 @@
             reader.next();
             if (!reading && ahead.hasRemaining()) {
                 // Not from within the core's answer to the last one.
-                wheel.at(clock.nowMs(), () -> {
+                kit.wheel().at(kit.clock().nowMs(), () -> {
                     ByteBuffer next = ahead;
                     ahead = ByteBuffer.allocate(0);
                     read(next);
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -4,23 +4,19 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeListReader;
 import plumpost.decision.Dispatcher.ListMode;
 import plumpost.decision.Dispatcher.Phase;
-import plumpost.dispatch.Clock;
-import plumpost.dispatch.Counters;
 import plumpost.dispatch.DispatchRoom;
 import plumpost.dispatch.ListedNode;
 import plumpost.dispatch.NodeLink;
 import plumpost.dispatch.NodeList;
-import plumpost.dispatch.TimerWheel;
 import plumpost.http.AnswerReader;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
-import plumpost.net.Network;
+import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
 
@@ -30,11 +26,7 @@
     /** An empty line comes every 2 s: without any for this long the watch is dead. */
     private static final double SILENCE_MS = 3_500;
 
-    private final Network network;
-    private final Clock clock;
-    private final TimerWheel wheel;
-    private final Counters counters;
-    private final Consumer<String> log;
+    private final Kit kit;
     private final InetSocketAddress discovery;
     private final NodeListReader reader;
     private final RouteNodes nodes;
@@ -42,13 +34,8 @@
     private long seq = -1;
     private Call call;
 
-    NodeListWatch(Network network, Clock clock, TimerWheel wheel, Counters counters, Consumer<String> log,
-                  InetSocketAddress discovery, NodeListReader reader, RouteNodes nodes, DispatchRoom room) {
-        this.network = network;
-        this.clock = clock;
-        this.wheel = wheel;
-        this.counters = counters;
-        this.log = log;
+    NodeListWatch(Kit kit, InetSocketAddress discovery, NodeListReader reader, RouteNodes nodes, DispatchRoom room) {
+        this.kit = kit;
         this.discovery = discovery;
         this.reader = reader;
         this.nodes = nodes;
@@ -66,7 +53,7 @@
         if (call != null) {
             call.drop();
         }
-        counters.count("list.asked");
+        kit.counters().count("list.asked");
         call = new Call();
     }
 
@@ -84,17 +71,17 @@
     private final class Call implements WireUser {
         private final AnswerReader answer = new AnswerReader(LINE_LIMIT);
         private final Wire wire;
-        private double heardAt = clock.nowMs();
+        private double heardAt = kit.clock().nowMs();
         private boolean over;
 
         Call() {
-            wire = network.dial(discovery, w -> this);
+            wire = kit.network().dial(discovery, w -> this);
             watchSilence();
         }
 
         private void watchSilence() {
-            wheel.at(heardAt + SILENCE_MS, () -> {
-                if (!over && clock.nowMs() - heardAt >= SILENCE_MS) {
+            kit.wheel().at(heardAt + SILENCE_MS, () -> {
+                if (!over && kit.clock().nowMs() - heardAt >= SILENCE_MS) {
                     fail("silent");
                 } else if (!over) {
                     watchSilence();
@@ -117,14 +104,14 @@
                     return;
                 }
                 for (byte[] l = answer.hasHead() ? answer.line() : null; l != null && !over; l = answer.line()) {
-                    heardAt = clock.nowMs();
+                    heardAt = kit.clock().nowMs();
                     line(l);
                 }
                 if (whole && !over) {
                     fail("ended");
                 }
             } catch (BadMessage | BadInput e) {
-                counters.count("list.malformed");
+                kit.counters().count("list.malformed");
                 fail("malformed: " + e.getMessage());
             }
         }
@@ -146,7 +133,7 @@
         private void fail(String why) {
             if (!over) {
                 drop();
-                log.accept("node list watch: " + why);
+                kit.log().accept("node list watch: " + why);
                 room.listed(NodeListWatch.this, ListMode.FAILED, List.of());
             }
         }
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -1,13 +1,10 @@
 package plumpost.platform;
 
-import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import plumpost.config.NodeConfig;
 import plumpost.config.NodeListReader;
-import plumpost.dispatch.Clock;
-import plumpost.dispatch.Counters;
 import plumpost.dispatch.DispatchRoom;
-import plumpost.dispatch.TimerWheel;
-import plumpost.net.Network;
+import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
 
@@ -19,18 +16,17 @@
     private final NodeConfig config;
 
     /** Joins the platform's protocol to a core; {@code lag} tells how long bytes may have lain unread. */
-    public Platform(NodeConfig config, DispatchRoom room, Network network, Clock clock, TimerWheel wheel,
-                    Counters counters, Consumer<String> log, java.util.function.DoubleSupplier lag) {
+    public Platform(NodeConfig config, DispatchRoom room, Kit kit, DoubleSupplier lag) {
         this.config = config;
         int nodeConnections = config.sockets() * 2 / 5;
         reader = new NodeListReader(config.raw(), why -> {
-            counters.count("list.malformed_line");
-            log.accept("malformed node list line: " + why);
+            kit.counters().count("list.malformed_line");
+            kit.log().accept("malformed node list line: " + why);
         });
-        RouteNodes nodes = new RouteNodes(network, clock, wheel, counters, log, config.settings(), nodeConnections);
+        RouteNodes nodes = new RouteNodes(kit, config.settings(), nodeConnections);
         watch = config.discovery() == null ? null
-            : new NodeListWatch(network, clock, wheel, counters, log, config.discovery(), reader, nodes, room);
-        door = new FrontDoor(room, clock, wheel, counters, config.settings(), connections(config), lag::getAsDouble);
+            : new NodeListWatch(kit, config.discovery(), reader, nodes, room);
+        door = new FrontDoor(room, kit, config.settings(), connections(config), lag::getAsDouble);
     }
 
     /** Connections that front desks may hold open together. */
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -5,51 +5,40 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Consumer;
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
+import plumpost.config.LoadReports;
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.LoadReport;
 import plumpost.dispatch.Attempt;
-import plumpost.dispatch.Clock;
-import plumpost.dispatch.Counters;
 import plumpost.dispatch.NodeLink;
 import plumpost.dispatch.Probe;
 import plumpost.dispatch.TimerWheel;
 import plumpost.http.AnswerReader;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
-import plumpost.net.Network;
+import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
 
 /** The route nodes that speak HTTP: one link each, with its pool of connections. */
 final class RouteNodes {
-    private static final int ANSWER_LIMIT = 512 * 1024;
+    private static final int ANSWER_LIMIT = 256 * 1024;
     private static final double PROBE_MS = 300;
     /** Idle connections are retired at this part of the time after which the node may close them. */
     private static final double RETIRE_AT = 0.5;
 
-    private final Network network;
-    private final Clock clock;
-    private final TimerWheel wheel;
-    private final Counters counters;
-    private final Consumer<String> log;
+    private final Kit kit;
     private final Dispatcher.Settings set;
     private final int mostConnections;
     private final double retireMs;
     private final Map<InetSocketAddress, Node> nodes = new HashMap<>();
     private int connections;
 
-    RouteNodes(Network network, Clock clock, TimerWheel wheel, Counters counters, Consumer<String> log,
-               Dispatcher.Settings set, int mostConnections) {
-        this.network = network;
-        this.clock = clock;
-        this.wheel = wheel;
-        this.counters = counters;
-        this.log = log;
+    RouteNodes(Kit kit, Dispatcher.Settings set, int mostConnections) {
+        this.kit = kit;
         this.set = set;
         this.mostConnections = mostConnections;
         this.retireMs = set.limits().keepaliveMs() > 0 ? set.limits().keepaliveMs() * RETIRE_AT : 1000;
@@ -137,7 +126,7 @@
             written = false;
             reader.next();
             if (p != null) {
-                limit = wheel.at(clock.nowMs() + PROBE_MS, () -> end(Ending.TIMEOUT));
+                limit = kit.wheel().at(kit.clock().nowMs() + PROBE_MS, () -> end(Ending.TIMEOUT));
             }
             if (wire == null) {
                 dial();
@@ -148,12 +137,12 @@
 
         private void dial() {
             if (connections > mostConnections) {
-                counters.count("nodes.no_connection");
-                wheel.at(clock.nowMs(), this::ended);
+                kit.counters().count("nodes.no_connection");
+                kit.wheel().at(kit.clock().nowMs(), this::ended);
                 return;
             }
-            wire = network.dial(node.dial, w -> this);
-            wheel.at(clock.nowMs() + set.limits().dialTimeoutMs(), () -> {
+            wire = kit.network().dial(node.dial, w -> this);
+            kit.wheel().at(kit.clock().nowMs() + set.limits().dialTimeoutMs(), () -> {
                 if (!up) {
                     end(Ending.CONNECT_FAILED);
                 }
@@ -223,8 +212,8 @@
                     news.run();
                 }
             } catch (BadMessage | BadInput e) {
-                counters.count("nodes.malformed");
-                log.accept("malformed answer from " + host() + ": " + e.getMessage());
+                kit.counters().count("nodes.malformed");
+                kit.log().accept("malformed answer from " + host() + ": " + e.getMessage());
                 end(Ending.ERROR);
             }
         }
@@ -300,7 +289,7 @@
                 return;
             }
             node.idle.push(this);
-            retire = wheel.at(clock.nowMs() + retireMs, this::drop);
+            retire = kit.wheel().at(kit.clock().nowMs() + retireMs, this::drop);
         }
 
         @Override
--- a/src/test/java/plumpost/LoopbackTest.java
+++ b/src/test/java/plumpost/LoopbackTest.java
@@ -25,6 +25,7 @@
 import plumpost.http.AnswerReader;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
+import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
@@ -98,12 +99,8 @@
 
         @Override
         public void bytes(ByteBuffer in) {
-            try {
-                if (!reader.feed(in)) {
-                    return;
-                }
-            } catch (BadMessage e) {
-                throw new AssertionError(e);
+            if (!whole(() -> reader.feed(in))) {
+                return;
             }
             String id = reader.head().field("X-Txn");
             String body = StandardCharsets.ISO_8859_1.decode(reader.body()).toString();
@@ -172,6 +169,19 @@
         }
     }
 
+    /** A machine's feeding; the scheduler's bytes must never be malformed. */
+    private interface Feeding {
+        boolean whole() throws BadMessage;
+    }
+
+    private static boolean whole(Feeding feeding) {
+        try {
+            return feeding.whole();
+        } catch (BadMessage e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private static Packet next(PacketReader reader, ByteBuffer in) {
         try {
             return reader.next(in);
@@ -220,12 +230,8 @@
 
         @Override
         public void bytes(ByteBuffer in) {
-            try {
-                if (!reader.feed(in)) {
-                    return;
-                }
-            } catch (BadMessage e) {
-                throw new AssertionError(e);
+            if (!whole(() -> reader.feed(in))) {
+                return;
             }
             assertThat(in.hasRemaining()).as("a second answer").isFalse();
             String body = StandardCharsets.ISO_8859_1.decode(reader.body()).toString();
@@ -320,11 +326,12 @@
         Json.Fields known = Json.object("known", ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}")
             .getBytes(StandardCharsets.UTF_8));
         NodeConfig config = new NodeConfig("t", anywhere(), anywhere(), 7, 1024, SettingsReader.settings(raw), raw,
-            known, anywhere());
+            known, new NodeConfig.Gearman(anywhere(), 0, 0));
         DispatchRoom room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
             new DispatchRoom.Bounds(1000, 1 << 24, JOBS, 1 << 24), log::add);
-        Platform platform = new Platform(config, room, loop, () -> now, wheel, counters, log::add, loop::lagMs);
-        GearmanDoor door = new GearmanDoor("t", "0", 7, room, () -> now, wheel, counters, config.settings());
+        Kit kit = new Kit(loop, () -> now, wheel, counters, log::add);
+        Platform platform = new Platform(config, room, kit, loop::lagMs);
+        GearmanDoor door = new GearmanDoor(config.gearman(), "t", "0", 7, room, kit, config.settings());
         front = loop.listen(anywhere(), platform::accept, 100).address();
         gearman = loop.listen(anywhere(), door::accept, 100).address();
         platform.begin(room);
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -19,7 +19,7 @@
 import plumpost.dispatch.TimerWheel;
 import plumpost.gearman.GearmanDoor;
 import plumpost.gearman.Packet;
-import plumpost.net.Network;
+import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
 import plumpost.platform.Platform;
@@ -78,9 +78,9 @@
             new InetSocketAddress("127.0.0.1", 8500), 7, 1024, SettingsReader.settings(raw), raw, known, null);
         room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
             new DispatchRoom.Bounds(64, 1 << 20, 64, 1 << 20), log::add);
-        Network network = this::dial;
-        platform = new Platform(config, room, network, () -> now, wheel, counters, log::add, () -> 0);
-        gearman = new GearmanDoor("t", "0", 7, room, () -> now, wheel, counters, config.settings());
+        Kit kit = new Kit(this::dial, () -> now, wheel, counters, log::add);
+        platform = new Platform(config, room, kit, () -> 0);
+        gearman = new GearmanDoor(new NodeConfig.Gearman(null, 0, 0), "t", "0", 7, room, kit, config.settings());
         platform.begin(room);
         platform.ready();
     }
--- /dev/null
+++ b/src/test/java/plumpost/cli/MainTest.java
@@ -0,0 +1,62 @@
+package plumpost.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import plumpost.config.NodeConfig;
+import plumpost.platform.Rehearsal;
+
+/** The command line and the configuration behind it. */
+class MainTest {
+    private static final Path SAMPLE = Path.of("deploy/gearman.json");
+
+    @TempDir
+    private Path folder;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    private int run(String... arguments) throws IOException {
+        return Main.run(arguments, new PrintStream(out, true, StandardCharsets.UTF_8),
+            new PrintStream(err, true, StandardCharsets.UTF_8));
+    }
+
+    /** Guards that a bad command line is one line on standard error and exit code 2. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "fly", "serve --wings", "serve now", "check", "check --config /nowhere", "serve -c"})
+    void badArgumentsEndWithOneLine(String line) throws IOException {
+        assertThat(run(line.isEmpty() ? new String[0] : line.split(" "))).isEqualTo(2);
+        assertThat(err.toString(StandardCharsets.UTF_8)).startsWith("plumpost: ").hasLineCount(1);
+    }
+
+    /** Guards that each fault of a configuration is named in one line; an empty word stands for the file as it is. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '~', value = {"{ ~ ~ is not JSON", "\"seed\": \"1\"~\"seed\": \"z\"~seed",
+        "\"127.0.0.1:8000\"~\"desk:8000\"~listen is not an address", "\"deadlineMs\": 8000.0~\"deadlineMs\": -1~class",
+        "\"sockets\": 1024~\"sockets\": 3~limits.sockets", "\"plant\": \"plant-1\"~\"plant\": \"x\"~gearman.plant",
+        "\"effect\": \"free\"~\"effect\": \"fluid\"~effect"})
+    void badConfigurationIsNamed(String old, String now, String said) throws IOException {
+        String text = Files.readString(SAMPLE).replace(old.strip(), now == null ? "" : now);
+        Path file = Files.writeString(folder.resolve("c.json"), text);
+        assertThat(run("check", "--config", file.toString())).isEqualTo(2);
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains(said).hasLineCount(1);
+    }
+
+    /** Guards the operator's file in the repository, and that the warm-up serves all its jobs by it. */
+    @Test
+    void theOperatorsFileIsInOrder() throws IOException {
+        assertThat(run("check", "-c", SAMPLE.toString())).isZero();
+        assertThat(run("version")).isZero();
+        assertThat(Rehearsal.play(NodeConfig.read(SAMPLE, java.util.Map.of()))).isEqualTo(300);
+    }
+}
--- a/src/test/java/plumpost/gearman/GearmanTest.java
+++ b/src/test/java/plumpost/gearman/GearmanTest.java
@@ -19,6 +19,17 @@
         wait 500
         """;
 
+    /** A client's job that the worker has grabbed. */
+    private static String assigned(String submit) {
+        return "plug1 send " + submit + """
+
+            plug1 expect JOB_CREATED|*
+            plug9 expect NOOP
+            plug9 send GRAB_JOB
+            plug9 expect JOB_ASSIGN|*
+            """;
+    }
+
     private static Scenario play(String steps) {
         return new Scenario(0).play(WORKER + steps);
     }
@@ -52,12 +63,7 @@
     /** Guards against an order that runs twice when its worker is lost: it fails; one not grabbed goes on. */
     @Test
     void anOrderWhoseWorkerIsLostFails() {
-        play("""
-            plug1 send SUBMIT_JOB|pickup-order||towels
-            plug1 expect JOB_CREATED|*
-            plug9 expect NOOP
-            plug9 send GRAB_JOB
-            plug9 expect JOB_ASSIGN|*
+        play(assigned("SUBMIT_JOB|pickup-order||towels") + """
             plug9 close
             plug1 expect WORK_FAIL|H:t:*
             plug1 expect nothing
@@ -81,12 +87,7 @@
     /** Guards that a route plan whose worker is lost goes to another one. */
     @Test
     void aRoutePlanWhoseWorkerIsLostGoesAgain() {
-        play("""
-            plug1 send SUBMIT_JOB_HIGH|route-plan||x
-            plug1 expect JOB_CREATED|*
-            plug9 expect NOOP
-            plug9 send GRAB_JOB
-            plug9 expect JOB_ASSIGN|*
+        play(assigned("SUBMIT_JOB_HIGH|route-plan||x") + """
             plug9 close
             plug1 expect nothing
             plug8 send CAN_DO|route-plan
@@ -103,12 +104,7 @@
     /** Guards the hard case of a resubmit: its client left, it joins the run, and later gets the kept outcome. */
     @Test
     void aResubmitNeverRunsTwice() {
-        Scenario s = play("""
-            plug1 send SUBMIT_JOB|pickup-order|u|towels
-            plug1 expect JOB_CREATED|*
-            plug9 expect NOOP
-            plug9 send GRAB_JOB
-            plug9 expect JOB_ASSIGN|*
+        Scenario s = play(assigned("SUBMIT_JOB|pickup-order|u|towels") + """
             plug1 close
             plug2 send SUBMIT_JOB|pickup-order|u|towels
             plug2 expect JOB_CREATED|*
@@ -129,12 +125,7 @@
     /** Guards that the kept outcome of a failed order is its failure, not a new run. */
     @Test
     void aResubmitOfAFailedOrderFails() {
-        Scenario s = play("""
-            plug1 send SUBMIT_JOB|pickup-order|u|towels
-            plug1 expect JOB_CREATED|*
-            plug9 expect NOOP
-            plug9 send GRAB_JOB
-            plug9 expect JOB_ASSIGN|*
+        Scenario s = play(assigned("SUBMIT_JOB|pickup-order|u|towels") + """
             plug9 send WORK_EXCEPTION|$|no van
             plug1 expect WORK_FAIL|*
             plug9 send WORK_FAIL|$
@@ -149,12 +140,7 @@
     /** Guards the one answer in time: a worker that never ends, and a class that no worker runs. */
     @Test
     void theDeadlineIsAWorkFail() {
-        play("""
-            plug1 send SUBMIT_JOB|pickup-order||x
-            plug1 expect JOB_CREATED|*
-            plug9 expect NOOP
-            plug9 send GRAB_JOB
-            plug9 expect JOB_ASSIGN|*
+        play(assigned("SUBMIT_JOB|pickup-order||x") + """
             wait 19900
             plug1 expect nothing
             wait 110
@@ -235,12 +221,7 @@
     /** Guards the worker's own limit: CAN_DO_TIMEOUT ends the attempt, and the order is not sent again. */
     @Test
     void aWorkersOwnLimitEndsTheAttempt() {
-        new Scenario(0).play("plug9 send CAN_DO_TIMEOUT|pickup-order|2\nplug9 send PRE_SLEEP\nwait 500\n" + """
-            plug1 send SUBMIT_JOB|pickup-order||x
-            plug1 expect JOB_CREATED|*
-            plug9 expect NOOP
-            plug9 send GRAB_JOB
-            plug9 expect JOB_ASSIGN|*
+        new Scenario(0).play("plug9 send CAN_DO_TIMEOUT|pickup-order|2\nplug9 send PRE_SLEEP\nwait 500\n" + assigned("SUBMIT_JOB|pickup-order||x") + """
             wait 2010
             plug1 expect WORK_FAIL|*
             """);
--- a/src/test/java/plumpost/net/SelectorLoopTest.java
+++ b/src/test/java/plumpost/net/SelectorLoopTest.java
@@ -41,6 +41,24 @@
         };
     }
 
+    /** Guards the memory against a peer that reads nothing: its connection ends once too much waits for it. */
+    @Test
+    @Timeout(20)
+    void aPeerThatReadsNothingIsEnded() throws Exception {
+        SelectorLoop loop = new SelectorLoop(clock, new TimerWheel(clock.nowMs()), counters, heard::add);
+        try (java.net.ServerSocket deaf = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            ByteBuffer much = ByteBuffer.allocate(1 << 16);
+            loop.dial((InetSocketAddress) deaf.getLocalSocketAddress(), w -> {
+                for (int i = 0; i < 40; i++) {
+                    w.write(much);
+                }
+                return user(w, "", () -> { });
+            });
+            loop.run(() -> heard.contains("ended"));
+        }
+        assertThat(counters.of("net.unread")).isPositive();
+    }
+
     /**
      * Guards against a reading that empties the buffer of the one around it: a front desk's request was taken again
      * and again because sending it looked at another connection first (calm day, 724 sends after the answer).
