Give up jobs too late for their time at once, and tell refused clients when to come back

Cause, in Logic.release: a job that can no longer be in time was kept as "hopeless" while few attempts start at once, got no node, and was answered by its deadline's timer. That holds a given up job back. It is now finished where it is found too late and nothing is spare; where something is, it still goes out late.

LogicTest.aJobGivenUpIsToldAtOnce fails on the old lines.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -59,9 +59,8 @@
         out = actions;
         random = new SplittableRandom(seed);
         Arrays.setAll(kinds = new Kind[settings.kinds()], k -> new Kind());
-        prompt = new double[settings.zones()];
         waits = new double[settings.zones()];
-        Arrays.setAll(prompt, z -> z == settings.zone() ? 20 : 60);
+        Arrays.setAll(prompt = new double[settings.zones()], z -> z == settings.zone() ? 20 : 60);
         tells = settings.limits().peers() && settings.balancers() > 1
             && 6 * (settings.balancers() - 1) * settings.fees().peer() / 256 < PEER_PRICE;
         pulls = !tells && settings.reports() != Reports.SILENT && settings.limits().probes();
@@ -305,19 +304,19 @@
         double[] blocked = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         while (!held.isEmpty() && passed.size() < LOOK_AHEAD) {
             Request r = held.poll();
+            if (r.dead && promptShare < SPARE_SHARE) finish(r);
             if (r.done) continue;
             if (!r.dead && r.cls.lateWorth() == 0 && now + r.cost / 2 > r.aim) {
-                // Exception, a job that can no longer be in time: it goes after all that can.
+                // Exception, a job that cannot be in time now: after all that can, or given up and told so at once.
                 r.dead = true;
                 pressedUntil = now + PRESSED_MS;
                 r.key += 1e9;
-                held.add(r);
+                if (promptShare < SPARE_SHARE) finish(r); else held.add(r);
                 continue;
             }
             // What found no room leaves none for a job of as many slots: one scan of the fleet serves both.
             int kind = recallable(r, 1) ? 1 : 0;
-            boolean hopeless = r.dead && promptShare < SPARE_SHARE || r.job.slots() >= blocked[kind];
-            Worker w = hopeless ? null : choose(r);
+            Worker w = r.job.slots() >= blocked[kind] ? null : choose(r);
             if (w == null && r.cls.kind() < 0 && !mixed && r.attempts.isEmpty() && !asks(r)) {
                 blocked[kind] = Math.min(blocked[kind], r.job.slots());
             }
@@ -578,7 +577,8 @@
     private void finish(Request r) {
         if (r.done) return;
         boolean harmless = mayHaveRun(r) == null || r.cls.effect() == Effect.FREE;
-        if (harmless && now < r.aim) out.refuse(r.job.id(), 0); else out.fail(r.job.id());
+        double comeBack = Math.min(meanRun, set.limits().maxRetryAfterMs()); // by then a job has run through
+        if (harmless && now < r.aim) out.refuse(r.job.id(), comeBack); else out.fail(r.job.id());
         for (int i = 0; set.limits().cancelling() && i < r.attempts.size(); i++) {
             if (r.attempts.get(i).ending == null) out.cancel(r.job.id(), i);
         }
--- a/src/test/java/plumpost/decision/LogicTest.java
+++ b/src/test/java/plumpost/decision/LogicTest.java
@@ -277,4 +277,20 @@
         logic.ended(4, outcome("b", 0, "w", Ending.OK));
         assertTrue(out.take("assign").size() >= 2, "room is given as soon as it is there");
     }
+
+    /** Guards the answer at once: a job too late for its aim is not held to its deadline while nothing is spare. */
+    @Test
+    void aJobGivenUpIsToldAtOnce() {
+        start(worker("v", Phase.SERVING), worker("w", Phase.SERVING));
+        for (String id : List.of("a", "b", "c", "d")) {
+            logic.arrived(1, job(id, 1, 100));
+        }
+        assertEquals(4, out.take("assign").size());
+        logic.timer(100, 0); // none has started: nothing is spare
+        logic.arrived(101, job("late", 1, 1000));
+        logic.timer(1900, 0);
+        assertTrue(out.take("refuse").isEmpty(), "it can still be in time");
+        logic.timer(2100, 0);
+        assertEquals(List.of("refuse late"), out.take("refuse"));
+    }
 }
