--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -307,7 +307,7 @@
             if (r.dead && promptShare < SPARE_SHARE) finish(r);
             if (r.done) continue;
             if (!r.dead && r.cls.lateWorth() == 0 && now + r.cost / 2 > r.aim) {
-                // Exception, a job that cannot be in time now: after all that can, or given up and told so at once.
+                // Exception, a job that cannot be in time: after all that can, or given up at once.
                 r.dead = true;
                 pressedUntil = now + PRESSED_MS;
                 r.key += 1e9;
