Close gaps in bad input: untold lengths, endless packets, deep JSON, odd addresses

An answer whose length is not told was a reset when its connection ended, also where it said the job was turned away (RouteNodes.Call.ended): the order would have failed without need. A Gearman packet sent byte by byte put its time limit off with each byte (Caller.bytes). The Gearman key "-" was the data itself and refused beyond 1024 characters; it is a digest now. JSON nests 32 deep at most, and running out of stack ends the connection, not the loop. An address such as 999.0.0.1 would have been looked up as a name. Each has a scenario; the two of them that were wrong answers (the untold length, the endless packet) fail on the old lines.

--- a/src/main/java/plumpost/config/Json.java
+++ b/src/main/java/plumpost/config/Json.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -12,7 +13,9 @@
 
 /** Reads JSON with the streaming parser into named fields, with the checks that every reader needs. */
 public final class Json {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    /** No peer's bytes may nest so deep that reading them runs out of stack. */
+    private static final JsonFactory FACTORY = JsonFactory.builder().streamReadConstraints(
+        StreamReadConstraints.builder().maxNestingDepth(32).build()).build();
 
     private Json() { }
 
--- a/src/main/java/plumpost/config/NodeListReader.java
+++ b/src/main/java/plumpost/config/NodeListReader.java
@@ -12,6 +12,8 @@
 
 /** Reads the node list as discovery words it, and as the configuration keeps the last one. */
 public final class NodeListReader {
+    private static final String IPV4 = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])(\\.(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])){3}";
+
     private final List<?> plants;
     private final List<?> models;
     private final Consumer<String> malformed;
@@ -65,7 +67,7 @@
     public static InetSocketAddress address(String what, String text) {
         int colon = text.lastIndexOf(':');
         String host = colon < 0 ? "" : text.substring(0, colon).replaceAll("^\\[|\\]$", "").toLowerCase(Locale.ROOT);
-        if (!host.matches("[0-9.]+|[0-9a-f:.]*:[0-9a-f:.]*") || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
+        if (!host.matches(IPV4 + "|[0-9a-f:.]*:[0-9a-f:.]*") || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
             throw new BadInput(what + " is not an address and port: " + text);
         }
         try {
--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -2,7 +2,10 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -58,12 +61,12 @@
 
     @Override
     public void bytes(ByteBuffer in) {
-        waitingSince = Double.NaN;
         try {
             while (!over) {
                 Packet p = reader.next(in);
                 String line = p == null ? reader.line() : null;
                 if (p != null) {
+                    waitingSince = Double.NaN;
                     door.kit.counters().count("gearman.in." + p.type());
                     packet(p);
                 } else if (line != null) {
@@ -165,7 +168,7 @@
         ByteBuffer data = p.parts().get(2);
         String unique = p.text(1);
         if (unique.equals("-")) {
-            unique = StandardCharsets.ISO_8859_1.decode(data.duplicate()).toString(); // the data is the key
+            unique = digest(data);
         }
         if (unique.length() > 1024) {
             write(Type.ERROR, "unique_too_long", "a unique key of more than 1024 characters");
@@ -183,6 +186,17 @@
         s.announce();
     }
 
+    /** The key {@code -} stands for the data itself; a digest of it takes less room. */
+    private static String digest(ByteBuffer data) {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            sha.update(data.duplicate());
+            return "-" + HexFormat.of().formatHex(sha.digest());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e); // every Java has it
+        }
+    }
+
     @Override
     public void ended() {
         if (over) {
--- a/src/main/java/plumpost/http/AnswerReader.java
+++ b/src/main/java/plumpost/http/AnswerReader.java
@@ -37,6 +37,15 @@
         return body.feed(in);
     }
 
+    /** The connection has ended; true where that makes whole an answer whose length was not told. */
+    public boolean end() {
+        if (body != null && toEnd) {
+            body.end();
+            return true;
+        }
+        return false;
+    }
+
     /** True once the head has come. */
     public boolean hasHead() {
         return body != null;
--- a/src/main/java/plumpost/http/BodyReader.java
+++ b/src/main/java/plumpost/http/BodyReader.java
@@ -30,6 +30,13 @@
         }
     }
 
+    /** The connection has ended: a body without a stated length is whole by that. */
+    void end() {
+        if (left == Long.MAX_VALUE) {
+            step = Step.DONE;
+        }
+    }
+
     boolean whole() {
         return step == Step.DONE;
     }
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -262,7 +262,7 @@
                 }
             } catch (IOException e) {
                 broken();
-            } catch (RuntimeException | OutOfMemoryError e) {
+            } catch (RuntimeException | VirtualMachineError e) {
                 broken();
                 throw new IllegalStateException("on a connection: " + e, e);
             }
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -294,6 +294,9 @@
 
         @Override
         public void ended() {
+            if ((attempt != null || probe != null) && written && reader.end()) {
+                bytes(ByteBuffer.allocate(0));
+            }
             end(up && written ? Ending.RESET : Ending.CONNECT_FAILED);
         }
 
--- a/src/test/java/plumpost/cli/MainTest.java
+++ b/src/test/java/plumpost/cli/MainTest.java
@@ -42,7 +42,7 @@
     /** Guards that each fault of a configuration is named in one line; an empty word stands for the file as it is. */
     @ParameterizedTest
     @CsvSource(delimiter = '~', value = {"{ ~ ~ is not JSON", "\"seed\": \"1\"~\"seed\": \"z\"~seed",
-        "\"127.0.0.1:8000\"~\"desk:8000\"~listen is not an address", "\"deadlineMs\": 8000.0~\"deadlineMs\": -1~class",
+        "\"127.0.0.1:8000\"~\"desk:8000\"~listen is not an address", "127.0.0.1:8000~999.0.0.1:8000~not an address", "\"deadlineMs\": 8000.0~\"deadlineMs\": -1~class",
         "\"sockets\": 1024~\"sockets\": 3~limits.sockets", "\"plant\": \"plant-1\"~\"plant\": \"x\"~gearman.plant",
         "\"effect\": \"free\"~\"effect\": \"fluid\"~effect"})
     void badConfigurationIsNamed(String old, String now, String said) throws IOException {
--- a/src/test/java/plumpost/gearman/GearmanTest.java
+++ b/src/test/java/plumpost/gearman/GearmanTest.java
@@ -122,6 +122,23 @@
         assertThat(s.counters.of("attempts.out")).isEqualTo(1);
     }
 
+    /** Guards the key that stands for the data itself, however long that is. */
+    @Test
+    void theDataMayBeTheKey() {
+        String data = "x".repeat(5000);
+        Scenario s = play("plug1 send SUBMIT_JOB|pickup-order|-|" + data + "\nplug1 expect JOB_CREATED|*\n"
+            + "plug2 send SUBMIT_JOB|pickup-order|-|" + data + "\nplug2 expect JOB_CREATED|*\n"
+            + "plug2 send SUBMIT_JOB|pickup-order|-|other\nplug2 expect JOB_CREATED|*\n");
+        assertThat(s.counters.of("jobs.joined")).isEqualTo(1);
+    }
+
+    /** Guards against a peer that sends a packet byte by byte for ever. */
+    @Test
+    void aPacketThatNeverEndsIsCutOff() {
+        String drip = "plug1 send \"\\0\"\nwait 4000\nplug1 send \"R\"\nwait 4000\nplug1 send \"E\"\nwait 4000\n";
+        new Scenario(0).play(drip + "plug1 expect ERROR|timeout|*\nplug1 expect closed");
+    }
+
     /** Guards that the kept outcome of a failed order is its failure, not a new run. */
     @Test
     void aResubmitOfAFailedOrderFails() {
--- a/src/test/java/plumpost/platform/PlatformTest.java
+++ b/src/test/java/plumpost/platform/PlatformTest.java
@@ -74,6 +74,31 @@
             + "node1 send done a van\ndesk1 expect 200 van");
     }
 
+    /** Guards an answer whose length is not told: the connection's end makes it whole. */
+    @Test
+    void anAnswerMayEndWithItsConnection() {
+        new Scenario(1).play("""
+            desk1 send POST /pickup-order a 20000 x
+            node1 expect POST /pickup-order a x
+            node1 send "HTTP/1.1 503 Busy\\r\\nX-Turned-Away: 1\\r\\n\\r\\n"
+            node1 close
+            desk1 expect nothing
+            wait 3000
+            node1 expect POST /pickup-order a x
+            node1 send "HTTP/1.1 200 OK\\r\\n\\r\\n{\\"id\\":\\"a\\",\\"state\\":\\"done\\",\\"result\\":\\"v\\"}"
+            node1 close
+            desk1 expect 200 v
+            """);
+    }
+
+    /** Guards the stack: a line that nests without end is malformed, and the scheduler goes on. */
+    @Test
+    void aLineThatNestsWithoutEndIsMalformed() {
+        Scenario s = new Scenario(1).play("desk1 send POST /pickup-order a 20000 x\nnode1 expect POST /pickup-order a x\n"
+            + "node1 send {\"a\":" + "[".repeat(50_000) + "\ndesk1 expect 500");
+        assertThat(s.counters.of("nodes.malformed")).isEqualTo(1);
+    }
+
     /** Guards the one final answer in time: a silent node, and a list without any node. */
     @Test
     void aJobIsAnsweredBeforeItsClientGivesUp() {
