--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.Effect;
 import plumpost.decision.Dispatcher.Ending;
@@ -35,7 +36,7 @@
     private final Counters counters;
     private final Consumer<String> log;
     private final Bounds bounds;
-    private final Logic logic;
+    private final Dispatcher logic;
     private final KeptOutcomes kept;
     private final Map<String, LedgerEntry> ledger = new HashMap<>();
     private final Map<String, LedgerEntry> byUnique = new HashMap<>();
@@ -62,13 +63,19 @@
     /** A core with an empty ledger and no node yet. */
     public DispatchRoom(Dispatcher.Settings settings, long seed, Clock clock, TimerWheel wheel, Counters counters,
                         Bounds bounds, Consumer<String> log) {
+        this(settings, clock, wheel, counters, bounds, log, actions -> new Logic(settings, seed, actions));
+    }
+
+    /** A core that drives the module which is made for its actions. */
+    DispatchRoom(Dispatcher.Settings settings, Clock clock, TimerWheel wheel, Counters counters, Bounds bounds,
+                 Consumer<String> log, Function<Dispatcher.Actions, Dispatcher> module) {
         this.set = settings;
         this.clock = clock;
         this.wheel = wheel;
         this.counters = counters;
         this.bounds = bounds;
         this.log = log;
-        this.logic = new Logic(settings, seed, new Carrier());
+        this.logic = module.apply(new Carrier());
         this.kept = new KeptOutcomes(clock, bounds.keptOutcomes(), bounds.keptBytes());
     }
 
