--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -20,6 +20,7 @@
 final class Caller implements WireUser {
     final Wire wire;
     private final GearmanDoor door;
+    private final long number;
     private final PacketReader reader = new PacketReader(Packet.REQUEST, true, GearmanDoor.PACKET_LIMIT);
     private final Set<Submission> submissions = new LinkedHashSet<>();
     private WorkerSeat seat;
@@ -28,8 +29,9 @@
     private boolean over;
     private double waitingSince = Double.NaN;
 
-    Caller(GearmanDoor door, Wire wire) {
+    Caller(GearmanDoor door, Wire wire, long number) {
         this.door = door;
+        this.number = number;
         this.wire = wire;
     }
 
@@ -56,7 +58,7 @@
     }
 
     String describe() {
-        return "0 - " + clientId + " :" + seat.functions() + "\n";
+        return number + " " + wire.peer() + ' ' + clientId + " :" + seat.functions() + "\n";
     }
 
     @Override
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanDoor.java
@@ -32,6 +32,7 @@
     private final long firstId;
     private final Set<Caller> callers = new LinkedHashSet<>();
     private long ids;
+    private long taken;
     private boolean stopping;
 
     /** A front whose handles carry the scheduler's name, and whose job ids start anew with each seed. */
@@ -50,7 +51,7 @@
 
     /** Takes a connection in. */
     public WireUser accept(Wire wire) {
-        Caller c = new Caller(this, wire);
+        Caller c = new Caller(this, wire, ++taken);
         callers.add(c);
         return c;
     }
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -368,6 +368,11 @@
             return connected && out.isEmpty();
         }
 
+        @Override
+        public String peer() {
+            return channel.socket().getInetAddress() == null ? "-" : channel.socket().getInetAddress().getHostAddress();
+        }
+
         @Override
         public void finish() {
             if (gone || finishing) {
--- a/src/main/java/plumpost/net/Wire.java
+++ b/src/main/java/plumpost/net/Wire.java
@@ -10,6 +10,11 @@
     /** True when all that was given has been written. */
     boolean flushed();
 
+    /** The peer's address in numbers, or a dash where there is none. */
+    default String peer() {
+        return "-";
+    }
+
     /** Ends the connection once all is written; its user hears no more of it. */
     void finish();
 
--- a/src/test/java/plumpost/gearman/GearmanTest.java
+++ b/src/test/java/plumpost/gearman/GearmanTest.java
@@ -272,7 +272,7 @@
             plug2 send text:status
             plug2 expect "route-plan\\t1\\t1\\t1\\npickup-order\\t0\\t0\\t1\\n.\\n"
             plug2 send text:workers
-            plug2 expect "0 - old_van : route-plan pickup-order\\n.\\n"
+            plug2 expect "1 - old_van : route-plan pickup-order\\n.\\n"
             plug2 send text:version
             plug2 expect "OK 0\\n"
             plug2 send text:shutdown
