Give up waiting late jobs behind a long queue too, as soon as nothing is spare

The give-up looked only at held jobs that Logic.release came to, and it comes to no more than LOOK_AHEAD without a worker. A job that was late while there was spare room goes behind all others (key + 1e9); if the room then went, it stayed there unseen until its deadline. Found by reading; measured by LogicTest.aJobThatWaitedForSpareRoomIsToldBehindAQueue, which fails on the old lines and passes now. release() first finishes all late jobs while nothing is spare.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -300,11 +300,11 @@
 
     /** Gives held jobs, smallest aged estimate first, to workers whose own count is below their bar. */
     private void release() {
+        if (promptShare < SPARE_SHARE) held.stream().filter(r -> r.dead).toList().forEach(this::finish);
         List<Request> passed = new ArrayList<>();
         double[] blocked = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         while (!held.isEmpty() && passed.size() < LOOK_AHEAD) {
             Request r = held.poll();
-            if (r.dead && promptShare < SPARE_SHARE) finish(r);
             if (r.done) continue;
             if (!r.dead && r.cls.lateWorth() == 0 && now + r.cost / 2 > r.aim) {
                 // Exception, a job that cannot be in time: after all that can, or given up at once.
--- a/src/test/java/plumpost/decision/LogicTest.java
+++ b/src/test/java/plumpost/decision/LogicTest.java
@@ -293,4 +293,24 @@
         logic.timer(2100, 0);
         assertEquals(List.of("refuse late"), out.take("refuse"));
     }
+
+    /** Guards the same behind a long queue: a job that waited for spare room is told once nothing is spare. */
+    @Test
+    void aJobThatWaitedForSpareRoomIsToldBehindAQueue() {
+        start(worker("w", Phase.SERVING));
+        for (String id : List.of("a", "b")) {
+            logic.arrived(1, job(id, 1, 1000));
+            logic.started(2, id, 0, "w");
+        }
+        logic.arrived(3, job("late", 1, 1000));
+        for (int i = 0; i < 30; i++) {
+            logic.arrived(1950, job("small" + i, 1, 1));
+        }
+        logic.timer(2000, 0);
+        assertTrue(out.take("refuse").isEmpty(), "attempts start at once: it may find spare room");
+        logic.workers(2001, ListMode.INCREMENTAL, List.of(worker("u", Phase.SERVING), worker("v", Phase.SERVING)));
+        logic.timer(2100, 0); // none of the four that went there has started
+        logic.timer(2200, 0);
+        assertEquals(List.of("refuse late"), out.take("refuse"));
+    }
 }
