--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -56,16 +56,19 @@
 
     int run() throws IOException {
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
+        StringBuilder where = new StringBuilder();
         if (config.listen() != null) {
-            loop.listen(config.listen(), platform::accept, Platform.connections(config));
+            where.append(" http ").append(
+                loop.listen(config.listen(), platform::accept, Platform.connections(config)).address());
         }
         if (gearman != null) {
-            loop.listen(config.gearman().listen(), gearman::accept, config.sockets() / 8);
+            where.append(" gearman ").append(
+                loop.listen(config.gearman().listen(), gearman::accept, config.sockets() / 8).address());
         }
         platform.begin(room);
         Rehearsal.play(config);
         platform.ready();
-        log("ready");
+        log("ready," + where);
         try {
             loop.run(this::done);
         } finally {
