SIGHUP: read the configuration again and move the watch on discovery

Now: SIGHUP is posted to the loop, the file's discovery goes before NODE_DISCOVERY, the whole list is asked for (versions are the new service's own), the old watch tells on until it has come, a bad file is counted, logged and read again. watch() no longer ends a call that is under way.

--- a/src/main/java/plumpost/cli/Main.java
+++ b/src/main/java/plumpost/cli/Main.java
@@ -10,6 +10,7 @@
 import org.apache.commons.cli.ParseException;
 import plumpost.benchlink.WireHost;
 import plumpost.config.Json.BadInput;
+import plumpost.config.NodeConfig;
 
 /** Command line: one word names what to do, options follow. */
 public final class Main {
@@ -39,10 +40,10 @@
             }
             switch (args.length == 0 ? "" : args[0]) {
                 case "serve" -> {
-                    return new Serve(Serve.config(line.getOptionValue("config"))).run();
+                    return new Serve(Serve.file(line.getOptionValue("config"))).run();
                 }
-                case "check" -> out.println("configuration of " + Serve.config(line.getOptionValue("config")).name()
-                    + " is in order");
+                case "check" -> out.println("configuration of " + NodeConfig.read(
+                    Serve.file(line.getOptionValue("config")), System.getenv()).name() + " is in order");
                 case "benchlink" -> {
                     return new WireHost(System.in, out, err).run();
                 }
--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -15,11 +15,15 @@
 import plumpost.platform.Platform;
 import plumpost.platform.Rehearsal;
 
-/** Runs one real scheduler until SIGTERM, and ends it in order. */
+/** Runs one real scheduler until SIGTERM, and ends it in order. SIGHUP has it read its configuration again. */
 final class Serve {
     /** New connections keep coming for up to 0.4 s after SIGTERM: no end before that is over. */
     private static final double GOING_MS = 700;
+    /** A file that is being written when SIGHUP comes is whole soon after: it is read so often, at such intervals. */
+    private static final int READINGS = 12;
+    private static final double REREAD_MS = 250;
 
+    private final Path file;
     private final NodeConfig config;
     private final SystemClock clock = new SystemClock();
     private final TimerWheel wheel = new TimerWheel(clock.nowMs());
@@ -31,8 +35,9 @@
     private final GearmanDoor gearman;
     private double stopAt = Double.NaN;
 
-    Serve(NodeConfig config) throws IOException {
-        this.config = config;
+    Serve(Path file) throws IOException {
+        this.file = file;
+        config = NodeConfig.read(file, System.getenv());
         loop = new SelectorLoop(clock, wheel, counters, this::log);
         room = new DispatchRoom(config.settings(), config.seed(), clock, wheel, counters,
             new DispatchRoom.Bounds(4096, 16 << 20, 16_384, 8 << 20), this::log);
@@ -42,12 +47,13 @@
             config.seed(), room, kit, config.settings());
     }
 
-    static NodeConfig config(String file) {
-        String path = file == null ? System.getenv("NODE_CONFIG") : file;
+    /** The configuration's file: the one that is given, or the one in NODE_CONFIG. */
+    static Path file(String given) {
+        String path = given == null ? System.getenv("NODE_CONFIG") : given;
         if (path == null) {
             throw new BadInput("no configuration: give --config or set NODE_CONFIG");
         }
-        return NodeConfig.read(Path.of(path), System.getenv());
+        return Path.of(path);
     }
 
     private void log(String words) {
@@ -55,6 +61,7 @@
     }
 
     int run() throws IOException {
+        Signals.onHangup(() -> loop.onLoop(() -> reload(READINGS)));
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         StringBuilder where = new StringBuilder();
         if (config.listen() != null) {
@@ -82,6 +89,26 @@
             && (gearman == null || gearman.quiet());
     }
 
+    /** On SIGHUP: takes over what may change while jobs are open, which is where discovery is. */
+    private void reload(int readings) {
+        try {
+            NodeConfig now = NodeConfig.reread(file, System.getenv());
+            counters.count("config.reloaded");
+            if (now.discovery() == null) {
+                log("reloaded, the file names no discovery: the old one stays");
+            } else {
+                log("reloaded, discovery " + now.discovery());
+                platform.move(now.discovery());
+            }
+        } catch (BadInput e) {
+            counters.count("config.bad");
+            log("the old configuration stays: " + e.getMessage());
+            if (readings > 1) {
+                wheel.at(clock.nowMs() + REREAD_MS, () -> reload(readings - 1));
+            }
+        }
+    }
+
     /** On SIGTERM: lets the loop finish what it holds, then ends with 0 in place of the signal's code. */
     private void end() {
         loop.onLoop(() -> {
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import plumpost.config.Json.BadInput;
@@ -27,6 +28,13 @@
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                          Dispatcher.Settings settings, Fields raw, Fields known, Gearman gearman) {
 
+    /** Reads the file anew: it is newer than the environment, so its discovery goes before NODE_DISCOVERY. */
+    public static NodeConfig reread(Path file, Map<String, String> environment) {
+        Map<String, String> older = new HashMap<>(environment);
+        older.remove("NODE_DISCOVERY");
+        return read(file, older);
+    }
+
     /** Where Gearman clients and workers connect, and the plant and model that its workers are listed under. */
     public record Gearman(InetSocketAddress listen, int plant, int model) { }
 
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -20,19 +20,25 @@
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
 
-/** The watch on discovery's node list. When it ends or falls silent the core hears of a failed call and asks again. */
+/**
+ * The watch on discovery's node list. When it ends or falls silent the core hears of a failed call and asks again.
+ * When discovery moves, the old watch goes on telling until the new service has told its list.
+ */
 final class NodeListWatch implements NodeList {
     private static final int LINE_LIMIT = 1024 * 1024;
     /** An empty line comes every 2 s: without any for this long the watch is dead. */
     private static final double SILENCE_MS = 3_500;
+    /** A service that has not taken the connection by now will not: it answers calls in turn, but accepts at once. */
+    private static final double DIAL_MS = 1_000;
 
     private final Kit kit;
-    private final InetSocketAddress discovery;
     private final NodeListReader reader;
     private final RouteNodes nodes;
     private final DispatchRoom room;
+    private InetSocketAddress discovery;
     private long seq = -1;
     private Call call;
+    private Call former;
 
     NodeListWatch(Kit kit, InetSocketAddress discovery, NodeListReader reader, RouteNodes nodes, DispatchRoom room) {
         this.kit = kit;
@@ -48,13 +54,33 @@
         tell(ListMode.SAVED, listing);
     }
 
+    /** Asks for the list, unless a call for it is under way or no service is known. */
     @Override
     public void watch() {
-        if (call != null) {
+        if (discovery != null && (call == null || call.over)) {
+            kit.counters().count("list.asked");
+            call = new Call();
+        }
+    }
+
+    /** Watches another service from now on: its versions are its own, so the whole list is asked for. */
+    void move(InetSocketAddress to) {
+        if (to.equals(discovery)) {
+            return;
+        }
+        kit.counters().count("list.moved");
+        if (call != null && call.told) {
+            if (former != null) {
+                former.drop();
+            }
+            former = call;
+        } else if (call != null) {
             call.drop();
         }
-        kit.counters().count("list.asked");
-        call = new Call();
+        discovery = to;
+        seq = -1;
+        call = null;
+        watch();
     }
 
     private void tell(ListMode mode, NodeListReader.Listing listing) {
@@ -72,10 +98,17 @@
         private final AnswerReader answer = new AnswerReader(LINE_LIMIT);
         private final Wire wire;
         private double heardAt = kit.clock().nowMs();
+        private boolean up;
+        private boolean told;
         private boolean over;
 
         Call() {
             wire = kit.network().dial(discovery, w -> this);
+            kit.wheel().at(heardAt + DIAL_MS, () -> {
+                if (!up) {
+                    fail("no connection");
+                }
+            });
             watchSilence();
         }
 
@@ -91,6 +124,7 @@
 
         @Override
         public void opened() {
+            up = true;
             wire.write(Answers.ascii("GET /registry/instances?follow=1" + (seq < 0 ? "" : "&since=" + seq)
                 + " HTTP/1.1\r\nHost: " + discovery.getHostString() + ':' + discovery.getPort() + "\r\n\r\n"));
         }
@@ -121,7 +155,14 @@
                 return;
             }
             NodeListReader.Listing listing = reader.read(Json.object("a list line", line));
-            seq = listing.seq();
+            told = true;
+            if (this == call) {
+                seq = listing.seq();
+                if (former != null) {
+                    former.drop();
+                    former = null;
+                }
+            }
             tell(listing.whole() ? ListMode.FULL : ListMode.INCREMENTAL, listing);
         }
 
@@ -134,7 +175,9 @@
             if (!over) {
                 drop();
                 kit.log().accept("node list watch: " + why);
-                room.listed(NodeListWatch.this, ListMode.FAILED, List.of());
+                if (this == call) {
+                    room.listed(NodeListWatch.this, ListMode.FAILED, List.of());
+                }
             }
         }
 
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -1,5 +1,6 @@
 package plumpost.platform;
 
+import java.net.InetSocketAddress;
 import java.util.function.DoubleSupplier;
 import plumpost.config.NodeConfig;
 import plumpost.config.NodeListReader;
@@ -24,8 +25,7 @@
             kit.log().accept("malformed node list line: " + why);
         });
         RouteNodes nodes = new RouteNodes(kit, config.settings(), nodeConnections);
-        watch = config.discovery() == null ? null
-            : new NodeListWatch(kit, config.discovery(), reader, nodes, room);
+        watch = new NodeListWatch(kit, config.discovery(), reader, nodes, room);
         door = new FrontDoor(room, kit, config.settings(), connections(config), lag::getAsDouble);
     }
 
@@ -36,16 +36,19 @@
 
     /** Tells the core the list as last had; the module then asks for the watch. */
     public void begin(DispatchRoom room) {
-        if (watch != null) {
-            room.add(watch);
-            if (config.known().has("seq")) {
-                watch.saved(reader.read(config.known()));
-            } else {
-                watch.watch();
-            }
+        room.add(watch);
+        if (config.discovery() != null && config.known().has("seq")) {
+            watch.saved(reader.read(config.known()));
+        } else {
+            watch.watch();
         }
     }
 
+    /** Discovery is at another address from now on; jobs, connections and what is known of nodes stay. */
+    public void move(InetSocketAddress discovery) {
+        watch.move(discovery);
+    }
+
     /** Takes a front desk's connection in. */
     public WireUser accept(Wire wire) {
         return door.accept(wire);
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -148,7 +148,7 @@
 
     private Pipe pipe(String who, boolean fresh) {
         Pipe p = pipes.get(who);
-        boolean dialled = who.startsWith("node") || who.equals("list");
+        boolean dialled = who.startsWith("node") || who.startsWith("list");
         if (p == null && dialled) {
             return new Pipe(who);
         }
@@ -162,7 +162,7 @@
     }
 
     private Wire dial(InetSocketAddress to, Function<Wire, WireUser> user) {
-        String who = to.getPort() == 8500 ? "list" : "node" + (to.getPort() - 9000);
+        String who = to.getPort() < 9000 ? "list" + (to.getPort() == 8500 ? "" : to.getPort()) : "node" + (to.getPort() - 9000);
         Pipe p = new Pipe(who);
         p.user = user.apply(p);
         p.window = takes.getOrDefault(who, Integer.MAX_VALUE);
@@ -224,7 +224,7 @@
                 String[] p = words.split(" ");
                 String line = words.startsWith("{") ? words : "{\"id\":\"" + p[1] + "\",\"state\":\"" + p[0]
                     + "\",\"result\":\"" + (p.length > 2 ? p[2] : "") + "\"}";
-                boolean last = !who.equals("list") && !p[0].equals("started");
+                boolean last = !who.startsWith("list") && !p[0].equals("started");
                 raw = (answering ? "" : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                     + Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n" + (last ? "0\r\n\r\n" : "");
                 answering = !last;
--- a/src/test/java/plumpost/cli/ServeTest.java
+++ b/src/test/java/plumpost/cli/ServeTest.java
@@ -4,6 +4,8 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -25,22 +27,71 @@
         return new String(answer, 0, desk.getInputStream().read(answer), StandardCharsets.US_ASCII);
     }
 
+    /** Guards reloads: a bad file changes nothing, a good one moves the watch, and whoever is connected stays so. */
+    @Test
+    @Timeout(60)
+    void sighupMovesTheWatch() throws Exception {
+        Path file = folder.resolve("c.json");
+        String text = Files.readString(Path.of("deploy/gearman.json")).replace("127.0.0.1:8000", "127.0.0.1:0")
+            .replace("127.0.0.1:4730", "127.0.0.1:0");
+        Files.writeString(file, text);
+        ProcessBuilder builder = start(file);
+        builder.environment().put("NODE_DISCOVERY", "127.0.0.1:1");
+        Process served = builder.start();
+        try (BufferedReader log = served.errorReader();
+             ServerSocket discovery = new ServerSocket(0, 9, InetAddress.getByName("127.0.0.1"))) {
+            String ready = log.lines().filter(l -> l.contains("ready,")).findFirst().orElseThrow();
+            try (Socket desk = new Socket("127.0.0.1", port(ready, "http")); Socket worker = new Socket("127.0.0.1",
+                port(ready, "gearman"))) {
+                assertThat(ask(desk, "/health/ready")).startsWith("HTTP/1.1 200 ");
+                Files.writeString(file, text.substring(0, 300));
+                hangUp(served);
+                assertThat(log.lines().filter(l -> l.contains("old configuration stays")).findFirst()).isPresent();
+                Files.writeString(file, text.replace("\"seed\"", "\"discovery\": \"127.0.0.1:"
+                    + discovery.getLocalPort() + "\", \"seed\""));
+                try (Socket watch = discovery.accept()) { // read again by itself: one SIGHUP is enough
+                    byte[] asked = new byte[100];
+                    assertThat(new String(asked, 0, watch.getInputStream().read(asked), StandardCharsets.US_ASCII))
+                        .startsWith("GET /registry/instances?follow=1 ");
+                    hangUp(served);
+                    assertThat(ask(desk, "/counters")).contains("list.moved 1\n");
+                    worker.getOutputStream().write("version\n".getBytes(StandardCharsets.US_ASCII));
+                    assertThat(worker.getInputStream().read()).isEqualTo('O');
+                }
+            }
+        } finally {
+            served.destroyForcibly();
+        }
+    }
+
+    private static void hangUp(Process served) throws Exception {
+        assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(served.pid())).start().waitFor()).isZero();
+    }
+
+    private static int port(String ready, String front) {
+        return Integer.parseInt(ready.replaceAll(".* " + front + " /127.0.0.1:([0-9]+).*", "$1"));
+    }
+
+    private static ProcessBuilder start(Path file) {
+        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-cp",
+            System.getProperty("java.class.path"), "plumpost.cli.Main", "serve", "--config", file.toString());
+        builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
+        return builder;
+    }
+
     /** Guards the orderly end: SIGTERM closes what idles, prints the counters and ends with 0, not the signal's code. */
     @Test
     @Timeout(60)
     void sigtermEndsItInOrder() throws Exception {
         Path file = Files.writeString(folder.resolve("c.json"), Files.readString(Path.of("deploy/gearman.json"))
             .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:4730", "127.0.0.1:0"));
-        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-cp",
-            System.getProperty("java.class.path"), "plumpost.cli.Main", "serve", "--config", file.toString());
-        builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
-        Process served = builder.start();
+        Process served = start(file).start();
         try (BufferedReader log = served.errorReader()) {
             String ready = log.readLine();
             assertThat(ready).contains("ready, http /127.0.0.1:", " gearman /127.0.0.1:");
-            int port = Integer.parseInt(ready.replaceAll(".* http /127.0.0.1:([0-9]+) .*", "$1"));
+            int port = port(ready, "http");
             try (Socket desk = new Socket("127.0.0.1", port); Socket worker = new Socket("127.0.0.1",
-                Integer.parseInt(ready.replaceAll(".* gearman /127.0.0.1:", "")))) {
+                port(ready, "gearman"))) {
                 assertThat(ask(desk, "/health/ready")).startsWith("HTTP/1.1 200 ");
                 worker.getOutputStream().write("version\n".getBytes(StandardCharsets.US_ASCII));
                 assertThat(worker.getInputStream().read()).isEqualTo('O');
--- a/src/test/java/plumpost/platform/PlatformTest.java
+++ b/src/test/java/plumpost/platform/PlatformTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -140,6 +141,21 @@
         s.play("list send \"HTTP/1.1 503 E\\r\\nContent-Length: 0\\r\\n\\r\\n\"\nwait 8000\nlist expect GET /*since=5");
     }
 
+    /** Guards a move of discovery: the whole list is asked for, and the old watch tells on until it has come. */
+    @Test
+    void theWatchMoves() {
+        Scenario s = new Scenario(1).play("wait 4000\nlist expect GET /registry/instances?follow=1&since=1");
+        s.play("list send {\"seq\":90,\"whole\":false,\"hosts\":[]}");
+        s.platform.move(new InetSocketAddress("127.0.0.1", 8501));
+        s.play("wait 2\nlist8501 expect GET /registry/instances?follow=1\nlist8501 send {rubbish\nlist8501 expect closed");
+        s.play("list send {\"seq\":91,\"whole\":false,\"hosts\":[" + Scenario.host(2, "up", 0) + "]}");
+        s.play("wait 1600\nlist8501 expect GET /registry/instances?follow=1\nlist expect nothing");
+        s.play("list8501 send {\"seq\":3,\"whole\":true,\"hosts\":[" + Scenario.host(2, "up", 0) + "]}");
+        s.play("list expect closed\nlist8501 close\nwait 1600\nlist8501 expect GET /*?follow=1&since=3");
+        s.platform.move(new InetSocketAddress("127.0.0.1", 8501));
+        assertThat(s.counters.of("list.moved")).isEqualTo(1);
+    }
+
     /** Guards the connection pool: one that has idled near the node's limit is not written to. */
     @Test
     void anIdleConnectionIsRetiredEarly() {
