Shed strangers for newcomers, end silent and half requests in 2 s, refuse bad ids

Checked: descriptors stood at the door's bound (409 + nodes of 1,024; 153 of 384). Now: Door sheds what lingers, else what FrontDoor.rank or GearmanDoor.shed ranks least; 2 s limits, measured from connecting for a first request; 409 and close for an open id; 400 for ids that are not visible ASCII or come twice. The node pool's bound falls to a third of the descriptors, the front's rises to nine twentieths.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -66,11 +66,13 @@
         StringBuilder where = new StringBuilder();
         if (config.listen() != null) {
             where.append(" http ").append(
-                loop.listen(config.listen(), platform::accept, Platform.connections(config)).address());
+                loop.listen(config.listen(), platform::accept, Platform.connections(config), platform::shed)
+                    .address());
         }
         if (gearman != null) {
             where.append(" gearman ").append(
-                loop.listen(config.gearman().listen(), gearman::accept, config.sockets() / 8).address());
+                loop.listen(config.gearman().listen(), gearman::accept, config.sockets() / 8, gearman::shed)
+                    .address());
         }
         platform.begin(room);
         Rehearsal.play(config);
--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -28,8 +28,11 @@
     private boolean exceptions;
     private boolean over;
     private double waitingSince = Double.NaN;
+    private final double since;
+    private boolean spoke;
 
     Caller(GearmanDoor door, Wire wire, long number) {
+        since = door.kit.clock().nowMs();
         this.door = door;
         this.number = number;
         this.wire = wire;
@@ -49,6 +52,11 @@
         return waiting ? waitingSince : Double.POSITIVE_INFINITY;
     }
 
+    /** How long it has been connected without a byte; 0 once one came. */
+    double silentFor(double now) {
+        return spoke ? 0 : now - since;
+    }
+
     boolean works() {
         return seat != null;
     }
@@ -63,6 +71,7 @@
 
     @Override
     public void bytes(ByteBuffer in) {
+        spoke = true;
         try {
             while (!over) {
                 Packet p = reader.next(in);
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanDoor.java
@@ -22,6 +22,8 @@
     static final int PACKET_LIMIT = 64 * 1024 + 1024;
     private static final double SLOW_MS = 10_000;
     private static final double SWEEP_MS = 500;
+    /** A packet follows its connection at once: while places run short, one without is a stranger's after this. */
+    private static final double NEWCOMER_MS = 100;
 
     final DispatchRoom room;
     final Kit kit;
@@ -110,6 +112,20 @@
         callers.remove(c);
     }
 
+    /** Ends the connection that has said nothing for longest; false while each has spoken or is new. */
+    public boolean shed() {
+        double now = kit.clock().nowMs();
+        for (Caller c : callers) { // in the order in which they came
+            if (c.silentFor(now) > NEWCOMER_MS) {
+                kit.counters().count("gearman.shed");
+                callers.remove(c);
+                c.wire.cut();
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void sweep() {
         double now = kit.clock().nowMs();
         for (Caller c : new ArrayList<>(callers)) {
--- a/src/main/java/plumpost/http/Answers.java
+++ b/src/main/java/plumpost/http/Answers.java
@@ -7,7 +7,7 @@
 /** Words heads of answers and plain text as bytes. */
 public final class Answers {
     private static final Map<Integer, String> REASONS = Map.of(200, "OK", 400, "Bad Request", 404, "Not Found",
-        405, "Method Not Allowed", 408, "Request Timeout", 413, "Content Too Large", 431,
+        405, "Method Not Allowed", 409, "Conflict", 408, "Request Timeout", 413, "Content Too Large", 431,
         "Request Header Fields Too Large", 500, "Internal Server Error", 503, "Service Unavailable");
 
     private Answers() { }
--- a/src/main/java/plumpost/http/Head.java
+++ b/src/main/java/plumpost/http/Head.java
@@ -156,6 +156,12 @@
         return i < 0 ? null : value(i);
     }
 
+    /** The value of the field of a name, or null where there is none or more than one. */
+    public String only(String name) {
+        int i = index(name, 0);
+        return i < 0 || index(name, i + 1) >= 0 ? null : value(i);
+    }
+
     private String value(int i) {
         return text(spots[4 * i + 2], spots[4 * i + 3]);
     }
--- a/src/main/java/plumpost/http/RequestReader.java
+++ b/src/main/java/plumpost/http/RequestReader.java
@@ -33,6 +33,9 @@
                 throw new BadMessage(400, "malformed target");
             }
             long framing = head.framing();
+            if (framing == -2 && version.equals("HTTP/1.0")) {
+                throw new BadMessage(400, "chunks are not known to this version");
+            }
             body = new BodyReader(framing == -1 ? 0 : framing, bodyLimit);
         }
         return body.feed(in);
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -21,6 +21,7 @@
 public final class SelectorLoop implements Network {
     private static final double LONGEST_SLEEP_MS = 500;
     private static final double LINGER_MS = 500;
+    private static final double RETRY_MS = 50;
     private static final int GATHER = 16;
     private static final int BUFFER = 64 * 1024;
     private static final int MOST_UNREAD = 2 << 20;
@@ -106,27 +107,38 @@
         void ready(SelectionKey key);
     }
 
-    /** Listens; the returned handle ends that. */
-    public Door listen(InetSocketAddress at, Function<Wire, WireUser> users, int most) throws IOException {
+    /**
+     * Listens; the returned handle ends that. Where a newcomer finds all places taken, {@code shed} may end one of the
+     * connections that matter least, and says whether it did.
+     */
+    public Door listen(InetSocketAddress at, Function<Wire, WireUser> users, int most, BooleanSupplier shed)
+        throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(at, 512);
         channel.configureBlocking(false);
-        return new Door(channel, users, most);
+        return new Door(channel, users, most, shed);
     }
 
-    /** A listening socket; at most so many of its connections are open at once, the others wait in the backlog. */
+    /**
+     * A listening socket; at most so many of its connections are open at once. A newcomer gets the place of one that
+     * has been answered for good and only lingers, else of one that its user sheds; else it waits in the backlog.
+     */
     public final class Door implements Ready {
         private final ServerSocketChannel channel;
         private final Function<Wire, WireUser> users;
         private final int most;
+        private final BooleanSupplier shed;
         private final SelectionKey key;
+        private final ArrayDeque<Socket> lingering = new ArrayDeque<>();
         private int open;
 
-        private Door(ServerSocketChannel channel, Function<Wire, WireUser> users, int most) throws IOException {
+        private Door(ServerSocketChannel channel, Function<Wire, WireUser> users, int most, BooleanSupplier shed)
+            throws IOException {
             this.channel = channel;
             this.users = users;
             this.most = most;
+            this.shed = shed;
             key = channel.register(selector, SelectionKey.OP_ACCEPT, this);
         }
 
@@ -147,30 +159,42 @@
         @Override
         public void ready(SelectionKey k) {
             try {
-                for (SocketChannel c = next(); c != null; c = next()) {
+                for (SocketChannel c = accept(); c != null; c = accept()) {
                     Socket s = new Socket(c, this);
                     s.up(users.apply(s));
                     open++;
                     counters.count("net.accepted");
                     s.user.opened();
+                    s.look(); // what a newcomer sent is known before anyone is shed for the next one
                 }
             } catch (IOException e) {
                 // Out of descriptors or the like: look again in a while instead of spinning on a ready key.
                 counters.count("net.accept_failed");
                 rest();
-                wheel.at(clock.nowMs() + 50, this::wake);
+                wheel.at(clock.nowMs() + RETRY_MS, this::wake);
             }
         }
 
-        private SocketChannel next() throws IOException {
-            if (open >= most) {
+        /** The next newcomer. The last place goes to one only when it is known who may leave for the one after. */
+        private SocketChannel accept() throws IOException {
+            if (open > most && !room()) {
                 counters.count("net.full");
                 rest();
+                // Places that end by themselves wake it; one that may be shed only later is asked for again.
+                wheel.at(clock.nowMs() + RETRY_MS, this::wake);
                 return null;
             }
             return channel.accept();
         }
 
+        private boolean room() {
+            if (!lingering.isEmpty()) {
+                lingering.peek().shut();
+                return true;
+            }
+            return shed.getAsBoolean();
+        }
+
         private void rest() {
             if (key.isValid()) {
                 key.interestOps(0);
@@ -283,6 +307,9 @@
                 } else if (n > 0 && !finishing) {
                     user.bytes(in.flip());
                 }
+            } catch (RuntimeException | VirtualMachineError e) {
+                broken();
+                throw new IllegalStateException("on a connection: " + e, e);
             } finally {
                 buffers.push(in);
             }
@@ -357,6 +384,9 @@
         private void linger() {
             try {
                 channel.shutdownOutput();
+                if (door != null) {
+                    door.lingering.add(this);
+                }
                 wheel.at(clock.nowMs() + LINGER_MS, this::shut);
             } catch (IOException e) {
                 shut();
@@ -415,6 +445,7 @@
                 log.accept("closing a connection: " + e.getMessage());
             }
             if (door != null) {
+                door.lingering.remove(this);
                 door.left();
             }
         }
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -26,14 +26,19 @@
 /** The thin front for the platform's protocol: front desks hand jobs in by HTTP and wait for the answer. */
 final class FrontDoor {
     private static final int BODY_LIMIT = 64 * 1024;
-    private static final double SLOW_MS = 10_000;
+    private static final double MOST_SLOTS = 64;
+    /** A whole request is due so long after its first byte, and a first byte so long after connecting. */
+    private static final double SLOW_MS = 2_000;
+    private static final double UNREAD_MS = 10_000;
     private static final double IDLE_MS = 60_000;
-    private static final double SWEEP_MS = 500;
+    private static final double SWEEP_MS = 250;
+    /** A request follows its connection at once: while places run short, one without is a stranger's after this. */
+    private static final double NEWCOMER_MS = 100;
+    private static final double HALF_MS = 300;
 
     private final DispatchRoom room;
     private final Kit kit;
     private final Dispatcher.Settings set;
-    private final int most;
     private final Lag lag;
     private final Set<Desk> desks = new LinkedHashSet<>();
     private boolean ready;
@@ -44,11 +49,10 @@
         double ms();
     }
 
-    FrontDoor(DispatchRoom room, Kit kit, Dispatcher.Settings set, int most, Lag lag) {
+    FrontDoor(DispatchRoom room, Kit kit, Dispatcher.Settings set, Lag lag) {
         this.room = room;
         this.kit = kit;
         this.set = set;
-        this.most = most;
         this.lag = lag;
         kit.wheel().at(kit.clock().nowMs() + SWEEP_MS, this::sweep);
     }
@@ -79,25 +83,62 @@
         return desks.stream().allMatch(d -> d.idle() && d.wire.flushed());
     }
 
-    /** Ends what is slow or has idled too long, sooner while connections run short. */
+    /** Ends what is slow, says nothing from the start, does not read its answer or has idled too long. */
     private void sweep() {
         double now = kit.clock().nowMs();
-        double idleMs = desks.size() >= most - 8 ? 1_000 : IDLE_MS;
         for (Desk d : List.copyOf(desks)) {
+            if (now - d.since > SLOW_MS && d.owesBytes()) {
+                d.wire.look(); // bytes that have come already are read first
+            }
             double since = now - d.since;
-            if (!d.wire.flushed() && !d.working && since > SLOW_MS) {
-                kit.counters().count("front.slow");
+            if (d.working || d.over) {
+                continue;
+            }
+            if (!d.wire.flushed() && since > UNREAD_MS) {
+                kit.counters().count("front.unread");
                 d.drop();
-            } else if (d.reader.midway() && !d.working && since > SLOW_MS) {
+            } else if (d.reader.midway() && since > SLOW_MS) {
                 kit.counters().count("front.slow");
                 d.refuseBytes(408, "");
-            } else if (d.idle() && since > idleMs) {
+            } else if (d.silent() && since > SLOW_MS) {
+                kit.counters().count("front.silent");
+                d.drop();
+            } else if (d.idle() && since > IDLE_MS) {
                 d.finish();
             }
         }
         kit.wheel().at(now + SWEEP_MS, this::sweep);
     }
 
+    /** Ends the connection that matters least, so that a newcomer finds a place; false while each may matter. */
+    boolean shed() {
+        for (Desk d = least(); d != null; d = least()) {
+            d.wire.look();
+            if (!desks.contains(d)) {
+                return true;
+            }
+            if (d == least()) {
+                kit.counters().count("front.shed." + d.rank(kit.clock().nowMs()));
+                d.drop();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Desk least() {
+        double now = kit.clock().nowMs();
+        Desk least = null;
+        for (Desk d : desks) {
+            int rank = d.rank(now);
+            if (rank >= 0 && (least == null || rank < least.rank(now)
+                || rank == least.rank(now) && d.since < least.since)) {
+                least = d;
+            }
+        }
+        return least;
+    }
+
     /** One connection of a front desk. */
     private final class Desk implements WireUser, ReplyTo {
         private final Wire wire;
@@ -109,6 +150,8 @@
         private boolean reading;
         private boolean over;
         private boolean continued;
+        private boolean answered;
+        private boolean knownDesk;
 
         Desk(Wire wire) {
             this.wire = wire;
@@ -119,6 +162,29 @@
             return !working && !reader.midway() && !ahead.hasRemaining();
         }
 
+        /** Nothing has come on it yet. */
+        boolean silent() {
+            return idle() && !answered;
+        }
+
+        boolean owesBytes() {
+            return !working && (reader.midway() || !answered);
+        }
+
+        /**
+         * What is shed first while places run short: one that asked for something but handed no job in, one silent
+         * from the start, half a request, one that idles between jobs, whose client can tell and comes again; or -1.
+         */
+        int rank(double now) {
+            if (working || ahead.hasRemaining()) {
+                return -1;
+            }
+            double age = now - since;
+            return reader.midway() ? age > HALF_MS ? 2 : -1
+                : answered ? wire.flushed() ? knownDesk ? 3 : 0 : -1
+                : age > NEWCOMER_MS ? 1 : -1;
+        }
+
         @Override
         public void bytes(ByteBuffer in) {
             if (working || ahead.hasRemaining()) {
@@ -141,8 +207,8 @@
             reading = true;
             try {
                 while (!over && !working && in.hasRemaining()) {
-                    if (!reader.midway()) {
-                        since = kit.clock().nowMs();
+                    if (!reader.midway() && answered) {
+                        since = kit.clock().nowMs(); // a first request's time runs from the connection's start
                     }
                     if (reader.feed(in)) {
                         working = true;
@@ -201,21 +267,29 @@
                 kit.counters().count("front.bad.405");
                 answer(405, Answers.ascii(""), "Allow: POST\r\n", true);
             } else {
+                JobSheet sheet;
                 try {
-                    entry = room.take(sheet(cls), this);
+                    sheet = sheet(cls);
                 } catch (BadInput | NumberFormatException e) {
                     refuseBytes(400, "malformed field: " + e.getMessage());
+                    return;
+                }
+                if (room.entry(sheet.id()) != null) {
+                    refuseBytes(409, "a job of this id is open");
+                    return;
                 }
+                knownDesk = true;
+                entry = room.take(sheet, this);
             }
         }
 
         private JobSheet sheet(int cls) {
             var head = reader.head();
             JobClass c = set.classes().get(cls);
-            String id = head.field("X-Txn");
+            String id = head.only("X-Txn");
             String lane = head.field("X-Lane");
-            if (id == null || id.isEmpty() || id.length() > 128) {
-                throw new BadInput("X-Txn");
+            if (id == null || !id.matches("[!-~]{1,128}")) {
+                throw new BadInput("X-Txn"); // what a route node could read or say back otherwise
             }
             if (lane != null && !lane.equals(c.name())) {
                 throw new BadInput("X-Lane");
@@ -226,11 +300,15 @@
             Fields more = new Fields("X-Labels", labels == null || labels.isBlank() ? Map.of()
                 : LoadReports.pairs(labels.toLowerCase(Locale.ROOT)));
             double unread = lag.ms();
-            double patience = left == null ? c.deadlineMs() : Math.min(Long.parseLong(left), 86_400_000);
+            double patience = left == null ? c.deadlineMs() : Math.min(Long.parseLong(left), c.deadlineMs());
+            double slots = more.number("slots", more.number("needs", 1));
+            if (!(slots > 0 && slots <= MOST_SLOTS)) {
+                throw new BadInput("X-Labels");
+            }
             return new JobSheet(id, cls, reader.target(), reader.body(),
                 unread > TimerWheel.TICK_MS ? patience - unread : patience,
-                estimate == null ? Double.NaN : Long.parseLong(estimate) / 1000.0,
-                more.number("slots", more.number("needs", 1)), more.number("memory", Double.NaN), 0, key(),
+                estimate == null ? Double.NaN : Math.min(Long.parseLong(estimate) / 1000.0, c.deadlineMs()), slots,
+                more.number("memory", Double.NaN), 0, key(),
                 "1".equals(head.field("X-Resent")), null);
         }
 
@@ -270,6 +348,7 @@
             kit.counters().count("front.answers." + status);
             boolean last = close || stopping || reader.closes();
             working = false;
+            answered = true;
             continued = false;
             entry = null;
             since = kit.clock().nowMs();
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -19,19 +19,24 @@
     /** Joins the platform's protocol to a core; {@code lag} tells how long bytes may have lain unread. */
     public Platform(NodeConfig config, DispatchRoom room, Kit kit, DoubleSupplier lag) {
         this.config = config;
-        int nodeConnections = config.sockets() * 2 / 5;
+        int nodeConnections = config.sockets() / 3;
         reader = new NodeListReader(config.raw(), why -> {
             kit.counters().count("list.malformed_line");
             kit.log().accept("malformed node list line: " + why);
         });
         RouteNodes nodes = new RouteNodes(kit, config.settings(), nodeConnections);
         watch = new NodeListWatch(kit, config.discovery(), reader, nodes, room);
-        door = new FrontDoor(room, kit, config.settings(), connections(config), lag::getAsDouble);
+        door = new FrontDoor(room, kit, config.settings(), lag::getAsDouble);
     }
 
     /** Connections that front desks may hold open together. */
     public static int connections(NodeConfig config) {
-        return config.sockets() * 2 / 5;
+        return config.sockets() * 9 / 20;
+    }
+
+    /** Ends the front desk's connection that matters least, where there is such a one. */
+    public boolean shed() {
+        return door.shed();
     }
 
     /** Tells the core the list as last had; the module then asks for the watch. */
--- a/src/test/java/plumpost/LoopbackTest.java
+++ b/src/test/java/plumpost/LoopbackTest.java
@@ -317,7 +317,7 @@
         loop = new SelectorLoop(() -> now, wheel, counters, log::add);
         StringBuilder hosts = new StringBuilder();
         for (int i = 0; i < 4; i++) {
-            InetSocketAddress at = loop.listen(anywhere(), w -> new HttpNode().on(w), 100).address();
+            InetSocketAddress at = loop.listen(anywhere(), w -> new HttpNode().on(w), 100, () -> false).address();
             hosts.append(i > 0 ? "," : "").append("{\"host\":\"n" + i + "\",\"dial\":\"127.0.0.1:" + at.getPort()
                 + "\",\"site\":\"p\",\"class\":\"k\",\"health\":\"up\"}");
         }
@@ -332,8 +332,8 @@
         Kit kit = new Kit(loop, () -> now, wheel, counters, log::add);
         Platform platform = new Platform(config, room, kit, loop::lagMs);
         GearmanDoor door = new GearmanDoor(config.gearman(), "t", "0", 7, room, kit, config.settings());
-        front = loop.listen(anywhere(), platform::accept, 100).address();
-        gearman = loop.listen(anywhere(), door::accept, 100).address();
+        front = loop.listen(anywhere(), platform::accept, 100, () -> false).address();
+        gearman = loop.listen(anywhere(), door::accept, 100, () -> false).address();
         platform.begin(room);
         for (int i = 0; i < 10; i++) {
             loop.dial(gearman, w -> new Worker().on(w));
--- a/src/test/java/plumpost/gearman/GearmanTest.java
+++ b/src/test/java/plumpost/gearman/GearmanTest.java
@@ -10,6 +10,17 @@
 
 /** The Gearman front, clients and workers, in memory. Workers are warm once the scenario has waited for it. */
 class GearmanTest {
+
+    /** Guards places against strangers that say nothing; who has spoken is never shed. */
+    @Test
+    void aSilentCallerIsShed() {
+        Scenario s = new Scenario(0).play("plug1 send ECHO_REQ|a\nplug1 expect ECHO_RES|a\nplug2 expect nothing");
+        assertThat(s.gearman.shed()).as("a newcomer").isFalse();
+        s.play("wait 200");
+        assertThat(s.gearman.shed()).isTrue();
+        s.play("plug2 expect closed\nplug1 expect nothing");
+        assertThat(s.gearman.shed()).isFalse();
+    }
     private static final String WORKER = """
         plug9 send CAN_DO|route-plan
         plug9 send CAN_DO|pickup-order
--- a/src/test/java/plumpost/net/SelectorLoopTest.java
+++ b/src/test/java/plumpost/net/SelectorLoopTest.java
@@ -59,6 +59,28 @@
         assertThat(counters.of("net.unread")).isPositive();
     }
 
+    /** Guards newcomers at the bound: each gets the place of one that is shed, and none is shed without need. */
+    @Test
+    @Timeout(20)
+    void aNewcomerGetsThePlaceOfOneThatIsShed() throws Exception {
+        SelectorLoop loop = new SelectorLoop(clock, new TimerWheel(clock.nowMs()), counters, words -> { });
+        List<Wire> places = new ArrayList<>();
+        var door = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), w -> {
+            places.add(w);
+            return user(w, "", () -> { });
+        }, 2, () -> {
+            places.remove(0).cut();
+            return true;
+        });
+        for (int i = 0; i < 5; i++) {
+            loop.dial(door.address(), w -> user(w, "", () -> { }));
+        }
+        double end = clock.nowMs() + 10_000;
+        loop.run(() -> counters.of("net.accepted") == 5 || clock.nowMs() > end);
+        assertThat(counters.of("net.accepted")).isEqualTo(5);
+        assertThat(places).hasSizeBetween(2, 3); // the last place is given before the next newcomer is known
+    }
+
     /**
      * Guards against a reading that empties the buffer of the one around it: a front desk's request was taken again
      * and again because sending it looked at another connection first (calm day, 724 sends after the answer).
@@ -71,7 +93,7 @@
         var door = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), w -> {
             wires.add(w);
             return user(w, "", () -> wires.forEach(Wire::look));
-        }, 8);
+        }, 8, () -> false);
         loop.dial(door.address(), w -> user(w, "one", () -> { }));
         loop.dial(door.address(), w -> user(w, "two", () -> { }));
         loop.run(() -> heard.size() == 2);
--- a/src/test/java/plumpost/platform/PlatformTest.java
+++ b/src/test/java/plumpost/platform/PlatformTest.java
@@ -180,6 +180,11 @@
         "400,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\n",
         "400,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nX-Remaining-Ms: 5\\r\\nContent-Length: 0\\r\\n\\r\\n",
         "400,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nX-Txn: a\\r\\nX-Remaining-Ms: x\\r\\n\\r\\n",
+        "400,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nX-Txn: a\\r\\nX-Txn: b\\r\\n\\r\\n",
+        "400,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nX-Txn: a\\351\\r\\n\\r\\n",
+        "400,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nX-Txn: a\\r\\nX-Labels: slots=-1\\r\\n\\r\\n",
+        "400,POST /route-\\351 HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n",
+        "400,POST /route-plan HTTP/1.0\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n",
         "413,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 65537\\r\\n\\r\\n",
         "404,POST /laundry HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n", "405,GET /route-plan HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n",
         "405,POST /health/ready HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n"})
@@ -193,8 +198,48 @@
     void longHeadsAndSlowPeersAreEnded() {
         new Scenario(0).play("desk1 send \"GET / HTTP/1.1\\r\\nA: " + "x".repeat(20_000) + "\"\ndesk1 expect 431*\n"
             + "desk1 expect closed");
-        new Scenario(0).play("desk1 send \"POST /route-plan HTTP/1.1\\r\\n\"\nwait 9000\ndesk1 expect nothing\n"
-            + "wait 2000\ndesk1 expect 408\ndesk1 expect closed");
+        new Scenario(0).play("desk1 send \"POST /route-plan HTTP/1.1\\r\\n\"\nwait 1900\ndesk1 expect nothing\n"
+            + "wait 500\ndesk1 expect 408\ndesk1 expect closed");
+        new Scenario(0).play("desk1 expect nothing\nwait 2500\ndesk1 expect closed");
+        new Scenario(0).play("desk1 expect nothing\nwait 1500\ndesk1 send \"P\"\nwait 1000\ndesk1 expect 408");
+        new Scenario(0).play("desk1 send GET /health/ready\ndesk1 expect 200\nwait 9000\ndesk1 expect nothing");
+    }
+
+    /** Guards usual clients against crowds of strangers: who is shed for a newcomer, in which order, and who never. */
+    @Test
+    void strangersAreShedFirst() {
+        Scenario s = new Scenario(1).play("""
+            desk1 expect nothing
+            desk2 send GET /health/ready
+            desk2 expect 200
+            desk3 send POST /route-plan a 8000 x
+            node1 expect POST /route-plan a x
+            node1 send done a r
+            desk3 expect 200 r
+            desk4 send POST /route-plan b 8000 x
+            desk5 send "POST /rou"
+            """);
+        for (String next : new String[] {"desk2", "wait 400", "desk1", "desk5", "desk3"}) {
+            assertThat(next.startsWith("wait") || s.platform.shed()).as(next).isTrue();
+            s.play(next.startsWith("wait") ? next : next + " expect closed");
+        }
+        assertThat(s.platform.shed()).isFalse();
+        s.play("node1 expect POST /route-plan b x\nnode1 send done b r\ndesk4 expect 200 r");
+    }
+
+    /** Guards an open job against another client that comes under its id: that one gets an error and the end. */
+    @Test
+    void anOpenJobsIdIsTakenOnce() {
+        new Scenario(1).play("""
+            desk1 send POST /pickup-order a 20000 x
+            desk2 send POST /pickup-order a 20000 y
+            desk2 expect "HTTP/1.1 409*close*"
+            desk2 expect closed
+            node1 expect POST /pickup-order a x
+            node1 send done a van
+            desk1 expect 200 van
+            node1 expect nothing
+            """);
     }
 
     /** Guards the orderly end: not ready, idle connections closed, held jobs answered, new ones still taken. */
