--- a/src/main/java/plumpost/cli/Main.java
+++ b/src/main/java/plumpost/cli/Main.java
@@ -14,7 +14,7 @@
 
 /** Command line: one word names what to do, options follow. */
 public final class Main {
-    private static final String USAGE = "plumpost serve|check|benchlink|version|help [options]";
+    private static final String USAGE = "plumpost serve|rehearse|check|benchlink|version|help [options]";
 
     private Main() { }
 
@@ -42,6 +42,9 @@
                 case "serve" -> {
                     return new Serve(Serve.file(line.getOptionValue("config"))).run();
                 }
+                case "rehearse" -> {
+                    return new Serve(Serve.file(line.getOptionValue("config"))).rehearse();
+                }
                 case "check" -> out.println("configuration of " + NodeConfig.read(
                     Serve.file(line.getOptionValue("config")), System.getenv()).name() + " is in order");
                 case "benchlink" -> {
--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -1,6 +1,9 @@
 package plumpost.cli;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import plumpost.config.Json.BadInput;
@@ -10,8 +13,12 @@
 import plumpost.dispatch.SystemClock;
 import plumpost.dispatch.TimerWheel;
 import plumpost.gearman.GearmanDoor;
+import plumpost.http.AnswerReader;
+import plumpost.http.Answers;
+import plumpost.http.BadMessage;
 import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
+import plumpost.net.WireUser;
 import plumpost.platform.Platform;
 import plumpost.platform.Rehearsal;
 
@@ -86,6 +93,38 @@
         return 0;
     }
 
+    /** Goes through the start and one request on a port that the system gives, so that the JVM can archive what it loads. */
+    int rehearse() throws IOException {
+        InetSocketAddress front = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            platform::accept, 8, platform::shed).address();
+        Rehearsal.play(config);
+        platform.ready();
+        AnswerReader answer = new AnswerReader(1024);
+        boolean[] over = new boolean[1];
+        loop.dial(front, wire -> new WireUser() {
+            @Override
+            public void opened() {
+                wire.write(Answers.ascii("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"));
+            }
+
+            @Override
+            public void bytes(ByteBuffer in) {
+                try {
+                    over[0] = answer.feed(in);
+                } catch (BadMessage e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+
+            @Override
+            public void ended() {
+                over[0] = true;
+            }
+        });
+        loop.run(() -> over[0]);
+        return answer.hasHead() && answer.status() == 200 ? 0 : 1;
+    }
+
     private boolean done() {
         return !Double.isNaN(stopAt) && clock.nowMs() - stopAt >= GOING_MS && room.open() == 0 && platform.quiet()
             && (gearman == null || gearman.quiet());
--- a/src/test/java/plumpost/cli/MainTest.java
+++ b/src/test/java/plumpost/cli/MainTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -52,6 +53,13 @@
         assertThat(err.toString(StandardCharsets.UTF_8)).contains(said).hasLineCount(1);
     }
 
+    /** Guards the run at build from which the class archive is made: it serves a request and ends by itself. */
+    @Test
+    @Timeout(20)
+    void theRehearsalServesAndEnds() throws IOException {
+        assertThat(run("rehearse", "-c", SAMPLE.toString())).isZero();
+    }
+
     /** Guards the operator's file in the repository, and that the warm-up serves all its jobs by it. */
     @Test
     void theOperatorsFileIsInOrder() throws IOException {
