After SIGTERM serve on whoever is connected for 2.3 s, answer late jobs by 3.4 s

Ruled out: the start (1.0 s now), jobs held without a list (list.full is there). Now: connections stay in use for 2.3 s; a job taken more than 0.7 s after SIGTERM that is open 3.4 s after it fails then, with its answer sent, since SIGKILL may come at 3.7 s (cutShort).

--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -240,6 +240,16 @@
         }
     }
 
+    /** The scheduler ends before the job's time is up: it fails now, while its client can still be told. */
+    public void cutShort(LedgerEntry e) {
+        if (!e.answered) {
+            counters.count("jobs.cut_short");
+            fail(e);
+            event(() -> logic.clientGone(nowMs(), e.sheet.id()));
+            drawBack(e, Ending.CANCELLED);
+        }
+    }
+
     private void timeUp(LedgerEntry e) {
         if (!e.answered) {
             drawBack(e, Ending.TIMEOUT);
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -35,6 +35,12 @@
     /** A request follows its connection at once: while places run short, one without is a stranger's after this. */
     private static final double NEWCOMER_MS = 100;
     private static final double HALF_MS = 300;
+    /** Clients go on using the connections they have after SIGTERM, and the next scheduler may not be back yet. */
+    private static final double STAY_MS = 2_300;
+    /** After SIGTERM new connections keep coming for less than this; what is taken later may be asked for an answer. */
+    private static final double GOING_MS = 700;
+    /** SIGKILL may come 3.7 s after SIGTERM, or 0.7 s after the longest deadline where that is shorter. */
+    private static final double LAST_CALL_MS = 3_400;
 
     private final DispatchRoom room;
     private final Kit kit;
@@ -43,6 +49,7 @@
     private final Set<Desk> desks = new LinkedHashSet<>();
     private boolean ready;
     private boolean stopping;
+    private boolean leaving;
 
     /** How long bytes that are read now may have lain unread. */
     interface Lag {
@@ -67,9 +74,27 @@
         ready = true;
     }
 
-    /** Says no longer that it is ready, closes idle connections, and ends the others with their next answer. */
+    /** Says no longer that it is ready; goes on serving whoever is connected for a while. */
     void stop() {
         stopping = true;
+        double at = kit.clock().nowMs();
+        kit.wheel().at(at + STAY_MS, this::leave);
+        double longest = set.classes().stream().mapToDouble(JobClass::deadlineMs).max().orElse(0);
+        kit.wheel().at(at + Math.min(longest, LAST_CALL_MS), () -> lastCall(at + GOING_MS));
+    }
+
+    /** The end may come any moment: a job that was taken when that was known already gets its answer before it. */
+    private void lastCall(double since) {
+        for (Desk d : List.copyOf(desks)) {
+            if (d.entry != null && d.takenAt > since) {
+                room.cutShort(d.entry);
+            }
+        }
+    }
+
+    /** Closes idle connections, and ends the others with their next answer. */
+    private void leave() {
+        leaving = true;
         for (Desk d : List.copyOf(desks)) {
             d.wire.look(); // a request that has come already is taken, not cut off
             if (desks.contains(d) && d.idle()) {
@@ -80,7 +105,7 @@
 
     /** True when no client waits for anything. */
     boolean quiet() {
-        return desks.stream().allMatch(d -> d.idle() && d.wire.flushed());
+        return leaving && desks.stream().allMatch(d -> d.idle() && d.wire.flushed());
     }
 
     /** Ends what is slow, says nothing from the start, does not read its answer or has idled too long. */
@@ -152,6 +177,7 @@
         private boolean continued;
         private boolean answered;
         private boolean knownDesk;
+        private double takenAt;
 
         Desk(Wire wire) {
             this.wire = wire;
@@ -279,6 +305,7 @@
                     return;
                 }
                 knownDesk = true;
+                takenAt = kit.clock().nowMs();
                 entry = room.take(sheet, this);
             }
         }
@@ -346,7 +373,7 @@
                 return;
             }
             kit.counters().count("front.answers." + status);
-            boolean last = close || stopping || reader.closes();
+            boolean last = close || leaving || reader.closes();
             working = false;
             answered = true;
             continued = false;
--- a/src/test/java/plumpost/platform/PlatformTest.java
+++ b/src/test/java/plumpost/platform/PlatformTest.java
@@ -242,6 +242,26 @@
             """);
     }
 
+    /** Guards clients of a scheduler that ends while the next is not back: they are served on, and none is lost. */
+    @Test
+    void theEndServesOnAndThenAnswersWhatIsLate() {
+        Scenario s = new Scenario(1).play("desk1 send GET /health/ready\ndesk1 expect 200");
+        s.platform.stop();
+        s.play("""
+            desk2 send POST /pickup-order early 20000 x
+            node1 expect POST /pickup-order early x
+            wait 2000
+            desk1 send POST /pickup-order late 20000 x
+            node1 expect POST /pickup-order late x
+            wait 1300
+            desk1 expect nothing
+            wait 102
+            desk1 expect "HTTP/1.1 500*Connection: close*"
+            desk2 expect nothing
+            """);
+        assertThat(s.counters.of("jobs.cut_short")).isEqualTo(1);
+    }
+
     /** Guards the orderly end: not ready, idle connections closed, held jobs answered, new ones still taken. */
     @Test
     void theEndFinishesWhatIsHeld() {
@@ -252,6 +272,8 @@
             """);
         s.platform.stop();
         s.play("""
+            desk2 expect nothing
+            wait 2302
             desk2 expect closed
             desk3 send GET /health/ready
             desk3 expect "HTTP/1.1 503*Connection: close*"
