Send orders on new connections, ask probes again, own lack is no node's failure

Checked: RouteNodes.Node.free took the connection that idled last for every attempt; an order written on one that is then reset may have run and must fail. Ruled out: retiring earlier, since these resets come at any idle time. Also at fault: Call.ended told a probe on such a connection as the node's RESET, which shuts the node out for a while (Logic.probed); Call.dial told our own bound as CONNECT_FAILED, which ejects it (Logic.eject). Now: an order opens a connection of its own, which then serves jobs that may be repeated and probes; a probe whose kept connection ends is asked again on a new one; at the bound an idle connection makes room, else the attempt is MOOT.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -270,7 +270,7 @@
         if (w != null && w.probing) {
             w.probing = false;
             probesOut--;
-            if (ending != Ending.OK) see(w, Math.min(w.room, -THETA));
+            if (ending != Ending.OK && ending != Ending.MOOT) see(w, Math.min(w.room, -THETA));
             else if (report != null) report(w, report);
             release();
         }
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -10,6 +10,7 @@
 import plumpost.config.Json.Fields;
 import plumpost.config.LoadReports;
 import plumpost.decision.Dispatcher;
+import plumpost.decision.Dispatcher.Effect;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.LoadReport;
 import plumpost.dispatch.Attempt;
@@ -49,6 +50,17 @@
         return nodes.computeIfAbsent(dial, Node::new);
     }
 
+    /** Ends a connection that idles, of whichever node, so that another can be opened. */
+    private boolean room() {
+        for (Node n : nodes.values()) {
+            if (!n.idle.isEmpty()) {
+                n.idle.peekLast().drop();
+                return true;
+            }
+        }
+        return false;
+    }
+
     private final class Node implements NodeLink {
         private final InetSocketAddress dial;
         private final ArrayDeque<Call> idle = new ArrayDeque<>();
@@ -60,7 +72,9 @@
 
         @Override
         public void send(Attempt attempt) {
-            Call c = free();
+            // A kept connection may be reset by what is written next, and an order may then not go again.
+            boolean again = set.classes().get(attempt.sheet().cls()).effect() == Effect.FREE;
+            Call c = again ? free() : new Call(this);
             out.put(attempt, c);
             c.begin(attempt, null);
         }
@@ -110,6 +124,7 @@
         private boolean up;
         private boolean given;
         private boolean written;
+        private boolean kept;
         private boolean gone;
         private TimerWheel.Timer limit;
         private TimerWheel.Timer retire;
@@ -136,9 +151,10 @@
         }
 
         private void dial() {
-            if (connections > mostConnections) {
+            if (connections > mostConnections && !RouteNodes.this.room()) {
+                // Our own lack and no fault of the node's: nothing was sent, nothing is learned.
                 kit.counters().count("nodes.no_connection");
-                kit.wheel().at(kit.clock().nowMs(), this::ended);
+                kit.wheel().at(kit.clock().nowMs(), () -> end(Ending.MOOT));
                 return;
             }
             wire = kit.network().dial(node.dial, w -> this);
@@ -281,6 +297,7 @@
             }
             probe = null;
             given = false;
+            kept = true;
             if (gone) {
                 return;
             }
@@ -294,6 +311,13 @@
 
         @Override
         public void ended() {
+            if (probe != null && kept && !reader.hasHead()) {
+                // The node ended a connection that it had kept: that says nothing of the node, a new one does.
+                Probe again = probe;
+                drop();
+                new Call(node).begin(null, again);
+                return;
+            }
             if ((attempt != null || probe != null) && written && reader.end()) {
                 bytes(ByteBuffer.allocate(0));
             }
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -67,6 +67,10 @@
     }
 
     public Scenario(int nodes, String settings) {
+        this(nodes, settings, 1024);
+    }
+
+    public Scenario(int nodes, String settings, int sockets) {
         StringBuilder hosts = new StringBuilder();
         for (int i = 1; i <= nodes; i++) {
             hosts.append(i > 1 ? "," : "").append(host(i, "up", 0));
@@ -75,7 +79,7 @@
         Json.Fields known = Json.object("known",
             ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}").getBytes(StandardCharsets.UTF_8));
         NodeConfig config = new NodeConfig("t", new InetSocketAddress("127.0.0.1", 1),
-            new InetSocketAddress("127.0.0.1", 8500), 7, 1024, SettingsReader.settings(raw), raw, known, null);
+            new InetSocketAddress("127.0.0.1", 8500), 7, sockets, SettingsReader.settings(raw), raw, known, null);
         room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
             new DispatchRoom.Bounds(64, 1 << 20, 64, 1 << 20), log::add);
         Kit kit = new Kit(this::dial, () -> now, wheel, counters, log::add);
--- a/src/test/java/plumpost/platform/PlatformTest.java
+++ b/src/test/java/plumpost/platform/PlatformTest.java
@@ -156,6 +156,53 @@
         assertThat(s.counters.of("list.moved")).isEqualTo(1);
     }
 
+    /** Guards orders against kept connections, which a node may reset at the next request (stale day, 5 % lost). */
+    @Test
+    void anOrderGoesOnANewConnection() {
+        new Scenario(1).play("""
+            desk1 send POST /route-plan a 8000 x
+            node1 expect POST /route-plan a x
+            node1 send done a r
+            desk1 expect 200 r
+            node1 wait
+            desk1 send POST /pickup-order b 20000 x
+            node1 expect nothing
+            """);
+    }
+
+    /** Guards a node's good name: a probe that finds its kept connection ended is asked again on a new one. */
+    @Test
+    void aProbeOnAnEndedConnectionIsAskedAgain() {
+        Scenario s = new Scenario(1, Scenario.SETTINGS.replace("\"rules\"",
+            "\"report\":{\"via\":\"pull\",\"fields\":[\"x0\"]},\"rules\"")).play("""
+            desk1 send POST /route-plan a 8000 x
+            node1 expect GET /stats
+            node1 send "HTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\nx0=2"
+            node1 expect POST /route-plan a x
+            node1 send done a r
+            wait 1600
+            desk1 send POST /route-plan b 8000 x
+            node1 expect GET /stats
+            node1 close
+            node1 expect GET /stats
+            node1 send "HTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\nx0=2"
+            node1 expect POST /route-plan b x
+            """);
+        assertThat(s.counters.of("probes.ok")).isEqualTo(2);
+    }
+
+    /** Guards nodes against our own lack of connections: it is no failure of theirs. */
+    @Test
+    void ourLackOfConnectionsIsNotTheNodesFault() {
+        Scenario s = new Scenario(12, Scenario.SETTINGS, 64);
+        for (int i = 0; i < 24; i++) {
+            s.play("desk" + i + " send POST /pickup-order j" + i + " 20000 x");
+        }
+        s.play("wait 300");
+        assertThat(s.counters.of("nodes.no_connection")).isPositive().isEqualTo(s.counters.of("attempts.moot"));
+        assertThat(s.counters.of("attempts.connect_failed")).isZero();
+    }
+
     /** Guards the connection pool: one that has idled near the node's limit is not written to. */
     @Test
     void anIdleConnectionIsRetiredEarly() {
