Rehearse 20 jobs at the start in place of 100

Checked: on one core the start takes 0.50 s of CPU with 100 rehearsed jobs, 0.30 s with 20, 0.29 s with none: past 20 the rehearsal only compiles, which the first jobs do as well.

--- a/src/main/java/plumpost/platform/Rehearsal.java
+++ b/src/main/java/plumpost/platform/Rehearsal.java
@@ -23,7 +23,7 @@
  * counters of its own, serves jobs through every machine on the path, so that the first real ones find it all loaded.
  */
 public final class Rehearsal implements Network {
-    private static final int JOBS = 100;
+    private static final int JOBS = 20;
     private static final String LIST = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"r\",\"dial\":\"127.0.0.1:1\","
         + "\"health\":\"up\",\"share\":1.0,\"born_ms\":0}]}";
 
--- a/src/test/java/plumpost/cli/MainTest.java
+++ b/src/test/java/plumpost/cli/MainTest.java
@@ -65,6 +65,6 @@
     void theOperatorsFileIsInOrder() throws IOException {
         assertThat(run("check", "-c", SAMPLE.toString())).isZero();
         assertThat(run("version")).isZero();
-        assertThat(Rehearsal.play(NodeConfig.read(SAMPLE, java.util.Map.of()))).isEqualTo(100);
+        assertThat(Rehearsal.play(NodeConfig.read(SAMPLE, java.util.Map.of()))).isEqualTo(20);
     }
 }
