Keep an order's last byte back 5 ms, end silent attempts, eject on the second refusal

What breaks before the last byte is CONNECT_FAILED, which ejected the node at once (Logic.judge): now a failure at once only counts, the next in a row ejects.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -484,9 +484,11 @@
                 eject(w, 0.25);
             }
             case ERROR, TIMEOUT, RESET, CONNECT_FAILED -> {
-                see(w, Math.min(w.room, 0));
-                if (a.ending == Ending.CONNECT_FAILED || w.failures > 0) eject(w, 1);
-                else w.failures++;
+                // What fails at once costs nothing: only the next failure in a row tells of the worker.
+                boolean failed = a.ending == Ending.CONNECT_FAILED;
+                boolean quick = failed && now - a.sentAt < set.limits().dialTimeoutMs() / 2;
+                if (!quick) see(w, Math.min(w.room, 0));
+                if (failed && !quick || w.failures > 0) eject(w, 1); else w.failures++;
             }
             default -> see(w, ran ? w.room : Math.min(w.room, 0));
         }
@@ -587,10 +589,8 @@
 
     private void forget(Request r) {
         r.done = true;
-        if (r.isHeld) {
-            r.isHeld = false;
-            held.remove(r);
-        }
+        if (r.isHeld) held.remove(r);
+        r.isHeld = false;
         if (r.attemptsOut == 0) requests.remove(r.job.id());
     }
 
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -28,6 +28,12 @@
 final class RouteNodes {
     private static final int ANSWER_LIMIT = 256 * 1024;
     private static final double PROBE_MS = 300;
+    /** A node says within milliseconds that it has taken a job: one silent for this long has lost the connection. */
+    private static final double TAKEN_MS = 600;
+    /** Progress comes at intervals: after so many without any the job has stopped or its connection is silent. */
+    private static final double INTERVALS = 1.5;
+    /** What is reset at a request's first bytes is so by now, well within what counts as a prompt start; an order's last byte is kept back for that long. */
+    private static final double PROVING_MS = 5;
     /** Idle connections are retired at this part of the time after which the node may close them. */
     private static final double RETIRE_AT = 0.5;
 
@@ -50,6 +56,10 @@
         return nodes.computeIfAbsent(dial, Node::new);
     }
 
+    private boolean repeatable(Attempt attempt) {
+        return set.classes().get(attempt.sheet().cls()).effect() == Effect.FREE;
+    }
+
     /** Ends a connection that idles, of whichever node, so that another can be opened. */
     private boolean room() {
         for (Node n : nodes.values()) {
@@ -73,8 +83,7 @@
         @Override
         public void send(Attempt attempt) {
             // A kept connection may be reset by what is written next, and an order may then not go again.
-            boolean again = set.classes().get(attempt.sheet().cls()).effect() == Effect.FREE;
-            Call c = again ? free() : new Call(this);
+            Call c = repeatable(attempt) ? free() : new Call(this);
             out.put(attempt, c);
             c.begin(attempt, null);
         }
@@ -126,6 +135,8 @@
         private boolean written;
         private boolean kept;
         private boolean gone;
+        private boolean running;
+        private double heardAt;
         private TimerWheel.Timer limit;
         private TimerWheel.Timer retire;
 
@@ -180,18 +191,67 @@
         }
 
         private void request() {
-            given = true;
             if (probe != null) {
+                given = true;
                 wire.write(Answers.ascii("GET /stats HTTP/1.1\r\nHost: " + host() + "\r\n\r\n"));
                 return;
             }
             var job = attempt.sheet();
             ByteBuffer target = job.target() == null
                 ? Answers.ascii('/' + set.classes().get(job.cls()).name()) : job.target().duplicate();
-            wire.write(Answers.ascii("POST "), target, Answers.ascii(" HTTP/1.1\r\nHost: " + host() + "\r\nX-Txn: "
+            ByteBuffer fields = Answers.ascii(" HTTP/1.1\r\nHost: " + host() + "\r\nX-Txn: "
                 + job.id() + "\r\nX-Lane: " + set.classes().get(job.cls()).name() + "\r\nX-Remaining-Ms: "
                 + (long) Math.max(1, attempt.leftMs()) + "\r\nContent-Length: " + job.body().remaining()
-                + "\r\n\r\n"), job.body());
+                + "\r\n\r\n");
+            if (repeatable(attempt)) {
+                given = true;
+                wire.write(Answers.ascii("POST "), target, fields, job.body());
+                heardAt = kit.clock().nowMs();
+                running = false;
+                watch(attempt);
+            } else {
+                prove(target, fields, job.body().duplicate());
+            }
+        }
+
+        /** Writes all but the last byte: an order whose connection breaks before that is written never ran. */
+        private void prove(ByteBuffer target, ByteBuffer fields, ByteBuffer body) {
+            Attempt a = attempt;
+            ByteBuffer end = body.hasRemaining() ? body : fields;
+            ByteBuffer last = end.duplicate().position(end.limit() - 1);
+            end.limit(end.limit() - 1);
+            wire.write(Answers.ascii("POST "), target, fields, body);
+            kit.wheel().at(kit.clock().nowMs() + PROVING_MS, () -> {
+                if (attempt == a) {
+                    wire.look();
+                }
+                if (attempt != a) {
+                    return;
+                }
+                if (a.wanted()) {
+                    given = true;
+                    wire.write(last);
+                } else {
+                    end(Ending.CONNECT_FAILED);
+                }
+            });
+        }
+
+        /** Ends an attempt whose connection has fallen silent; its job may be repeated. */
+        private void watch(Attempt a) {
+            kit.wheel().at(kit.clock().nowMs() + TAKEN_MS / 2, () -> {
+                if (attempt != a) {
+                    return;
+                }
+                double most = !reader.hasHead() ? TAKEN_MS
+                    : running && set.progressMs() > 0 ? INTERVALS * set.progressMs() : Double.POSITIVE_INFINITY;
+                if (kit.clock().nowMs() - heardAt >= most) {
+                    kit.counters().count("nodes.silent");
+                    end(Ending.TIMEOUT);
+                } else {
+                    watch(a);
+                }
+            });
         }
 
         private String host() {
@@ -209,6 +269,7 @@
                 drop(); // bytes on an idle connection belong to nothing
                 return;
             }
+            heardAt = kit.clock().nowMs();
             try {
                 boolean whole = reader.feed(in);
                 if (whole && in.hasRemaining()) {
@@ -247,7 +308,10 @@
                 }
                 LoadReport load = f.has("load") ? LoadReports.read(f.object("load"), set.reportsFreeSlots()) : null;
                 switch (f.text("state")) {
-                    case "started" -> a.started();
+                    case "started" -> {
+                        running = true;
+                        a.started();
+                    }
                     case "running" -> a.progressed(f.number("share", 0));
                     case "done" -> {
                         byte[] result = f.text("result", "").getBytes(java.nio.charset.StandardCharsets.UTF_8);
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -135,6 +135,9 @@
     }
 
     private void expect(String step, Pipe p, String wanted) {
+        if (p.who.startsWith("node") && wanted.startsWith("POST /pickup-order")) {
+            step("wait 6"); // an order's last byte follows the others
+        }
         String got = p.closed && wanted.equals("closed") ? "closed" : p.next(wanted.startsWith("\""));
         String regex = "\\Q" + unquote(wanted).replace("*", "\\E.*\\Q") + "\\E";
         assertThat(got).as(step).matches(java.util.regex.Pattern.compile(regex, java.util.regex.Pattern.DOTALL));
--- a/src/test/java/plumpost/decision/LogicTest.java
+++ b/src/test/java/plumpost/decision/LogicTest.java
@@ -97,6 +97,20 @@
         assertEquals(List.of("fail a"), out.lines);
     }
 
+    /** Guards healthy workers that refuse one connection in ten: one at once costs nothing, two in a row eject. */
+    @Test
+    void aConnectionRefusedAtOnceEjectsOnlyTheSecondTime() {
+        start(worker("w", Phase.SERVING), worker("x", Phase.SERVING), worker("y", Phase.SERVING));
+        logic.workers(1, ListMode.INCREMENTAL, List.of(worker("x", Phase.DRAINING), worker("y", Phase.DRAINING)));
+        logic.arrived(1, job("a", 1, 1000));
+        out.lines.clear();
+        logic.ended(2, outcome("a", 0, "w", Ending.CONNECT_FAILED));
+        assertEquals(List.of("assign a w"), out.take("assign"));
+        logic.workers(2, ListMode.INCREMENTAL, List.of(worker("x", Phase.SERVING), worker("y", Phase.SERVING)));
+        logic.ended(3, outcome("a", 1, "w", Ending.CONNECT_FAILED));
+        assertTrue(out.take("assign").stream().noneMatch(l -> l.endsWith(" w")));
+    }
+
     @Test
     void aGuardedJobStaysInItsGroupAndWindow() {
         start(worker("w", 0, 1, 0), worker("x", 1, 2, 0));
