Let the heap and the core's bounds follow limits.memory_mb

Seen by reading: the run command asked for -Xmx80m and DispatchRoom.Bounds for 24 MB whatever the configuration states; with 80 MB of heap a scheduler of 64 or 96 MB is killed before it collects. Now: two fifths of limits.memory_mb (57 MB of 144, 25 MB of 64), bounds from the heap that the JVM got.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -47,13 +47,19 @@
         config = NodeConfig.read(file, System.getenv());
         loop = new SelectorLoop(clock, wheel, counters, this::log);
         room = new DispatchRoom(config.settings(), config.seed(), clock, wheel, counters,
-            new DispatchRoom.Bounds(4096, 16 << 20, 16_384, 8 << 20), this::log);
+            bounds(Runtime.getRuntime().maxMemory()), this::log);
         Kit kit = new Kit(loop, clock, wheel, counters, this::log);
         platform = new Platform(config, room, kit, loop::lagMs);
         gearman = config.gearman() == null ? null : new GearmanDoor(config.gearman(), config.name(), Main.version(),
             config.seed(), room, kit, config.settings());
     }
 
+    /** What the core may hold: a fifth of the heap for bodies of open jobs, a tenth for kept outcomes. */
+    static DispatchRoom.Bounds bounds(long heap) {
+        return new DispatchRoom.Bounds((int) Math.min(4096, heap >> 14), heap / 5,
+            (int) Math.min(16_384, heap >> 12), heap / 10);
+    }
+
     /** The configuration's file: the one that is given, or the one in NODE_CONFIG. */
     static Path file(String given) {
         String path = given == null ? System.getenv("NODE_CONFIG") : given;
--- a/src/test/java/plumpost/cli/ServeTest.java
+++ b/src/test/java/plumpost/cli/ServeTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** The whole program as a process of its own, at ports that the system gives. */
 class ServeTest {
@@ -64,6 +66,23 @@
         }
     }
 
+    /** Guards the memory limit: the heap that the deploy file's command asks for follows limits.memory_mb. */
+    @ParameterizedTest
+    @CsvSource({"144,57", "64,25"})
+    void theHeapFollowsTheMemoryLimit(int limit, int heap) throws Exception {
+        Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+        assertThat(java.toFile().setExecutable(true)).isTrue();
+        Path file = Files.writeString(folder.resolve("c.json"), Files.readString(Path.of("deploy/gearman.json"))
+            .replace("\"memory_mb\": 192", "\"memory_mb\":" + limit));
+        String run = Files.readString(Path.of("deploy/balancer.toml")).replaceAll("(?s).*\nrun = '''(.*?)'''.*", "$1");
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run);
+        builder.environment().merge("PATH", folder.toString(), (old, first) -> first + ":" + old);
+        builder.environment().put("NODE_CONFIG", file.toString());
+        assertThat(new String(builder.start().getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+            .contains("-Xmx" + heap + "m ").endsWith("serve\n");
+        assertThat(Serve.bounds((long) heap << 20).bodyBytes()).isLessThan((long) heap << 18);
+    }
+
     private static void hangUp(Process served) throws Exception {
         assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(served.pid())).start().waitFor()).isZero();
     }
