--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -126,7 +126,7 @@
         now = t;
         if (mode == ListMode.FAILED) {
             // No herd on the list service: first calls are spread, later ones come after a backoff.
-            listBackoff = Math.min(listBackoff * 2, set.rules().mustAskInMs() / 2);
+            listBackoff = Math.min(listBackoff * 2, set.rules().mustAskInMs() / 4);
             at(now + listBackoff * (0.5 + random.nextDouble()), out::subscribe, null);
         } else {
             boolean first = mode == ListMode.SAVED && set.listOnRequest();
--- a/src/test/java/plumpost/decision/LogicTest.java
+++ b/src/test/java/plumpost/decision/LogicTest.java
@@ -185,6 +185,17 @@
         assertTrue(met < 10, met + " of 100 went at once");
     }
 
+    /** Guards drains told while the list service is away: they count as told 6 s later, heard or not. */
+    @Test
+    void howeverOftenTheListFailsItIsAskedForSoon() {
+        start(worker("w", Phase.SERVING));
+        for (double at = 1; at < 40_000; at += 4000) {
+            logic.workers(at, ListMode.FAILED, List.of());
+            logic.timer(at + 3751, 0);
+            assertEquals(1, out.take("subscribe").size(), "failed at " + at);
+        }
+    }
+
     @Test
     void aFailedListCallIsMadeAgainWithBackoff() {
         bench.onRequest = true;
