Tell the module a granularity that covers an order's proof

The cause: an order's new connection and 5 ms of proof bring its start near the 16 ms past which it counts as late, promptShare sinks and jobs are given up with room to spare.

--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -28,6 +28,12 @@
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                          Dispatcher.Settings settings, Fields raw, Fields known, Gearman gearman) {
 
+    /**
+     * What real links add to the granularity that is told: an order's new connection and the proof that it stands take
+     * some 10 ms, and the module takes a start for prompt within four times its granularity.
+     */
+    static final double LINK_MS = 2.5;
+
     /** Reads the file anew: it is newer than the environment, so its discovery goes before NODE_DISCOVERY. */
     public static NodeConfig reread(Path file, Map<String, String> environment) {
         Map<String, String> older = new HashMap<>(environment);
@@ -49,7 +55,7 @@
         Fields raw = f.object("settings");
         Dispatcher.Settings settings;
         try {
-            settings = SettingsReader.settings(raw);
+            settings = SettingsReader.settings(raw, LINK_MS);
         } catch (IllegalArgumentException e) {
             throw new BadInput("configuration: " + e.getMessage());
         }
--- a/src/main/java/plumpost/config/SettingsReader.java
+++ b/src/main/java/plumpost/config/SettingsReader.java
@@ -11,6 +11,11 @@
 
     /** The settings in the module's words. */
     public static Dispatcher.Settings settings(Fields c) {
+        return settings(c, 0);
+    }
+
+    /** The settings in the module's words, for a host whose events come so much coarser than is told. */
+    static Dispatcher.Settings settings(Fields c, double coarserMs) {
         Fields info = c.objectOrEmpty("familyInfo");
         Fields limits = c.objectOrEmpty("ceilings");
         Fields rules = c.object("rules");
@@ -54,7 +59,7 @@
                 && info.text("reportX0", "free slots").equals("free slots"),
             c.text("membershipMode", "pushed").equals("on_request"), info.flag("tellsStart", false),
             info.number("progressMs", 0), c.text("worthBy", "request").equals("work"),
-            c.number("overShareWorth", 1), c.number("granularityMs", 1));
+            c.number("overShareWorth", 1), c.number("granularityMs", 1) + coarserMs);
     }
 
     private static double item(Fields f, String name, int i, double otherwise) {
--- a/src/test/java/plumpost/cli/MainTest.java
+++ b/src/test/java/plumpost/cli/MainTest.java
@@ -60,6 +60,13 @@
         assertThat(run("rehearse", "-c", SAMPLE.toString())).isZero();
     }
 
+    /** Guards the module's picture of the fleet: an order that waits for its connection's proof still starts promptly. */
+    @Test
+    void theModuleKnowsThatLinksTakeTime() {
+        NodeConfig config = NodeConfig.read(SAMPLE, java.util.Map.of());
+        assertThat(config.settings().granularityMs()).isEqualTo(config.raw().number("granularityMs") + 2.5);
+    }
+
     /** Guards the operator's file in the repository, and that the warm-up serves all its jobs by it. */
     @Test
     void theOperatorsFileIsInOrder() throws IOException {
