--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -5,13 +5,17 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import plumpost.config.Json.BadInput;
+import plumpost.config.GearmanConfig;
 import plumpost.config.NodeConfig;
-import plumpost.dispatch.Counters;
+import plumpost.count.Counters;
 import plumpost.dispatch.DispatchRoom;
-import plumpost.dispatch.SystemClock;
-import plumpost.dispatch.TimerWheel;
+import plumpost.time.SystemClock;
+import plumpost.time.TimerWheel;
+import plumpost.front.Front;
 import plumpost.gearman.GearmanDoor;
 import plumpost.http.AnswerReader;
 import plumpost.http.Answers;
@@ -39,7 +43,7 @@
     private final SelectorLoop loop;
     private final DispatchRoom room;
     private final Platform platform;
-    private final GearmanDoor gearman;
+    private final List<Front> fronts = new ArrayList<>(2);
     private double stopAt = Double.NaN;
 
     Serve(Path file) throws IOException {
@@ -47,17 +51,24 @@
         config = NodeConfig.read(file, System.getenv());
         loop = new SelectorLoop(clock, wheel, counters, this::log);
         room = new DispatchRoom(config.settings(), config.seed(), clock, wheel, counters,
-            bounds(Runtime.getRuntime().maxMemory()), this::log);
+            bounds(Runtime.getRuntime().maxMemory(), config.gearman()), this::log);
         Kit kit = new Kit(loop, clock, wheel, counters, this::log);
         platform = new Platform(config, room, kit, loop::lagMs);
-        gearman = config.gearman() == null ? null : new GearmanDoor(config.gearman(), config.name(), Main.version(),
-            config.seed(), room, kit, config.settings());
+        fronts.add(platform);
+        if (config.gearman() != null) {
+            fronts.add(new GearmanDoor(config, Main.version(), room, kit, () -> new Thread(() -> System.exit(0),
+                "shutdown").start()));
+        }
     }
 
     /** What the core may hold: a fifth of the heap for bodies of open jobs, a tenth for kept outcomes. */
-    static DispatchRoom.Bounds bounds(long heap) {
-        return new DispatchRoom.Bounds((int) Math.min(4096, heap >> 14), heap / 5,
-            (int) Math.min(16_384, heap >> 12), heap / 10);
+    static DispatchRoom.Bounds bounds(long heap, GearmanConfig gearman) {
+        GearmanConfig.Limits said = gearman == null ? GearmanConfig.Limits.USUAL : gearman.limits();
+        return new DispatchRoom.Bounds(
+            said.openJobs() > 0 ? said.openJobs() : (int) Math.min(4096, heap >> 14),
+            said.jobBytes() > 0 ? said.jobBytes() : heap / 5,
+            said.keptOutcomes() > 0 ? said.keptOutcomes() : (int) Math.min(16_384, heap >> 12), heap / 10,
+            said.packetBytes());
     }
 
     /** The configuration's file: the one that is given, or the one in NODE_CONFIG. */
@@ -77,19 +88,12 @@
         Signals.onHangup(() -> loop.onLoop(() -> reload(READINGS)));
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         StringBuilder where = new StringBuilder();
-        if (config.listen() != null) {
-            where.append(" http ").append(
-                loop.listen(config.listen(), platform::accept, Platform.connections(config), platform::shed)
-                    .address());
-        }
-        if (gearman != null) {
-            where.append(" gearman ").append(
-                loop.listen(config.gearman().listen(), gearman::accept, config.sockets() / 8, gearman::shed)
-                    .address());
+        for (Front f : fronts) {
+            where.append(' ').append(f.open((at, users, most, unread, shed) ->
+                loop.listen(at, users, most, unread, shed).address()));
         }
-        platform.begin(room);
         Rehearsal.play(config);
-        platform.ready();
+        fronts.forEach(Front::ready);
         log("ready," + where);
         try {
             loop.run(this::done);
@@ -132,8 +136,8 @@
     }
 
     private boolean done() {
-        return !Double.isNaN(stopAt) && clock.nowMs() - stopAt >= GOING_MS && room.open() == 0 && platform.quiet()
-            && (gearman == null || gearman.quiet());
+        return !Double.isNaN(stopAt) && clock.nowMs() - stopAt >= GOING_MS && room.open() == 0
+            && fronts.stream().allMatch(Front::quiet);
     }
 
     /** On SIGHUP: takes over what may change while jobs are open, which is where discovery is. */
@@ -141,12 +145,7 @@
         try {
             NodeConfig now = NodeConfig.reread(file, System.getenv());
             counters.count("config.reloaded");
-            if (now.discovery() == null) {
-                log("reloaded, the file names no discovery: the old one stays");
-            } else {
-                log("reloaded, discovery " + now.discovery());
-                platform.move(now.discovery());
-            }
+            fronts.forEach(f -> f.reload(now));
         } catch (BadInput e) {
             counters.count("config.bad");
             log("the old configuration stays: " + e.getMessage());
@@ -161,11 +160,7 @@
         loop.onLoop(() -> {
             stopAt = clock.nowMs();
             log("stopping, " + room.open() + " jobs open");
-            platform.stop();
-            if (gearman != null) {
-                // Clients go on submitting on the connections they have, as new ones keep coming at the platform's.
-                wheel.at(stopAt + GOING_MS, gearman::stop);
-            }
+            fronts.forEach(f -> f.stop(GOING_MS));
         });
         try {
             ended.await();
--- a/src/main/java/plumpost/config/Json.java
+++ b/src/main/java/plumpost/config/Json.java
@@ -130,6 +130,38 @@
             return (int) number(name);
         }
 
+        /** A number between two bounds. */
+        public double between(String name, double otherwise, double least, double most) {
+            double v = number(name, otherwise);
+            if (!(v >= least && v <= most)) {
+                throw new BadInput(where + ": field " + name + " is " + get(name, Number.class, "a number")
+                    + ", not from " + plain(least) + " to " + plain(most));
+            }
+            return v;
+        }
+
+        private static String plain(double v) {
+            return v == Math.rint(v) ? String.valueOf((long) v) : String.valueOf(v);
+        }
+
+        /** A whole number between two bounds. */
+        public long whole(String name, long otherwise, long least, long most) {
+            double v = between(name, otherwise, least, most);
+            if (v != Math.rint(v)) {
+                throw new BadInput(where + ": field " + name + " is " + v + ", not a whole number");
+            }
+            return (long) v;
+        }
+
+        /** Refuses fields of other names: a setting that is misspelt must not pass for one that is not given. */
+        public void only(String... names) {
+            for (String name : map.keySet()) {
+                if (!List.of(names).contains(name)) {
+                    throw new BadInput(where + ": field " + name + " is not a setting");
+                }
+            }
+        }
+
         /** A long whole number that must be there. */
         public long longWhole(String name) {
             return need(name, get(name, Number.class, "a number")).longValue();
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -6,7 +6,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
@@ -26,7 +25,8 @@
  * @param gearman the Gearman front, or null while it is off
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                         Dispatcher.Settings settings, Fields raw, Fields known, Gearman gearman) {
+                         Dispatcher.Settings settings, Fields raw, Fields known,
+                         GearmanConfig gearman) {
 
     /**
      * What real links add to the granularity that is told: an order's new connection and the proof that it stands take
@@ -41,9 +41,6 @@
         return read(file, older);
     }
 
-    /** Where Gearman clients and workers connect, and the plant and model that its workers are listed under. */
-    public record Gearman(InetSocketAddress listen, int plant, int model) { }
-
     /** Reads the file and lets the environment's NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before it. */
     public static NodeConfig read(Path file, Map<String, String> environment) {
         Fields f;
@@ -62,7 +59,7 @@
         NodeConfig c = new NodeConfig(environment.getOrDefault("NODE_NAME", f.text("name", "plumpost")),
             address(environment, "NODE_LISTEN", f, "listen"), address(environment, "NODE_DISCOVERY", f, "discovery"),
             seed(f.text("seed", "0")), (int) f.objectOrEmpty("limits").number("sockets", 1024), settings, raw,
-            f.objectOrEmpty("known"), gearman(f.objectOrEmpty("gearman"), raw));
+            f.objectOrEmpty("known"), f.has("gearman") ? GearmanConfig.read(f.object("gearman"), raw) : null);
         if (c.listen == null && c.gearman == null) {
             throw new BadInput("configuration: neither listen nor gearman.listen is given");
         }
@@ -72,20 +69,6 @@
         return c;
     }
 
-    private static Gearman gearman(Fields f, Fields settings) {
-        InetSocketAddress listen = address(Map.of(), "", f, "listen");
-        return listen == null ? null : new Gearman(listen, index(settings.listOrEmpty("dcs"), f, "plant"),
-            index(settings.listOrEmpty("shapes"), f, "model"));
-    }
-
-    private static int index(List<?> names, Fields f, String field) {
-        int i = f.has(field) ? names.indexOf(f.text(field)) : 0;
-        if (i < 0) {
-            throw new BadInput("configuration: gearman." + field + " is not in the settings: " + f.text(field));
-        }
-        return i;
-    }
-
     private static InetSocketAddress address(Map<String, String> environment, String variable, Fields f, String field) {
         String text = environment.getOrDefault(variable, f.text(field, null));
         return text == null || text.isEmpty() ? null
--- a/src/main/java/plumpost/count/Counters.java
+++ b/src/main/java/plumpost/count/Counters.java
@@ -1,11 +1,12 @@
-package plumpost.dispatch;
+package plumpost.count;
 
 import java.util.Map;
+import java.util.HashMap;
 import java.util.TreeMap;
 
 /** Counts by name of what the scheduler takes in, sends and answers; printed on request and at exit. */
 public final class Counters {
-    private final Map<String, long[]> counts = new TreeMap<>();
+    private final Map<String, long[]> counts = new HashMap<>();
 
     /** Counts one more under a name. */
     public void count(String name) {
@@ -27,7 +28,7 @@
     @Override
     public String toString() {
         StringBuilder all = new StringBuilder();
-        counts.forEach((name, n) -> all.append(name).append(' ').append(n[0]).append('\n'));
+        new TreeMap<>(counts).forEach((name, n) -> all.append(name).append(' ').append(n[0]).append('\n'));
         return all.toString();
     }
 }
--- a/src/main/java/plumpost/decision/Dispatcher.java
+++ b/src/main/java/plumpost/decision/Dispatcher.java
@@ -1,5 +1,6 @@
 package plumpost.decision;
 
+import java.util.BitSet;
 import java.util.List;
 
 /**
@@ -86,20 +87,42 @@
     }
 
     /**
-     * A line of the worker list; {@code cameUpMs} is when the worker last started, 0 for long ago, and bit n of
-     * {@code runs} is set where it runs jobs of class n.
+     * A line of the worker list. A worker with {@code places} takes jobs from this dispatcher alone and runs so many at
+     * once: its room is known without asking, and its word that a job failed is the job's end.
+     *
+     * @param cameUpMs when the worker last started, 0 for long ago
+     * @param runs the kinds of work that it runs, or null where it runs every class and nothing else
+     * @param places jobs that it runs at once, or 0 where that is not known
      */
     record WorkerEntry(String id, int zone, int kind, int cell, Phase phase, double units, double cameUpMs,
-                       long runs) {
-        /** A worker that runs jobs of every class. */
+                       BitSet runs, int places) {
+        /** A worker that runs jobs of every class, in a number that is not known. */
         public WorkerEntry(String id, int zone, int kind, int cell, Phase phase, double units, double cameUpMs) {
-            this(id, zone, kind, cell, phase, units, cameUpMs, -1);
+            this(id, zone, kind, cell, phase, units, cameUpMs, null, 0);
+        }
+
+        /** Whether it runs a kind of work, in a deployment of so many classes. */
+        public boolean does(int work, int classes) {
+            return runs == null ? work < classes : runs.get(work);
         }
     }
 
-    /** A job taken from a client; {@code costMs} and {@code memory} are NaN where unknown. */
+    /**
+     * A job taken from a client; {@code costMs} and {@code memory} are NaN where unknown.
+     *
+     * @param work the kind of work: the class's own index, or a number above all classes for work that only the
+     *             workers run that name it
+     * @param priority above 0 before others of its age, below 0 after them
+     * @param aimMs within what time it is wanted, or NaN where its class says that
+     */
     record Job(String id, int cls, int tenant, String key, double patienceMs, double costMs, double slots,
-               double memory, boolean retry) { }
+               double memory, boolean retry, int work, int priority, double aimMs) {
+        /** A job of its class's own work, with nothing special about it. */
+        public Job(String id, int cls, int tenant, String key, double patienceMs, double costMs, double slots,
+                   double memory, boolean retry) {
+            this(id, cls, tenant, key, patienceMs, costMs, slots, memory, retry, cls, 0, Double.NaN);
+        }
+    }
 
     /** A worker's own account of its load; NaN where not told. */
     record LoadReport(double inflight, double queue, double latencyMs, double errorsPerS, double freeSlots,
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -26,17 +26,23 @@
     static final double PRESSED_MS = 2_000; // since a held job ran out of time: longer than gaps between them
     static final double SPARE_SHARE = 0.8; // of prompt starts above which late jobs may use what is spare
     static final int LOOK_AHEAD = 12; // held jobs that may find no worker in a release: bounds its cost
+    static final int LANE_AHEAD = 3, SCAN = 16; // the same for one kind of work; seats looked at
+    static final int COLD_LOOKS = 16; // at a seat that is still cold, while it warms
+    static final double PRIORITY_STEPS = 20; // halvings of an estimate that a step of priority is worth: 2 s
     static final double RECHECK_MS = 80; // look again at held jobs while no event brings room
     static final double TIMER_SLACK_MS = 0.01; // a host may round a timer down: waiting on stalled them all
 
+    private static final Comparator<Request> ORDER =
+        Comparator.<Request>comparingDouble(r -> r.key).thenComparingLong(r -> r.order);
+
     private final Settings set;
     private final Actions out;
     private final SplittableRandom random;
     private final Map<String, Worker> known = new LinkedHashMap<>();
-    private final List<Worker> serving = new ArrayList<>();
     private final Map<String, Request> requests = new HashMap<>();
-    private final PriorityQueue<Request> held = new PriorityQueue<>(
-        Comparator.<Request>comparingDouble(r -> r.key).thenComparingLong(r -> r.order));
+    private final List<Worker> plain = new ArrayList<>(); // those serving whose places are not known
+    private final Map<Integer, Lane> lanes = new LinkedHashMap<>();
+    private final Set<Request> spare = new LinkedHashSet<>(); // held, and can no longer be in time
     private final PriorityQueue<Task> tasks = new PriorityQueue<>(
         Comparator.comparingDouble(Task::at).thenComparingLong(Task::order));
     private final Kind[] kinds;
@@ -47,9 +53,9 @@
     private final double topImportance;
     private final boolean tells, pulls;
     private final int lowest;
-    private int hintCount, ejected, probesOut;
+    private int hintCount, ejected, probesOut, moot;
     private long order;
-    private boolean recheckSet, mixed;
+    private boolean recheckSet, mixed, sweeps;
     private double now, meanRun = 1000, promptShare = 1, listBackoff = 500;
     private double pressedUntil = Double.NEGATIVE_INFINITY;
 
@@ -86,7 +92,9 @@
         double cameUp, own, running, room;
         double seenAt = Double.NEGATIVE_INFINITY, reportAt = seenAt, lastSent = seenAt;
         double links, idleSince, cost, run, badUntil, coldSince, coldDraw;
-        long turn, runs;
+        long turn;
+        BitSet runs;
+        int places;
         int[] heard = new int[0];
 
         Worker(String id) { this.id = id; }
@@ -118,6 +126,13 @@
         boolean done, isHeld, dead;
     }
 
+    /** Held jobs of one kind of work, and the seats (workers with known places) last seen free for it. */
+    private static final class Lane {
+        final TreeSet<Request> held = new TreeSet<>(ORDER);
+        final Set<Worker> free = new LinkedHashSet<>();
+        int passed;
+    }
+
     private record Task(double at, long order, Runnable what, Request about) { }
 
     // ---- events ----
@@ -134,11 +149,14 @@
             listBackoff = 500;
             if (mode != ListMode.INCREMENTAL) known.values().forEach(w -> w.phase = Phase.DELETED);
             entries.forEach(this::list);
-            serving.clear();
-            known.values().removeIf(w -> w.phase == Phase.DELETED && w.own == 0 && !w.probing);
-            known.values().stream().filter(w -> w.phase == Phase.SERVING).forEach(serving::add);
-            mixed = serving.stream().anyMatch(w -> w.runs != -1);
-            serving.sort((a, b) -> Long.compare(a.turn, b.turn));
+            // Seats come and go one by one, by thousands: only other workers' lines are worth a look at all.
+            boolean seatsOnly = !entries.isEmpty() && entries.stream().allMatch(e -> e.places() > 0);
+            if (mode != ListMode.INCREMENTAL || !seatsOnly) {
+                plain.clear();
+                known.values().removeIf(w -> w.phase == Phase.DELETED && w.own == 0 && !w.probing);
+                known.values().forEach(w -> { if (w.phase == Phase.SERVING && w.places == 0) plain.add(w); });
+                plain.sort((a, b) -> Long.compare(a.turn, b.turn));
+            }
             release();
         }
         settle();
@@ -146,13 +164,17 @@
 
     private void list(WorkerEntry e) {
         Worker w = known.computeIfAbsent(e.id(), Worker::new);
-        byTag.put(tag(w), w);
+        if (tells) byTag.put(tag(w), w);
         if (w.turn == 0) w.turn = 1 + random.nextInt(1 << 20);
         w.phase = e.phase();
         w.zone = Math.min(Math.max(e.zone(), 0), prompt.length - 1);
         w.kind = Math.min(Math.max(e.kind(), 0), kinds.length - 1);
         w.cell = e.cell();
+        mixed |= e.places() > 0;
+        if (w.runs != null && !w.runs.equals(e.runs())) w.runs.stream().forEach(k -> lane(k).free.remove(w));
         w.runs = e.runs();
+        w.places = e.places();
+        vacate(w);
         if (e.cameUpMs() > w.cameUp) {
             w.cameUp = e.cameUpMs();
             w.coldSince = now;
@@ -175,6 +197,7 @@
         r.cost = cost;
         r.deadline = now + job.patienceMs();
         r.aim = now - age + Math.min(c.aimMs() + c.aimStretch() * cost, c.deadlineMs());
+        if (!Double.isNaN(job.aimMs())) r.aim = now + job.aimMs();
         r.worth = c.importance() * (inShare(job.tenant()) ? 1 : set.overShareWorth()) / topImportance;
         r.order = order++;
         requests.put(job.id(), r);
@@ -244,6 +267,7 @@
         if (ran) w.running = Math.max(0, w.running - a.need);
         w.room += a.need;
         tell(w);
+        vacate(w);
         judge(r, a, w, ran);
         if (o.report() != null) report(w, o.report());
         if (o.over() || r.done) forget(r);
@@ -295,55 +319,107 @@
         if (!r.attempts.isEmpty()) r.key = r.attempts.get(0).sentAt / AGING_MS;
         // Exception, a held job ran out of time lately: something must give, what is worth least first.
         if (now < pressedUntil) r.key -= GIVE_STEPS * Math.log(Math.max(r.worth, 1e-3)) / Math.log(2);
-        held.add(r);
+        r.key -= PRIORITY_STEPS * r.job.priority();
+        keep(r);
+    }
+
+    private void keep(Request r) {
+        lane(r.job.work()).held.add(r);
+        if (r.dead) spare.add(r);
+    }
+
+    int held() { return lanes.values().stream().mapToInt(l -> l.held.size()).sum(); }
+
+    private Lane lane(int work) { return lanes.computeIfAbsent(work, k -> new Lane()); }
+
+    /** A seat that may have room is free for each kind of its work; who is gone for good is forgotten. */
+    private void vacate(Worker w) {
+        if (w.places > 0 && w.phase == Phase.SERVING && w.own < w.places) {
+            w.runs.stream().forEach(k -> lane(k).free.add(w));
+        } else if (w.places > 0 && w.phase == Phase.DELETED) {
+            w.runs.stream().forEach(k -> lane(k).free.remove(w));
+            if (w.own == 0) known.remove(w.id);
+        }
+    }
+
+    /** The lane whose first job comes first, of those that this release is not through with. */
+    private Lane next() {
+        Lane first = null;
+        for (Lane l : lanes.values()) {
+            boolean unable = !sweeps && plain.isEmpty() && l.free.isEmpty();
+            if (l.held.isEmpty() || mixed && (unable || l.passed >= LANE_AHEAD)) continue;
+            if (first == null || ORDER.compare(l.held.first(), first.held.first()) < 0) first = l;
+        }
+        return first;
     }
 
     /** Gives held jobs, smallest aged estimate first, to workers whose own count is below their bar. */
     private void release() {
-        if (promptShare < SPARE_SHARE) held.stream().filter(r -> r.dead).toList().forEach(this::finish);
+        if (promptShare < SPARE_SHARE) List.copyOf(spare).forEach(this::finish);
+        lanes.values().forEach(l -> l.passed = 0);
         List<Request> passed = new ArrayList<>();
         double[] blocked = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
-        while (!held.isEmpty() && passed.size() < LOOK_AHEAD) {
-            Request r = held.poll();
+        for (Lane l = next(); l != null && (mixed || passed.size() < LOOK_AHEAD); l = next()) {
+            Request r = l.held.pollFirst();
             if (r.done) continue;
             if (!r.dead && r.cls.lateWorth() == 0 && now + r.cost / 2 > r.aim) {
                 // Exception, a job that cannot be in time: after all that can, or given up at once.
                 r.dead = true;
                 pressedUntil = now + PRESSED_MS;
                 r.key += 1e9;
-                if (promptShare < SPARE_SHARE) finish(r); else held.add(r);
+                if (promptShare < SPARE_SHARE) finish(r); else keep(r);
                 continue;
             }
             // What found no room leaves none for a job of as many slots: one scan of the fleet serves both.
             int kind = recallable(r, 1) ? 1 : 0;
-            Worker w = r.job.slots() >= blocked[kind] ? null : choose(r);
+            Worker w = r.job.slots() >= blocked[kind] ? null : choose(r, l);
             if (w == null && r.cls.kind() < 0 && !mixed && r.attempts.isEmpty() && !asks(r)) {
                 blocked[kind] = Math.min(blocked[kind], r.job.slots());
             }
-            if (w == null || !send(r, w)) passed.add(r);
+            if (w == null || !send(r, w)) {
+                passed.add(r);
+                l.passed++;
+            }
         }
-        held.addAll(passed);
-        if (!held.isEmpty() && !recheckSet) {
+        passed.forEach(this::keep);
+        if (!recheckSet && lanes.values().stream().anyMatch(l -> !l.held.isEmpty())) {
             recheckSet = true;
-            at(now + RECHECK_MS, () -> { recheckSet = false; release(); }, null);
+            at(now + RECHECK_MS, () -> {
+                recheckSet = false;
+                sweeps = true;
+                release();
+                sweeps = false;
+            }, null);
         }
     }
 
     /** The open worker on which the job should end first; freed workers in turn among equals. */
-    private Worker choose(Request r) {
+    private Worker choose(Request r, Lane lane) {
         boolean asks = asks(r);
         Worker best = null;
         double bestEnd = Double.POSITIVE_INFINITY;
         // Exception, few attempts start at once: the fleet is full, theta alone would fill queues blindly.
         boolean wary = !tells && promptShare < COMMIT_SHARE && !recallable(r, 1);
-        boolean ignoreBad = ejected > EJECT_CAP * serving.size();
-        for (int i = 0; i < serving.size(); i++) {
-            Worker w = serving.get(i);
-            if (asks && now - w.reportAt > meanRun) continue;
-            if (!ignoreBad && w.badUntil > now || !mayRun(r, w) || (w.runs >> r.job.cls() & 1) == 0) continue;
+        boolean ignoreBad = ejected > EJECT_CAP * plain.size();
+        Iterator<Worker> seats = lane.free.iterator();
+        for (int i = 0, looked = 0; i < plain.size() || looked < SCAN && seats.hasNext();) {
+            Worker w = i < plain.size() ? plain.get(i++) : seats.next();
+            boolean seat = w.places > 0;
+            if (seat && (w.phase != Phase.SERVING || w.own >= w.places)) {
+                seats.remove();
+                continue;
+            }
+            if (seat && (w.badUntil > now || !coldAllows(r, w))) {
+                seats.remove(); // others are looked at meanwhile
+                at(Math.max(w.badUntil, now + set.rules().coldMs() / COLD_LOOKS), () -> vacate(w), null);
+                continue;
+            }
+            if (asks && !seat && now - w.reportAt > meanRun) continue;
+            looked += seat ? 1 : 0;
+            if (!ignoreBad && w.badUntil > now || !mayRun(r, w) || !runs(r, w)) continue;
             boolean near = w.zone == set.zone();
             double room = roomNow(w);
-            if (wary) room -= Math.max(0, 1 - weight(w)) * (THETA - w.own);
+            if (wary && !seat) room -= Math.max(0, 1 - weight(w)) * (THETA - w.own);
             if (room <= 0 || asks && room < r.job.slots() || !coldAllows(r, w)) continue;
             // What sending there costs in fees is worth as large a share of the time to the aim.
             double fee = (linked(w) ? 0 : set.fees().handshake()) + (near ? 0 : set.fees().crossZone());
@@ -364,10 +440,15 @@
         return best;
     }
 
+    private boolean runs(Request r, Worker w) {
+        return w.runs == null ? r.job.work() < set.classes().size() : w.runs.get(r.job.work());
+    }
+
     private boolean asks(Request r) { return pulls && r.rounds < PROBE_ROUNDS; }
 
     /** Slots below the bar: the bar is what evidence says while it is fresh, and theta as it ages. */
     private double roomNow(Worker w) {
+        if (w.places > 0) return w.places - w.own;
         if (tells) return kinds[w.kind].slots - w.own - w.others;
         double weight = weight(w);
         return weight * w.room + (1 - weight) * (THETA - w.own);
@@ -391,11 +472,11 @@
     // ---- exception: reports exist, peers not told; a held job asks before theta is believed ----
 
     private void ask(Request r) {
-        int n = serving.size();
+        int n = plain.size();
         for (int i = 0, asked = 0; i < 4 * PROBES_PER_ROUND && asked < PROBES_PER_ROUND && n > 0; i++) {
-            Worker w = serving.get(random.nextInt(n));
+            Worker w = plain.get(random.nextInt(n));
             for (int k = 0; k < LINK_TRIES && set.fees().handshake() > 0 && !linked(w); k++) {
-                w = serving.get(random.nextInt(n));
+                w = plain.get(random.nextInt(n));
             }
             if (!w.probing && mayRun(r, w) && w.badUntil <= now && now - w.reportAt > meanRun / 2) {
                 w.probing = true;
@@ -472,6 +553,8 @@
     // ---- health ----
 
     private void judge(Request r, Attempt a, Worker w, boolean ran) {
+        boolean word = a.ending == Ending.ERROR || a.ending == Ending.FULL;
+        if (w.places > 0 && word) return; // of a seat on the job, not on itself
         switch (a.ending) {
             case OK -> {
                 w.failures = 0;
@@ -497,7 +580,7 @@
     private void eject(Worker w, double part) {
         w.failures++;
         w.badUntil = now + part * Math.min(EJECT_MS * (1 << Math.min(w.failures, 10)), EJECT_MAX_MS);
-        ejected = (int) serving.stream().filter(x -> x.badUntil > now).count();
+        ejected = (int) plain.stream().filter(x -> x.badUntil > now).count();
     }
 
     private void learn(Request r, Attempt a, Worker w) {
@@ -514,7 +597,10 @@
 
     private void retry(Request r) {
         Attempt first = mayHaveRun(r);
-        boolean spent = r.attempts.size() >= set.limits().maxAttempts();
+        Attempt last = r.attempts.get(r.attempts.size() - 1);
+        boolean said = last.ending == Ending.ERROR && last.worker.places > 0; // by its worker: the job's end
+        if (said) r.aim = now;
+        boolean spent = said || r.attempts.size() >= set.limits().maxAttempts();
         if (spent || first != null && !mayRun(r, first.worker)) finish(r);
         else hold(r);
     }
@@ -548,6 +634,7 @@
         r.attempts.add(a);
         r.attemptsOut++;
         r.isHeld = false;
+        spare.remove(r);
         r.rounds = 0;
         if (!linked(w)) w.links = now - w.idleSince < set.limits().keepaliveMs() ? w.links + 1 : w.jobs + 1;
         w.own += a.need;
@@ -589,7 +676,12 @@
 
     private void forget(Request r) {
         r.done = true;
-        if (r.isHeld) held.remove(r);
+        if (r.isHeld) lane(r.job.work()).held.remove(r);
+        spare.remove(r);
+        if (++moot > 1024 + tasks.size() / 2) {
+            tasks.removeIf(t -> t.about != null && t.about.done); // else a job stays here until its deadline
+            moot = 0;
+        }
         r.isHeld = false;
         if (r.attemptsOut == 0) requests.remove(r.job.id());
     }
--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -53,7 +53,18 @@
         room.warned(this, words);
     }
 
-    /** The attempt was served. */
+    /** The node tells a part of the result; the rest comes with {@link #served}. */
+    public void part(ByteBuffer more) {
+        room.part(this, more);
+    }
+
+    /** The node has failed the job and says why. */
+    public void failed(ByteBuffer why, LoadReport report) {
+        job.words = why;
+        room.ended(this, Ending.ERROR, null, report);
+    }
+
+    /** The attempt was served; the result follows on the parts that were told. */
     public void served(ByteBuffer result, LoadReport report) {
         room.ended(this, Ending.OK, result, report);
     }
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -1,5 +1,8 @@
 package plumpost.dispatch;
 
+import plumpost.count.Counters;
+import plumpost.time.TimerWheel;
+import plumpost.time.Clock;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -11,6 +14,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.Effect;
 import plumpost.decision.Dispatcher.Ending;
@@ -39,6 +43,7 @@
     private final Dispatcher logic;
     private final KeptOutcomes kept;
     private final Map<String, LedgerEntry> ledger = new HashMap<>();
+    private final Tallies tallies = new Tallies();
     private final Map<String, LedgerEntry> byUnique = new HashMap<>();
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final List<NodeList> lists = new ArrayList<>();
@@ -47,8 +52,13 @@
     private boolean busy;
     private long heldBytes;
 
-    /** What the core may hold: open jobs, bytes of their bodies, and kept outcomes with their bytes. */
-    public record Bounds(int openJobs, long bodyBytes, int keptOutcomes, long keptBytes) { }
+    /** What the core may hold: open jobs, bytes of their bodies, kept outcomes with their bytes, a result's. */
+    public record Bounds(int openJobs, long bodyBytes, int keptOutcomes, long keptBytes, long resultBytes) {
+        /** Bounds for results of up to 64 KiB. */
+        public Bounds(int openJobs, long bodyBytes, int keptOutcomes, long keptBytes) {
+            this(openJobs, bodyBytes, keptOutcomes, keptBytes, 1 << 16);
+        }
+    }
 
     private static final class Node {
         ListedNode line;
@@ -88,13 +98,19 @@
         return ledger.size();
     }
 
-    /** Open jobs of a class, and those of them that a node has. */
-    public record Tally(long open, long running) { }
+    /** Counts the open jobs of a kind of work. */
+    public Tallies.Tally tally(int work) {
+        return tallies.of(work);
+    }
+
+    /** Visits the open jobs in no order. */
+    public void each(Consumer<LedgerEntry> visitor) {
+        ledger.values().forEach(visitor);
+    }
 
-    /** Counts the open jobs of a class. */
-    public Tally tally(int cls) {
-        return new Tally(ledger.values().stream().filter(e -> e.sheet.cls() == cls).count(),
-            ledger.values().stream().filter(e -> e.sheet.cls() == cls && e.running()).count());
+    /** Whether there is a place for one more open job with a body of so many bytes. */
+    public boolean hasRoom(long bodyBytes) {
+        return ledger.size() < bounds.openJobs() && heldBytes + 512 + bodyBytes <= bounds.bodyBytes();
     }
 
     /** The open job of an id, or null. */
@@ -102,15 +118,9 @@
         return ledger.get(id);
     }
 
-    /** The open job of any class under a unique key, or null. */
+    /** The open job under a unique key, as its front put that together, or null. */
     public LedgerEntry entryOf(String unique) {
-        for (int cls = 0; cls < set.classes().size(); cls++) {
-            LedgerEntry e = byUnique.get(cls + "/" + unique);
-            if (e != null) {
-                return e;
-            }
-        }
-        return null;
+        return byUnique.get(unique);
     }
 
     boolean serving(String node) {
@@ -174,13 +184,16 @@
         Dispatcher.JobClass cls = set.classes().get(sheet.cls());
         counters.count("jobs.in." + cls.name());
         if (sheet.unique() != null) {
-            LedgerEntry same = byUnique.get(unique(sheet));
+            LedgerEntry same = byUnique.get(sheet.unique());
             if (same != null) {
                 counters.count("jobs.joined");
                 same.waiting.add(replyTo);
+                if (same.stream != null && same.stream.begun()) {
+                    replyTo.part(same.stream.all());
+                }
                 return same;
             }
-            KeptOutcomes.Outcome outcome = kept.of(unique(sheet));
+            KeptOutcomes.Outcome outcome = kept.of(sheet.unique());
             if (outcome != null) {
                 counters.count("jobs.kept");
                 if (outcome.result() == null) {
@@ -207,19 +220,17 @@
         e.waiting.add(replyTo);
         ledger.put(sheet.id(), e);
         heldBytes += bytes(sheet);
+        tallies.taken(e);
         if (sheet.unique() != null) {
-            byUnique.put(unique(sheet), e);
+            byUnique.put(sheet.unique(), e);
         }
         e.giveUp = wheel.at(e.deadline, () -> timeUp(e));
         event(() -> logic.arrived(nowMs(), new Dispatcher.Job(sheet.id(), sheet.cls(), sheet.tenant(), sheet.key(),
-            e.deadline - nowMs(), sheet.costMs(), sheet.slots(), sheet.memory(), sheet.retry())));
+            e.deadline - nowMs(), sheet.costMs(), sheet.slots(), sheet.memory(), sheet.retry(),
+            sheet.work().kind(), sheet.work().priority(), sheet.work().aimMs())));
         return e;
     }
 
-    private static String unique(JobSheet sheet) {
-        return sheet.cls() + "/" + sheet.unique();
-    }
-
     private static long bytes(JobSheet sheet) {
         return 512 + sheet.body().remaining();
     }
@@ -240,6 +251,28 @@
         }
     }
 
+    /** Calls a job off that no node has: who waits is told that it failed. False where a node has it. */
+    public boolean callOff(LedgerEntry e) {
+        if (e.answered || e.running()) {
+            return false;
+        }
+        counters.count("jobs.called_off");
+        fail(e);
+        event(() -> logic.clientGone(nowMs(), e.sheet.id()));
+        return true;
+    }
+
+    /** Calls off all jobs that are meant and that no node has; returns how many. */
+    public int drop(Predicate<LedgerEntry> meant) {
+        List<LedgerEntry> all = ledger.values().stream().filter(meant).toList();
+        return (int) all.stream().filter(this::callOff).count();
+    }
+
+    /** Whether the outcome of a job under a unique key is kept. */
+    public boolean keeps(String unique) {
+        return kept.of(unique) != null;
+    }
+
     /** The scheduler ends before the job's time is up: it fails now, while its client can still be told. */
     public void cutShort(LedgerEntry e) {
         if (!e.answered) {
@@ -293,18 +326,66 @@
         }
     }
 
+    /** Tells a part of the result to all who wait; one that cannot be told truly ends the attempt. */
+    void part(Attempt a, ByteBuffer more) {
+        LedgerEntry e = a.job;
+        if (a.ending != null || e.answered) {
+            return;
+        }
+        if (e.stream == null) {
+            e.stream = new ResultStream((int) Math.min(bounds.resultBytes(), Integer.MAX_VALUE));
+        }
+        if (e.teller != a) {
+            e.teller = a;
+            e.stream.again();
+        }
+        ByteBuffer fresh = e.stream.add(more);
+        if (fresh == null) {
+            untold(a);
+        } else if (fresh.hasRemaining()) {
+            List.copyOf(e.waiting).forEach(r -> r.part(fresh.duplicate()));
+        }
+    }
+
+    /** The whole result, where its last part follows on what was told; else null, and the attempt has failed. */
+    private ByteBuffer whole(Attempt a, ByteBuffer last) {
+        ResultStream s = a.job.stream;
+        if (a.job.teller != a) {
+            a.job.teller = a;
+            s.again();
+        }
+        if (s.add(last) == null || !s.caughtUp()) {
+            untold(a);
+            return null;
+        }
+        return s.all();
+    }
+
+    /** Its parts are too many, or other than those that were told: nobody can be told the rest, so the job fails. */
+    private void untold(Attempt a) {
+        counters.count("jobs.untold");
+        a.link.giveUp(a);
+        fail(a.job);
+        ended(a, Ending.ERROR, null, null);
+    }
+
     void ended(Attempt a, Ending how, ByteBuffer result, LoadReport report) {
         if (a.ending != null) {
             return;
         }
+        ByteBuffer whole = how == Ending.OK && a.job.stream != null && !a.job.answered ? whole(a, result) : result;
+        if (how == Ending.OK && whole == null && a.job.stream != null && !a.job.answered) {
+            return; // its result could not be told: the attempt has ended as failed
+        }
         a.ending = how;
+        tallies.moved(a.job, false);
         counters.count("attempts." + how.name().toLowerCase(Locale.ROOT));
         Node n = nodes.get(a.node);
         if (n != null) {
             n.out = Math.max(0, n.out - 1); // a node dropped and listed anew began at 0
         }
         if (how == Ending.OK && !a.job.answered) {
-            answer(a.job, "served", result, r -> r.served(result.duplicate()));
+            answer(a.job, "served", whole, r -> r.served(whole.duplicate()));
         }
         boolean over = a.job.answered;
         event(() -> logic.ended(nowMs(), new Dispatcher.Outcome(a.job.sheet.id(), a.number, a.node, how,
@@ -314,7 +395,13 @@
     // ---- final answers ----
 
     private void fail(LedgerEntry e) {
-        answer(e, "failed", null, ReplyTo::failed);
+        answer(e, "failed", null, r -> {
+            if (e.words == null) {
+                r.failed();
+            } else {
+                r.failed(e.words.duplicate());
+            }
+        });
     }
 
     private void refuse(LedgerEntry e, double retryAfterMs) {
@@ -331,18 +418,19 @@
         close(e);
         counters.count("jobs." + how + "." + e.cls.name());
         if (e.sheet.unique() != null && e.mayHaveRun()) {
-            kept.keep(unique(e.sheet), result, e.cls.deadlineMs());
+            kept.keep(e.sheet.unique(), result, e.cls.deadlineMs());
         }
         all.forEach(words);
     }
 
     private void close(LedgerEntry e) {
+        tallies.closed(e);
         e.answered = true;
         e.giveUp.cancel();
         ledger.remove(e.sheet.id());
         heldBytes -= bytes(e.sheet);
         if (e.sheet.unique() != null) {
-            byUnique.remove(unique(e.sheet));
+            byUnique.remove(e.sheet.unique());
         }
         e.waiting.clear();
     }
@@ -390,7 +478,8 @@
             return;
         }
         Node n = nodes.get(node);
-        String broken = n == null || !n.serving() || (n.line.entry().runs() >> e.sheet.cls() & 1) == 0 ? "drain"
+        String broken = n == null || !n.serving() || !n.line.entry().does(e.sheet.work().kind(), set.classes().size())
+            ? "drain"
             : e.out() != null ? "second_copy"
             : e.attempts.size() >= set.limits().maxAttempts() ? "attempts"
             : e.mayHaveRun() && e.cls.effect() != Effect.FREE ? "repeat"
@@ -408,6 +497,7 @@
         }
         counters.count("attempts.out");
         n.out++;
+        tallies.moved(e, true);
         a.link.send(a);
     }
 
--- a/src/main/java/plumpost/dispatch/JobSheet.java
+++ b/src/main/java/plumpost/dispatch/JobSheet.java
@@ -16,7 +16,28 @@
  * @param tenant index of the tenant
  * @param key what the job is about, or null
  * @param retry true where the client has marked a retry
- * @param unique key under which a resubmit is the same job, or null
+ * @param unique key under which a resubmit is the same job, with all that its front tells keys apart by, or null
+ * @param work what the job is beside its class
  */
 public record JobSheet(String id, int cls, ByteBuffer target, ByteBuffer body, double patienceMs, double costMs,
-                       double slots, double memory, int tenant, String key, boolean retry, String unique) { }
+                       double slots, double memory, int tenant, String key, boolean retry, String unique, Work work) {
+
+    /**
+     * What a job is beside its class.
+     *
+     * @param kind number of the kind of work: the class's index, or one above all classes
+     * @param name what its front calls that work, or null where it is the class
+     * @param unique the key under which its client knows it, or null
+     * @param reducer what is to put its parts together, or null
+     * @param priority above 0 before others of its age, below 0 after them
+     * @param aimMs within what time it is wanted, or NaN where its class says that
+     */
+    public record Work(int kind, String name, String unique, String reducer, int priority, double aimMs) { }
+
+    /** A job of its class's own work. */
+    public JobSheet(String id, int cls, ByteBuffer target, ByteBuffer body, double patienceMs, double costMs,
+                    double slots, double memory, int tenant, String key, boolean retry, String unique) {
+        this(id, cls, target, body, patienceMs, costMs, slots, memory, tenant, key, retry, unique,
+            new Work(cls, null, unique, null, 0, Double.NaN));
+    }
+}
--- a/src/main/java/plumpost/dispatch/KeptOutcomes.java
+++ b/src/main/java/plumpost/dispatch/KeptOutcomes.java
@@ -1,5 +1,6 @@
 package plumpost.dispatch;
 
+import plumpost.time.Clock;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/plumpost/dispatch/LedgerEntry.java
+++ b/src/main/java/plumpost/dispatch/LedgerEntry.java
@@ -1,5 +1,7 @@
 package plumpost.dispatch;
 
+import plumpost.time.TimerWheel;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import plumpost.decision.Dispatcher.JobClass;
@@ -14,6 +16,10 @@
     boolean answered;
     TimerWheel.Timer giveUp;
     double share;
+    boolean tallied;
+    ResultStream stream;
+    Attempt teller;
+    ByteBuffer words;
 
     LedgerEntry(JobSheet sheet, JobClass cls, double deadline) {
         this.sheet = sheet;
@@ -41,6 +47,16 @@
         return out() != null;
     }
 
+    /** True where nobody waits for its answer. */
+    public boolean background() {
+        return waiting.stream().noneMatch(ReplyTo::waits);
+    }
+
+    /** How many attempts it has had. */
+    public int tries() {
+        return attempts.size();
+    }
+
     /** How many wait for its answer. */
     public int clients() {
         return waiting.size();
--- a/src/main/java/plumpost/dispatch/ReplyTo.java
+++ b/src/main/java/plumpost/dispatch/ReplyTo.java
@@ -13,6 +13,19 @@
     /** Final answer: failed, nothing is promised about its effect. */
     void failed();
 
+    /** Final answer: failed, and the route node said why. */
+    default void failed(ByteBuffer why) {
+        failed();
+    }
+
+    /** False where nobody listens: the job runs in the background. */
+    default boolean waits() {
+        return true;
+    }
+
+    /** News on the way: a part of the result. The final answer holds the whole result all the same. */
+    default void part(ByteBuffer more) { }
+
     /** News on the way: the share of the job that is done. */
     default void progressed(double share) { }
 
--- /dev/null
+++ b/src/main/java/plumpost/front/Listeners.java
@@ -0,0 +1,20 @@
+package plumpost.front;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import plumpost.net.Wire;
+import plumpost.net.WireUser;
+
+/** Where fronts open their listeners. */
+public interface Listeners {
+    /**
+     * Listens; at most so many connections are open at once.
+     *
+     * @param unreadBytes what a peer may leave unread before its connection is cut
+     * @param shed ends the connection that matters least, and says whether there was one
+     */
+    InetSocketAddress listen(InetSocketAddress at, Function<Wire, WireUser> users, int most, long unreadBytes,
+                             BooleanSupplier shed) throws IOException;
+}
--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -2,33 +2,26 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
-import java.util.HexFormat;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Set;
-import plumpost.dispatch.JobSheet;
-import plumpost.dispatch.LedgerEntry;
-import plumpost.dispatch.ReplyTo;
 import plumpost.gearman.Packet.Type;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
 
-/** One Gearman connection: a client, a worker, an admin, or all of them. */
+/** One Gearman connection: a client, a worker, an admin, or all of them. Reads packets and hands them to its sides. */
 final class Caller implements WireUser {
+    /** A packet on its way for longer than this, and than its size at a slow link's pace, ends the connection. */
+    private static final double SLOW_MS = 10_000;
+    private static final double SLOW_BYTES_A_MS = 16;
+
     final Wire wire;
     private final GearmanDoor door;
     private final long number;
-    private final PacketReader reader = new PacketReader(Packet.REQUEST, true, GearmanDoor.PACKET_LIMIT);
-    private final Set<Submission> submissions = new LinkedHashSet<>();
+    private final PacketReader reader;
+    private final double since;
+    private ClientSide client;
     private WorkerSeat seat;
-    private String clientId = "-";
-    private boolean exceptions;
+    private String clientId;
     private boolean over;
     private double waitingSince = Double.NaN;
-    private final double since;
     private boolean spoke;
 
     Caller(GearmanDoor door, Wire wire, long number) {
@@ -36,20 +29,21 @@
         this.door = door;
         this.number = number;
         this.wire = wire;
+        reader = new PacketReader(Packet.REQUEST, true, door.config.limits().packetBytes(), door.reading);
     }
 
     void write(Type type, Object... arguments) {
         if (!over) {
-            door.kit.counters().count("gearman.out." + type);
+            door.kit.counters().count(type.outCounter);
             wire.write(Packet.bytes(Packet.RESPONSE, type, arguments));
         }
     }
 
-    /** Since when a packet has been under way in either direction, or infinity. */
-    double slowSince() {
+    /** True when a packet has been under way in either direction for too long. */
+    boolean slow(double now) {
         boolean waiting = reader.midway() || !wire.flushed();
-        waitingSince = !waiting ? Double.NaN : Double.isNaN(waitingSince) ? door.kit.clock().nowMs() : waitingSince;
-        return waiting ? waitingSince : Double.POSITIVE_INFINITY;
+        waitingSince = !waiting ? Double.NaN : Double.isNaN(waitingSince) ? now : waitingSince;
+        return waiting && now - waitingSince > SLOW_MS + reader.claimed() / SLOW_BYTES_A_MS;
     }
 
     /** How long it has been connected without a byte; 0 once one came. */
@@ -57,37 +51,56 @@
         return spoke ? 0 : now - since;
     }
 
-    boolean works() {
-        return seat != null;
+    WorkerSeat seat() {
+        return seat;
+    }
+
+    /** What the worker calls itself, or null. */
+    String clientId() {
+        return clientId;
     }
 
-    boolean does(int cls) {
-        return seat != null && seat.does(cls);
+    double since() {
+        return since;
     }
 
     String describe() {
-        return number + " " + wire.peer() + ' ' + clientId + " :" + seat.functions() + "\n";
+        StringBuilder all = new StringBuilder(number + " " + wire.peer() + ' ' + (clientId == null ? "-" : clientId)
+            + " :");
+        if (seat != null) {
+            seat.functions().forEach(f -> all.append(' ').append(f.name));
+        }
+        return all.append('\n').toString();
     }
 
     @Override
     public void bytes(ByteBuffer in) {
         spoke = true;
+        while (!over && step(in)) {
+            waitingSince = Double.NaN;
+        }
+    }
+
+    /** Takes the next packet or line; false for want of bytes. */
+    private boolean step(ByteBuffer in) {
         try {
-            while (!over) {
-                Packet p = reader.next(in);
-                String line = p == null ? reader.line() : null;
-                if (p != null) {
-                    waitingSince = Double.NaN;
-                    door.kit.counters().count("gearman.in." + p.type());
-                    packet(p);
-                } else if (line != null) {
-                    wire.write(ByteBuffer.wrap(door.admin(line).getBytes(StandardCharsets.UTF_8)));
-                } else {
-                    return;
-                }
+            Packet p = reader.next(in);
+            String line = p == null ? reader.line() : null;
+            if (p != null) {
+                door.kit.counters().count(p.type().inCounter);
+                packet(p);
+            } else if (line != null) {
+                wire.write(ByteBuffer.wrap(door.admin.answer(line).getBytes(StandardCharsets.UTF_8)));
             }
+            return p != null || line != null;
         } catch (PacketReader.BadPacket e) {
-            error(e.code(), e.getMessage());
+            if (e.fatal()) {
+                error(e.code(), e.getMessage());
+            } else {
+                door.kit.counters().count("gearman.bad." + e.code());
+                write(Type.ERROR, e.code(), e.getMessage());
+            }
+            return true;
         }
     }
 
@@ -101,19 +114,19 @@
 
     private void packet(Packet p) {
         switch (p.type()) {
-            case SUBMIT_JOB, SUBMIT_JOB_HIGH, SUBMIT_JOB_LOW -> submit(p, false);
-            case SUBMIT_JOB_BG, SUBMIT_JOB_HIGH_BG, SUBMIT_JOB_LOW_BG -> submit(p, true);
-            case GET_STATUS -> status(p);
-            case GET_STATUS_UNIQUE -> statusUnique(p);
-            case OPTION_REQ -> option(p);
+            case SUBMIT_JOB, SUBMIT_JOB_HIGH, SUBMIT_JOB_LOW, SUBMIT_JOB_BG, SUBMIT_JOB_HIGH_BG, SUBMIT_JOB_LOW_BG,
+                SUBMIT_REDUCE_JOB, SUBMIT_REDUCE_JOB_BACKGROUND, SUBMIT_JOB_SCHED, SUBMIT_JOB_EPOCH, GET_STATUS,
+                GET_STATUS_UNIQUE, OPTION_REQ -> {
+                    if (client == null) {
+                        client = new ClientSide(door, this);
+                    }
+                    client.packet(p);
+                }
             case ECHO_REQ -> write(Type.ECHO_RES, p.parts().get(0));
-            case SET_CLIENT_ID -> clientId = p.text(0).replaceAll("\\s", "_");
-            case CAN_DO, CAN_DO_TIMEOUT -> canDo(p);
-            case SUBMIT_JOB_SCHED, SUBMIT_JOB_EPOCH, SUBMIT_REDUCE_JOB, SUBMIT_REDUCE_JOB_BACKGROUND ->
-                write(Type.ERROR, "unsupported", p.type() + " is not offered");
+            case SET_CLIENT_ID -> clientId(p.text(0));
             case ALL_YOURS -> { } // the same for one server and its workers
-            case CANT_DO, RESET_ABILITIES, PRE_SLEEP, GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL, WORK_STATUS,
-                WORK_COMPLETE, WORK_FAIL, WORK_EXCEPTION, WORK_DATA, WORK_WARNING -> {
+            case CAN_DO, CAN_DO_TIMEOUT, CANT_DO, RESET_ABILITIES, PRE_SLEEP, GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL,
+                WORK_STATUS, WORK_COMPLETE, WORK_FAIL, WORK_EXCEPTION, WORK_DATA, WORK_WARNING -> {
                     if (seat == null) {
                         seat = new WorkerSeat(door, this);
                     }
@@ -123,88 +136,11 @@
         }
     }
 
-    private void canDo(Packet p) {
-        if (seat == null) {
-            seat = new WorkerSeat(door, this);
-        }
-        int cls = door.cls(p.text(0));
-        double limitS = 0;
-        if (p.type() == Type.CAN_DO_TIMEOUT) {
-            if (!p.text(1).matches("[0-9]{1,9}")) {
-                error("malformed", "CAN_DO_TIMEOUT without a number of seconds");
-                return;
-            }
-            limitS = Long.parseLong(p.text(1));
-        }
-        if (cls < 0) {
-            door.kit.counters().count("gearman.unknown_function"); // no job of such a function will ever come
-        } else {
-            seat.canDo(cls, limitS * 1000);
-        }
-    }
-
-    private void option(Packet p) {
-        if (p.text(0).equals("exceptions")) {
-            exceptions = true;
-            write(Type.OPTION_RES, "exceptions");
+    private void clientId(String text) {
+        if (text.isEmpty() || text.length() > 256) {
+            write(Type.ERROR, "client_id", "a client id of " + text.length() + " characters, not 1 to 256");
         } else {
-            write(Type.ERROR, "unknown_option", p.text(0));
-        }
-    }
-
-    private void status(Packet p) {
-        LedgerEntry e = door.room.entry(door.id(p.text(0)));
-        boolean running = e != null && e.running();
-        write(Type.STATUS_RES, p.parts().get(0), e == null ? 0 : 1, running ? 1 : 0,
-            e == null ? 0 : Math.round(e.share() * 100), e == null ? 0 : 100);
-    }
-
-    private void statusUnique(Packet p) {
-        LedgerEntry e = door.room.entryOf(p.text(0));
-        boolean running = e != null && e.running();
-        write(Type.STATUS_RES_UNIQUE, p.parts().get(0), e == null ? 0 : 1, running ? 1 : 0,
-            e == null ? 0 : Math.round(e.share() * 100), e == null ? 0 : 100, e == null ? 0 : e.clients());
-    }
-
-    private void submit(Packet p, boolean background) {
-        int cls = door.cls(p.text(0));
-        if (cls < 0) {
-            write(Type.ERROR, "unknown_function", p.text(0));
-            return;
-        }
-        if (door.stopping()) {
-            write(Type.ERROR, "stopping", "this scheduler takes no more jobs");
-            return;
-        }
-        ByteBuffer data = p.parts().get(2);
-        String unique = p.text(1);
-        if (unique.equals("-")) {
-            unique = digest(data);
-        }
-        if (unique.length() > 1024) {
-            write(Type.ERROR, "unique_too_long", "a unique key of more than 1024 characters");
-            return;
-        }
-        JobSheet sheet = new JobSheet(door.newId(), cls, null, data, door.set.classes().get(cls).deadlineMs(),
-            Double.NaN, 1, Double.NaN, 0, null, false, unique.isEmpty() ? null : unique);
-        Submission s = new Submission(door.handle(sheet.id()), background);
-        submissions.add(s);
-        LedgerEntry e = door.room.take(sheet, s);
-        if (e != null) {
-            s.handle = door.handle(e.sheet().id());
-        }
-        s.entry = e;
-        s.announce();
-    }
-
-    /** The key {@code -} stands for the data itself; a digest of it takes less room. */
-    private static String digest(ByteBuffer data) {
-        try {
-            MessageDigest sha = MessageDigest.getInstance("SHA-256");
-            sha.update(data.duplicate());
-            return "-" + HexFormat.of().formatHex(sha.digest());
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e); // every Java has it
+            clientId = text.replaceAll("\\s", "_");
         }
     }
 
@@ -214,82 +150,13 @@
             return;
         }
         over = true;
+        reader.end();
         door.left(this);
-        for (Submission s : List.copyOf(submissions)) {
-            if (s.entry != null && !s.background) {
-                door.room.gone(s.entry, s);
-            }
+        if (client != null) {
+            client.left();
         }
         if (seat != null) {
             seat.lost();
         }
     }
-
-    /** One job that this client has submitted: its JOB_CREATED, news, and one final packet where it waits for it. */
-    private final class Submission implements ReplyTo {
-        private final boolean background;
-        private final List<Runnable> early = new ArrayList<>(1);
-        private String handle;
-        private LedgerEntry entry;
-        private boolean announced;
-
-        Submission(String handle, boolean background) {
-            this.handle = handle;
-            this.background = background;
-        }
-
-        /** JOB_CREATED comes first, also where the core has answered at once. */
-        private void announce() {
-            announced = true;
-            write(Type.JOB_CREATED, handle);
-            early.forEach(Runnable::run);
-        }
-
-        private void say(Runnable words) {
-            if (background) {
-                return;
-            }
-            if (announced) {
-                words.run();
-            } else {
-                early.add(words);
-            }
-        }
-
-        private void last(Runnable words) {
-            submissions.remove(this);
-            say(words);
-        }
-
-        @Override
-        public void served(ByteBuffer result) {
-            last(() -> write(Type.WORK_COMPLETE, handle, result));
-        }
-
-        @Override
-        public void refused(double retryAfterMs) {
-            last(() -> {
-                if (exceptions) {
-                    write(Type.WORK_EXCEPTION, handle, "refused, try again after " + Math.round(retryAfterMs) + " ms");
-                } else {
-                    write(Type.WORK_FAIL, handle);
-                }
-            });
-        }
-
-        @Override
-        public void failed() {
-            last(() -> write(Type.WORK_FAIL, handle));
-        }
-
-        @Override
-        public void progressed(double share) {
-            say(() -> write(Type.WORK_STATUS, handle, Math.round(share * 100), 100));
-        }
-
-        @Override
-        public void warned(ByteBuffer words) {
-            say(() -> write(Type.WORK_WARNING, handle, words));
-        }
-    }
 }
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanDoor.java
@@ -1,56 +1,78 @@
 package plumpost.gearman;
 
+import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import plumpost.config.GearmanConfig;
 import plumpost.config.NodeConfig;
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.ListMode;
-import plumpost.decision.Dispatcher.Phase;
-import plumpost.decision.Dispatcher.WorkerEntry;
 import plumpost.dispatch.DispatchRoom;
+import plumpost.dispatch.JobSheet;
 import plumpost.dispatch.ListedNode;
 import plumpost.dispatch.NodeList;
+import plumpost.front.Front;
+import plumpost.front.Listeners;
 import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
+import plumpost.time.TimerWheel;
 
 /** The Gearman front: takes clients and workers in; its workers are the route nodes of a node list of its own. */
-public final class GearmanDoor implements NodeList {
-    /** Arguments and framing of a job beside its data. */
-    static final int PACKET_LIMIT = 64 * 1024 + 1024;
-    private static final double SLOW_MS = 10_000;
+public final class GearmanDoor implements NodeList, Front {
     private static final double SWEEP_MS = 500;
     /** A packet follows its connection at once: while places run short, one without is a stranger's after this. */
     private static final double NEWCOMER_MS = 100;
+    /** A scheduled job whose time has come while the ledger is full is tried again so often. */
+    private static final double AGAIN_MS = 100;
 
     final DispatchRoom room;
     final Kit kit;
     final Dispatcher.Settings set;
-    private final NodeConfig.Gearman config;
-    private final String name;
-    private final String version;
+    final GearmanConfig config;
+    final FunctionTable functions;
+    final WorkerBook book;
+    final Schedule schedule;
+    final AdminLines admin;
+    final PacketReader.Budget reading;
+    final Runnable shutdown;
+    private final int places;
+    private final String handles;
     private final long firstId;
     private final Set<Caller> callers = new LinkedHashSet<>();
+    private TimerWheel.Timer next;
     private long ids;
     private long taken;
     private boolean stopping;
 
     /** A front whose handles carry the scheduler's name, and whose job ids start anew with each seed. */
-    public GearmanDoor(NodeConfig.Gearman config, String name, String version, long seed, DispatchRoom room,
-                       Kit kit, Dispatcher.Settings set) {
-        this.config = config;
-        this.name = name;
-        this.version = version;
-        this.firstId = seed ^ Double.doubleToLongBits(kit.clock().nowMs()) * 0x9E3779B97F4A7C15L;
+    public GearmanDoor(NodeConfig node, String version, DispatchRoom room, Kit kit, Runnable shutdown) {
+        this.config = node.gearman();
+        this.handles = "H:" + node.name() + ':';
+        this.firstId = node.seed() ^ Double.doubleToLongBits(kit.clock().nowMs()) * 0x9E3779B97F4A7C15L;
         this.room = room;
         this.kit = kit;
-        this.set = set;
+        this.set = node.settings();
+        this.shutdown = shutdown;
+        places = config.limits().connections() > 0 ? config.limits().connections() : node.sockets() / 8;
+        functions = new FunctionTable(set.classes(), config);
+        book = new WorkerBook(config.returnMs());
+        schedule = new Schedule(config.limits().scheduled(), config.limits().scheduledBytes());
+        admin = new AdminLines(this, version);
+        reading = new PacketReader.Budget(config.limits().readingBytes());
         room.add(this);
         kit.wheel().at(kit.clock().nowMs() + SWEEP_MS, this::sweep);
     }
 
+    @Override
+    public String open(Listeners listeners) throws IOException {
+        long unread = Math.max(2 << 20, 4L * config.limits().packetBytes());
+        return "gearman " + listeners.listen(config.listen(), this::accept, places, unread, this::shed);
+    }
+
     /** Takes a connection in. */
     public WireUser accept(Wire wire) {
         Caller c = new Caller(this, wire, ++taken);
@@ -58,12 +80,23 @@
         return c;
     }
 
-    /** From here on new jobs are answered with an error; what is held goes on. */
-    public void stop() {
+    /** Clients go on submitting on the connections they have, as new ones keep coming at the platform's, for a while. */
+    @Override
+    public void stop(double goingMs) {
+        kit.wheel().at(kit.clock().nowMs() + goingMs, this::refuse);
+    }
+
+    /** From here on new jobs are answered with an error; what clients wait for goes on, the rest ends with the process. */
+    private void refuse() {
         stopping = true;
+        long lost = schedule.all().size() + room.drop(e -> e.sheet().work().name() != null && e.background());
+        kit.counters().add("gearman.lost_at_stop", lost);
+        if (lost > 0) {
+            kit.log().accept("stopping: " + lost + " background and scheduled jobs that no worker has are lost");
+        }
     }
 
-    /** True when all that was said to clients and workers has been written. */
+    @Override
     public boolean quiet() {
         return callers.stream().allMatch(c -> c.wire.flushed());
     }
@@ -76,32 +109,21 @@
         return stopping;
     }
 
+    Collection<Caller> callers() {
+        return callers;
+    }
+
     String newId() {
         return String.format("%016x", firstId + ids++);
     }
 
     String handle(String id) {
-        return "H:" + name + ':' + id;
+        return handles + id;
     }
 
     /** The job id in a handle; handles of another scheduler name no job here. */
     String id(String handle) {
-        String mine = handle("");
-        return handle.startsWith(mine) ? handle.substring(mine.length()) : "";
-    }
-
-    /** The class that a function names, or -1. */
-    int cls(String function) {
-        for (int i = 0; i < set.classes().size(); i++) {
-            if (set.classes().get(i).name().equals(function)) {
-                return i;
-            }
-        }
-        return -1;
-    }
-
-    WorkerEntry entry(String id, Phase phase, double cameUpMs, long runs) {
-        return new WorkerEntry(id, config.plant(), config.model(), 0, phase, 1, cameUpMs, runs);
+        return handle.startsWith(handles) ? handle.substring(handles.length()) : "";
     }
 
     void listed(ListedNode line) {
@@ -112,6 +134,41 @@
         callers.remove(c);
     }
 
+    // ---- scheduled jobs ----
+
+    void later(JobSheet sheet, double atMs) {
+        schedule.add(sheet, atMs);
+        lookAt(atMs);
+    }
+
+    private void lookAt(double atMs) {
+        if (next != null) {
+            next.cancel();
+        }
+        double first = schedule.all().isEmpty() ? atMs : Math.min(atMs, schedule.all().iterator().next().atMs());
+        next = kit.wheel().at(Math.max(first, kit.clock().nowMs()), this::due);
+    }
+
+    private void due() {
+        next = null;
+        double now = kit.clock().nowMs();
+        for (Schedule.Entry e = schedule.due(now); e != null && !stopping; e = schedule.due(now)) {
+            boolean same = e.sheet().unique() != null && room.entryOf(e.sheet().unique()) != null;
+            if (!same && !room.hasRoom(e.sheet().body().remaining())) {
+                kit.counters().count("gearman.schedule_waits");
+                lookAt(now + AGAIN_MS);
+                return;
+            }
+            schedule.remove(e);
+            room.take(e.sheet(), new Submission(null, handle(e.sheet().id())));
+        }
+        if (!schedule.all().isEmpty()) {
+            lookAt(schedule.all().iterator().next().atMs());
+        }
+    }
+
+    // ---- connections ----
+
     /** Ends the connection that has said nothing for longest; false while each has spoken or is new. */
     public boolean shed() {
         double now = kit.clock().nowMs();
@@ -129,35 +186,11 @@
     private void sweep() {
         double now = kit.clock().nowMs();
         for (Caller c : new ArrayList<>(callers)) {
-            if (c.slowSince() < now - SLOW_MS) {
+            if (c.slow(now)) {
                 kit.counters().count("gearman.slow");
                 c.error("timeout", "too slow");
             }
         }
         kit.wheel().at(now + SWEEP_MS, this::sweep);
     }
-
-    /** The answer to an admin's line. */
-    String admin(String line) {
-        StringBuilder words = new StringBuilder();
-        switch (line) {
-            case "version" -> {
-                return "OK " + version + "\n";
-            }
-            case "status" -> {
-                for (int i = 0; i < set.classes().size(); i++) {
-                    int cls = i;
-                    DispatchRoom.Tally t = room.tally(cls);
-                    words.append(set.classes().get(cls).name()).append('\t').append(t.open()).append('\t')
-                        .append(t.running()).append('\t')
-                        .append(callers.stream().filter(c -> c.does(cls)).count()).append('\n');
-                }
-            }
-            case "workers" -> callers.stream().filter(Caller::works).forEach(c -> words.append(c.describe()));
-            default -> {
-                return "ERR UNKNOWN_COMMAND Unknown+server+command\n";
-            }
-        }
-        return words.append(".\n").toString();
-    }
 }
--- a/src/main/java/plumpost/gearman/Packet.java
+++ b/src/main/java/plumpost/gearman/Packet.java
@@ -31,10 +31,14 @@
 
         final int code;
         final int count;
+        final String inCounter;
+        final String outCounter;
 
         Type(int code, int count) {
             this.code = code;
             this.count = count;
+            inCounter = "gearman.in." + name();
+            outCounter = "gearman.out." + name();
         }
 
         static Type of(int code) {
--- a/src/main/java/plumpost/gearman/WorkerSeat.java
+++ b/src/main/java/plumpost/gearman/WorkerSeat.java
@@ -2,22 +2,28 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.LoadReport;
 import plumpost.decision.Dispatcher.Phase;
+import plumpost.decision.Dispatcher.WorkerEntry;
 import plumpost.dispatch.Attempt;
+import plumpost.dispatch.JobSheet;
 import plumpost.dispatch.ListedNode;
 import plumpost.dispatch.NodeLink;
 import plumpost.dispatch.Probe;
-import plumpost.dispatch.TimerWheel;
+import plumpost.gearman.FunctionTable.Function;
 import plumpost.gearman.Packet.Type;
+import plumpost.time.TimerWheel;
 
 /**
  * A worker's side of a connection, as a route node: what the core sends waits here until the worker grabs it. What
- * has not been grabbed never ran; what was grabbed when the worker is lost may have run.
+ * has not been grabbed never ran; what was grabbed when the worker is lost may have run. It is listed from its first
+ * grab or sleep on, and drains while it still works on a job that was given up, or sleeps through one it was woken for.
  */
 final class WorkerSeat implements NodeLink {
     /** A worker that was woken grabs within this time, or what waits for it goes elsewhere. */
@@ -26,94 +32,145 @@
     private final GearmanDoor door;
     private final Caller caller;
     private final String id;
-    private final double cameUpMs;
-    private final Map<Integer, Double> limits = new TreeMap<>();
-    private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+    private final Map<Function, Double> limits = new LinkedHashMap<>(4);
+    private final ArrayDeque<Attempt> waiting = new ArrayDeque<>(2);
+    private double upSince = Double.NaN;
     private Attempt running;
     private String handle;
-    private ByteBuffer said = ByteBuffer.allocate(0);
     private boolean busy;
     private boolean asleep;
+    private boolean ready;
     private boolean listed;
+    private boolean absent;
     private boolean lost;
+    private Phase told = Phase.DELETED;
     private TimerWheel.Timer grab;
 
     WorkerSeat(GearmanDoor door, Caller caller) {
         this.door = door;
         this.caller = caller;
         this.id = "gearman-" + door.newId();
-        this.cameUpMs = door.kit.clock().nowMs();
     }
 
-    boolean does(int cls) {
-        return limits.containsKey(cls);
+    Collection<Function> functions() {
+        return limits.keySet();
     }
 
-    String functions() {
-        StringBuilder all = new StringBuilder();
-        limits.keySet().forEach(c -> all.append(' ').append(door.set.classes().get(c).name()));
-        return all.toString();
+    /** Tells the core what this node runs and whether it wants anything new; the first time only once it is ready. */
+    private void list() {
+        if (!listed && (!ready || limits.isEmpty() || lost)) {
+            return;
+        }
+        listed = true;
+        BitSet runs = new BitSet();
+        limits.keySet().forEach(f -> runs.set(f.kind));
+        told = lost ? Phase.DELETED : limits.isEmpty() || absent || busy && running == null ? Phase.DRAINING
+            : Phase.SERVING;
+        door.listed(new ListedNode(new WorkerEntry(id, door.config.plant(), door.config.model(), 0, told, 1, upSince,
+            runs, 1), this));
     }
 
-    void canDo(int cls, double limitMs) {
-        limits.put(cls, limitMs);
-        list();
+    /** Lists it anew where it has become or ceased to be fit for something new. */
+    private void relist() {
+        boolean fit = !limits.isEmpty() && !absent && !(busy && running == null);
+        if (listed && !lost && fit != (told == Phase.SERVING)) {
+            list();
+        }
     }
 
-    /** Tells the core what this node runs; one that runs nothing any more drains, one that left is gone. */
-    private void list() {
-        if (limits.isEmpty() && !listed) {
-            return;
+    /** The worker says that it is there. One that left jobs ungrabbed before is given some time first. */
+    private void here() {
+        if (!ready) {
+            ready = true;
+            upSince = door.book.come(caller.clientId(), caller.since(), door.kit.clock().nowMs());
+            double delay = door.book.delayMs(caller.clientId());
+            if (delay > 0) {
+                door.kit.counters().count("gearman.flapping");
+                absent = true;
+                door.kit.wheel().at(door.kit.clock().nowMs() + delay, () -> {
+                    absent = false;
+                    if (!lost) {
+                        list();
+                    }
+                });
+            } else {
+                list();
+            }
         }
-        listed = true;
-        long runs = limits.keySet().stream().mapToLong(c -> 1L << c).sum();
-        Phase phase = lost ? Phase.DELETED : limits.isEmpty() ? Phase.DRAINING : Phase.SERVING;
-        door.listed(new ListedNode(door.entry(id, phase, cameUpMs, runs), this));
     }
 
     void packet(Packet p) {
         switch (p.type()) {
-            case CANT_DO -> cannot(door.cls(p.text(0)));
+            case CAN_DO, CAN_DO_TIMEOUT -> canDo(p);
+            case CANT_DO -> cannot(door.functions.known(p.text(0)));
             case RESET_ABILITIES -> List.copyOf(limits.keySet()).forEach(this::cannot);
             case PRE_SLEEP -> {
                 asleep = true;
+                here();
                 wake();
             }
             case GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL -> grab(p.type());
             case WORK_STATUS -> status(p);
             case WORK_DATA -> {
-                if (mine(p)) {
-                    say(p.parts().get(1));
+                if (mine(p, false)) {
+                    running.part(p.parts().get(1));
                 }
             }
             case WORK_WARNING -> {
-                if (mine(p)) {
+                if (mine(p, false)) {
                     running.warned(p.parts().get(1));
                 }
             }
             case WORK_COMPLETE -> {
-                if (mine(p)) {
-                    say(p.parts().get(1));
-                    if (running != null) {
-                        ByteBuffer result = said;
-                        end().served(result, null);
-                    }
+                if (mine(p, true)) {
+                    end().served(p.parts().get(1), null);
                 }
             }
-            default -> { // WORK_FAIL, WORK_EXCEPTION
-                if (mine(p)) {
+            case WORK_EXCEPTION -> {
+                if (mine(p, true)) {
+                    end().failed(p.parts().get(1), null);
+                }
+            }
+            default -> { // WORK_FAIL
+                if (mine(p, true)) {
                     end().ended(Ending.ERROR, null);
                 }
             }
         }
     }
 
+    private void canDo(Packet p) {
+        double limitS = 0;
+        if (p.type() == Type.CAN_DO_TIMEOUT) {
+            if (!p.text(1).matches("[0-9]{1,9}")) {
+                caller.error("malformed", "CAN_DO_TIMEOUT without a number of seconds");
+                return;
+            }
+            limitS = Long.parseLong(p.text(1));
+        }
+        Function f = door.functions.find(p.text(0));
+        if (f == null) {
+            boolean full = door.functions.full();
+            door.kit.counters().count(full ? "gearman.not.functions" : "gearman.unknown_function");
+            if (full) { // else no job of such a function will ever come
+                caller.write(Type.ERROR, "functions", p.text(0) + ": limits.functions " + door.functions.limit()
+                    + " is used up");
+            }
+            return;
+        }
+        if (limits.put(f, limitS * 1000) == null) {
+            f.workers++;
+            list();
+        }
+    }
+
     /** Not this function any more: what waits for it and has not been grabbed goes back unstarted. */
-    private void cannot(int cls) {
-        if (limits.remove(cls) != null) {
+    private void cannot(Function f) {
+        if (f != null && limits.remove(f) != null) {
+            f.workers--;
             list();
             for (Attempt a : List.copyOf(waiting)) {
-                if (a.sheet().cls() == cls) {
+                if (a.sheet().work().kind() == f.kind) {
                     waiting.remove(a);
                     a.ended(Ending.FULL, null);
                 }
@@ -122,23 +179,25 @@
     }
 
     /** True for the job that is out here; packets on one that was given up are counted and dropped. */
-    private boolean mine(Packet p) {
+    private boolean mine(Packet p, boolean ends) {
         boolean known = p.text(0).equals(handle);
-        if (known && p.type() != Type.WORK_STATUS && p.type() != Type.WORK_DATA && p.type() != Type.WORK_WARNING) {
-            busy = false;
+        boolean wanted = known && running != null;
+        if (known && ends) {
             handle = null;
+            busy = false;
+            door.book.worked(caller.clientId());
+            relist();
         }
-        if (!known || running == null) {
+        if (!wanted) {
             door.kit.counters().count("gearman.stale");
-            return false;
         }
-        return true;
+        return wanted;
     }
 
     private void status(Packet p) {
         if (!p.text(1).matches("[0-9.]{1,18}") || !p.text(2).matches("[0-9.]{1,18}")) {
             caller.error("malformed", "WORK_STATUS without numbers");
-        } else if (mine(p)) {
+        } else if (mine(p, false)) {
             try {
                 double of = Double.parseDouble(p.text(2));
                 running.progressed(of > 0 ? Math.min(1, Double.parseDouble(p.text(1)) / of) : 0);
@@ -148,15 +207,6 @@
         }
     }
 
-    private void say(ByteBuffer more) {
-        if (said.remaining() + more.remaining() > GearmanDoor.PACKET_LIMIT) {
-            door.kit.counters().count("gearman.result_too_large");
-            end().ended(Ending.ERROR, null);
-            return;
-        }
-        said = ByteBuffer.allocate(said.remaining() + more.remaining()).put(said).put(more.duplicate()).flip();
-    }
-
     private Attempt end() {
         Attempt a = running;
         running = null;
@@ -178,27 +228,43 @@
             }
         }
         busy = false;
+        absent &= !listed; // who is there after all; a delay before its first listing runs on
+        here();
+        relist();
         Attempt a = waiting.poll();
+        if (a != null && a.sheet().work().reducer() != null && type != Type.GRAB_JOB_ALL) {
+            // Without the reducer's name it would run as another job than was asked for.
+            door.kit.counters().count("gearman.reducer_not_grabbed");
+            a.ended(Ending.FULL, null);
+            a = null;
+        }
         if (a == null) {
             caller.write(Type.NO_JOB);
-            return;
+        } else {
+            assign(type, a);
         }
+    }
+
+    private void assign(Type type, Attempt a) {
+        JobSheet s = a.sheet();
         running = a;
         busy = true;
-        said = ByteBuffer.allocate(0);
-        handle = door.handle(a.sheet().id());
-        String function = door.set.classes().get(a.sheet().cls()).name();
-        String unique = a.sheet().unique() == null ? "" : a.sheet().unique();
+        handle = door.handle(s.id());
+        Function f = door.functions.of(s.work().kind());
+        String unique = s.work().unique() == null ? "" : s.work().unique();
         switch (type) {
-            case GRAB_JOB -> caller.write(Type.JOB_ASSIGN, handle, function, a.sheet().body());
-            case GRAB_JOB_UNIQ -> caller.write(Type.JOB_ASSIGN_UNIQ, handle, function, unique, a.sheet().body());
-            default -> caller.write(Type.JOB_ASSIGN_ALL, handle, function, unique, "", a.sheet().body());
+            case GRAB_JOB -> caller.write(Type.JOB_ASSIGN, handle, f.name, s.body());
+            case GRAB_JOB_UNIQ -> caller.write(Type.JOB_ASSIGN_UNIQ, handle, f.name, unique, s.body());
+            default -> caller.write(Type.JOB_ASSIGN_ALL, handle, f.name, unique,
+                s.work().reducer() == null ? "" : s.work().reducer(), s.body());
         }
-        double limit = limits.getOrDefault(a.sheet().cls(), 0.0);
+        double limit = limits.getOrDefault(f, 0.0);
         if (limit > 0) {
             door.kit.wheel().at(door.kit.clock().nowMs() + limit, () -> {
                 if (running == a) {
-                    end().ended(Ending.TIMEOUT, null);
+                    running = null;
+                    relist();
+                    a.ended(Ending.TIMEOUT, null);
                 }
             });
         }
@@ -222,6 +288,9 @@
         grab = null;
         if (!busy) {
             door.kit.counters().count("gearman.not_grabbed");
+            door.book.strike(caller.clientId());
+            absent = true;
+            relist();
             handBack();
         }
     }
@@ -238,6 +307,13 @@
         if (grab != null) {
             grab.cancel();
         }
+        if (!waiting.isEmpty()) {
+            door.book.strike(caller.clientId());
+        }
+        if (ready) {
+            door.book.left(caller.clientId(), door.kit.clock().nowMs());
+        }
+        limits.keySet().forEach(f -> f.workers--);
         list();
         handBack();
         Attempt a = end();
@@ -248,7 +324,7 @@
 
     @Override
     public void send(Attempt attempt) {
-        if (lost || !does(attempt.sheet().cls())) {
+        if (lost || told != Phase.SERVING || !limits.containsKey(door.functions.of(attempt.sheet().work().kind()))) {
             attempt.ended(Ending.FULL, null);
             return;
         }
@@ -261,6 +337,7 @@
         waiting.remove(attempt);
         if (running == attempt) {
             running = null; // the protocol has no word for it: the worker goes on and is busy until it ends
+            relist();
         }
     }
 
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -13,9 +13,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import plumpost.dispatch.Clock;
-import plumpost.dispatch.Counters;
-import plumpost.dispatch.TimerWheel;
+import plumpost.time.Clock;
+import plumpost.count.Counters;
+import plumpost.time.TimerWheel;
 
 /** The thin driver: one thread, one selector, all sockets, and the timer wheel turned between them. */
 public final class SelectorLoop implements Network {
@@ -113,11 +113,17 @@
      */
     public Door listen(InetSocketAddress at, Function<Wire, WireUser> users, int most, BooleanSupplier shed)
         throws IOException {
+        return listen(at, users, most, MOST_UNREAD, shed);
+    }
+
+    /** The same with a bound on the bytes that a peer may leave unread. */
+    public Door listen(InetSocketAddress at, Function<Wire, WireUser> users, int most, long unreadBytes,
+                       BooleanSupplier shed) throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(at, 512);
         channel.configureBlocking(false);
-        return new Door(channel, users, most, shed);
+        return new Door(channel, users, most, unreadBytes, shed);
     }
 
     /**
@@ -128,16 +134,18 @@
         private final ServerSocketChannel channel;
         private final Function<Wire, WireUser> users;
         private final int most;
+        private final long unreadBytes;
         private final BooleanSupplier shed;
         private final SelectionKey key;
         private final ArrayDeque<Socket> lingering = new ArrayDeque<>();
         private int open;
 
-        private Door(ServerSocketChannel channel, Function<Wire, WireUser> users, int most, BooleanSupplier shed)
-            throws IOException {
+        private Door(ServerSocketChannel channel, Function<Wire, WireUser> users, int most, long unreadBytes,
+                     BooleanSupplier shed) throws IOException {
             this.channel = channel;
             this.users = users;
             this.most = most;
+            this.unreadBytes = unreadBytes;
             this.shed = shed;
             key = channel.register(selector, SelectionKey.OP_ACCEPT, this);
         }
@@ -333,7 +341,7 @@
                     unread += p.remaining();
                 }
             }
-            if (unread > MOST_UNREAD) {
+            if (unread > (door == null ? MOST_UNREAD : door.unreadBytes)) {
                 // A peer that does not read what it asks for must not fill the memory.
                 counters.count("net.unread");
                 soon.add(this::broken);
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -15,7 +15,7 @@
 import plumpost.dispatch.JobSheet;
 import plumpost.dispatch.LedgerEntry;
 import plumpost.dispatch.ReplyTo;
-import plumpost.dispatch.TimerWheel;
+import plumpost.time.TimerWheel;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -1,24 +1,33 @@
 package plumpost.platform;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.DoubleSupplier;
 import plumpost.config.NodeConfig;
 import plumpost.config.NodeListReader;
 import plumpost.dispatch.DispatchRoom;
+import plumpost.front.Front;
+import plumpost.front.Listeners;
 import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
 
 /** The platform's side of a scheduler: its front, its links to route nodes and its watch on the node list. */
-public final class Platform {
+public final class Platform implements Front {
+    private static final long UNREAD = 2 << 20;
+
     private final FrontDoor door;
     private final NodeListWatch watch;
     private final NodeListReader reader;
     private final NodeConfig config;
+    private final DispatchRoom room;
+    private final Kit kit;
 
     /** Joins the platform's protocol to a core; {@code lag} tells how long bytes may have lain unread. */
     public Platform(NodeConfig config, DispatchRoom room, Kit kit, DoubleSupplier lag) {
         this.config = config;
+        this.room = room;
+        this.kit = kit;
         int nodeConnections = config.sockets() / 3;
         reader = new NodeListReader(config.raw(), why -> {
             kit.counters().count("list.malformed_line");
@@ -39,8 +48,27 @@
         return door.shed();
     }
 
+    @Override
+    public String open(Listeners listeners) throws IOException {
+        String where = config.listen() == null ? ""
+            : "http " + listeners.listen(config.listen(), this::accept, connections(config), UNREAD, this::shed);
+        begin();
+        return where;
+    }
+
+    /** Takes over another address of discovery; jobs, connections and what is known of nodes stay. */
+    @Override
+    public void reload(NodeConfig now) {
+        if (now.discovery() == null) {
+            kit.log().accept("reloaded, the file names no discovery: the old one stays");
+        } else {
+            kit.log().accept("reloaded, discovery " + now.discovery());
+            watch.move(now.discovery());
+        }
+    }
+
     /** Tells the core the list as last had; the module then asks for the watch. */
-    public void begin(DispatchRoom room) {
+    public void begin() {
         room.add(watch);
         if (config.discovery() != null && config.known().has("seq")) {
             watch.saved(reader.read(config.known()));
@@ -49,27 +77,24 @@
         }
     }
 
-    /** Discovery is at another address from now on; jobs, connections and what is known of nodes stay. */
-    public void move(InetSocketAddress discovery) {
-        watch.move(discovery);
-    }
-
     /** Takes a front desk's connection in. */
     public WireUser accept(Wire wire) {
         return door.accept(wire);
     }
 
     /** From here on the front says that it is ready. */
+    @Override
     public void ready() {
         door.ready();
     }
 
     /** Begins the orderly end: not ready, idle connections closed, others closed with their answer. */
-    public void stop() {
+    @Override
+    public void stop(double goingMs) {
         door.stop();
     }
 
-    /** True when no client waits for anything. */
+    @Override
     public boolean quiet() {
         return door.quiet();
     }
--- a/src/main/java/plumpost/platform/Rehearsal.java
+++ b/src/main/java/plumpost/platform/Rehearsal.java
@@ -7,9 +7,9 @@
 import java.util.function.Function;
 import plumpost.config.Json;
 import plumpost.config.NodeConfig;
-import plumpost.dispatch.Counters;
+import plumpost.count.Counters;
 import plumpost.dispatch.DispatchRoom;
-import plumpost.dispatch.TimerWheel;
+import plumpost.time.TimerWheel;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
@@ -44,7 +44,7 @@
             new DispatchRoom.Bounds(JOBS, 1 << 20, 16, 1 << 16), words -> { });
         Platform platform = new Platform(config, room,
             new Kit(this, () -> now, wheel, counters, words -> { }), () -> 0);
-        platform.begin(room);
+        platform.begin();
         Mouth desk = new Mouth();
         WireUser front = platform.accept(desk);
         for (int i = 0; i < JOBS; i++) {
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -16,7 +16,7 @@
 import plumpost.dispatch.Attempt;
 import plumpost.dispatch.NodeLink;
 import plumpost.dispatch.Probe;
-import plumpost.dispatch.TimerWheel;
+import plumpost.time.TimerWheel;
 import plumpost.http.AnswerReader;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
--- a/src/main/java/plumpost/time/Clock.java
+++ b/src/main/java/plumpost/time/Clock.java
@@ -1,4 +1,4 @@
-package plumpost.dispatch;
+package plumpost.time;
 
 /** The core's only source of time: Unix milliseconds with fractions, never running backwards. */
 public interface Clock {
--- a/src/main/java/plumpost/time/TimerWheel.java
+++ b/src/main/java/plumpost/time/TimerWheel.java
@@ -1,4 +1,4 @@
-package plumpost.dispatch;
+package plumpost.time;
 
 import java.util.ArrayList;
 import java.util.BitSet;
--- a/src/test/java/plumpost/dispatch/GuardsTest.java
+++ b/src/test/java/plumpost/dispatch/GuardsTest.java
@@ -1,5 +1,7 @@
 package plumpost.dispatch;
 
+import plumpost.count.Counters;
+import plumpost.time.TimerWheel;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.lang.reflect.Proxy;
--- a/src/test/java/plumpost/net/SelectorLoopTest.java
+++ b/src/test/java/plumpost/net/SelectorLoopTest.java
@@ -10,9 +10,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import plumpost.dispatch.Counters;
-import plumpost.dispatch.SystemClock;
-import plumpost.dispatch.TimerWheel;
+import plumpost.count.Counters;
+import plumpost.time.SystemClock;
+import plumpost.time.TimerWheel;
 
 /** The driver on real loopback sockets, at ports that the system gives. */
 class SelectorLoopTest {
