--- a/src/main/java/plumpost/cli/Main.java
+++ b/src/main/java/plumpost/cli/Main.java
@@ -11,10 +11,11 @@
 import plumpost.benchlink.WireHost;
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeConfig;
+import plumpost.lab.LabMain;
 
 /** Command line: one word names what to do, options follow. */
 public final class Main {
-    private static final String USAGE = "plumpost serve|rehearse|check|benchlink|version|help [options]";
+    private static final String USAGE = "plumpost serve|rehearse|check|benchlink|lab|version|help [options]";
 
     private Main() { }
 
@@ -30,6 +31,9 @@
     }
 
     static int run(String[] args, PrintStream out, PrintStream err) throws IOException {
+        if (args.length > 0 && args[0].equals("lab")) {
+            return LabMain.run(Arrays.copyOfRange(args, 1, args.length), out, err);
+        }
         Options options = new Options();
         options.addOption("c", "config", true, "configuration file; NODE_CONFIG where it is not given");
         try {
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -69,6 +69,11 @@
         return c;
     }
 
+    /** Reads a section {@code gearman} beside the settings that it names classes, plants and models of. */
+    public static GearmanConfig gearman(Fields section, Fields settings) {
+        return GearmanConfig.read(section, settings);
+    }
+
     private static InetSocketAddress address(Map<String, String> environment, String variable, Fields f, String field) {
         String text = environment.getOrDefault(variable, f.text(field, null));
         return text == null || text.isEmpty() ? null
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -315,7 +315,9 @@
 
     private void hold(Request r) {
         r.isHeld = true;
-        r.key = Math.log(r.cost) / Math.log(2) + now / AGING_MS;
+        // While nobody gives hints, guesses at jobs differ only by when they were made.
+        boolean blind = hintCount == 0 && Double.isNaN(r.job.costMs());
+        r.key = (blind ? 0 : Math.log(r.cost) / Math.log(2)) + now / AGING_MS;
         if (!r.attempts.isEmpty()) r.key = r.attempts.get(0).sentAt / AGING_MS;
         // Exception, a held job ran out of time lately: something must give, what is worth least first.
         if (now < pressedUntil) r.key -= GIVE_STEPS * Math.log(Math.max(r.worth, 1e-3)) / Math.log(2);
--- a/src/main/java/plumpost/gearman/Packet.java
+++ b/src/main/java/plumpost/gearman/Packet.java
@@ -41,7 +41,13 @@
             outCounter = "gearman.out." + name();
         }
 
-        static Type of(int code) {
+        /** How many arguments a packet of this type has. */
+        public int arguments() {
+            return count;
+        }
+
+        /** The type of a number, or null. */
+        public static Type of(int code) {
             return BY_CODE.get(code);
         }
     }
--- a/src/main/java/plumpost/lab/script/Player.java
+++ b/src/main/java/plumpost/lab/script/Player.java
@@ -178,11 +178,8 @@
             have = unread.get(who);
         }
         unread.put(who, java.util.Arrays.copyOfRange(have, size, have.length));
-        String name = "?";
-        for (Packet.Type t : Packet.Type.values()) {
-            name = Packet.bytes(0, t)[0].getInt(4) == ByteBuffer.wrap(have).getInt(4) ? t.name() : name;
-        }
-        String got = name + (size == 12 ? "" : "|" + new String(have, 12, size - 12, StandardCharsets.ISO_8859_1)
+        Packet.Type type = Packet.Type.of(ByteBuffer.wrap(have).getInt(4));
+        String got = type + (size == 12 && (type == null || type.arguments() == 0) ? "" : "|" + new String(have, 12, size - 12, StandardCharsets.ISO_8859_1)
             .replace('\0', '|'));
         Matcher m = pattern(step, step.words()).matcher(got);
         check(step, ByteBuffer.wrap(have).getInt(0) == Packet.RESPONSE && m.matches(), shown(got.getBytes(
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
 import plumpost.config.GearmanConfig;
@@ -21,6 +22,8 @@
 import plumpost.time.TimerWheel;
 import plumpost.gearman.GearmanDoor;
 import plumpost.gearman.Packet;
+import plumpost.lab.script.Rig;
+import plumpost.lab.script.Script;
 import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
@@ -111,10 +114,45 @@
             + "\"k\",\"block\":0,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + born + "}";
     }
 
+    /** This scheduler's Gearman front as a rig of the scenario language; its clock moves while a peer waits. */
+    public Rig rig() {
+        return new Rig() {
+            @Override
+            public void send(String who, byte[] bytes) {
+                pipe(who, true).hear(ByteBuffer.wrap(bytes));
+                settle();
+            }
+
+            @Override
+            public byte[] take(String who, double longestMs) {
+                Pipe p = pipe(who, false);
+                for (double end = now + longestMs; p.out.isEmpty() && !p.closed && now < end; pass(2)) {
+                    settle();
+                }
+                byte[] all = p.out.getBytes(StandardCharsets.ISO_8859_1);
+                p.out = "";
+                return all.length == 0 && p.closed ? null : all;
+            }
+
+            @Override
+            public void close(String who) {
+                pipe(who, false).hangUp();
+                settle();
+            }
+
+            @Override
+            public void pass(double ms) {
+                step("wait " + ms);
+                settle();
+            }
+        };
+    }
+
     /** Plays a scenario; each step names itself where it fails. */
     public Scenario play(String steps) {
-        for (String line : steps.strip().split("\n")) {
-            step(line.strip());
+        for (Script.Step s : Script.parse("scenario", steps).steps()) {
+            step(s.who() == null ? "wait " + s.words() : (s.who() + ' ' + s.verb().name().toLowerCase(Locale.ROOT)
+                .replace("hold", "wait") + ' ' + s.words()).strip());
             settle();
         }
         return this;
--- /dev/null
+++ b/src/test/java/plumpost/lab/LabServer.java
@@ -0,0 +1,69 @@
+package plumpost.lab;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import plumpost.Scenario;
+import plumpost.config.GearmanConfig;
+import plumpost.config.Json;
+import plumpost.config.NodeConfig;
+import plumpost.config.SettingsReader;
+import plumpost.count.Counters;
+import plumpost.dispatch.DispatchRoom;
+import plumpost.gearman.GearmanDoor;
+import plumpost.net.Kit;
+import plumpost.net.SelectorLoop;
+import plumpost.time.SystemClock;
+import plumpost.time.TimerWheel;
+
+/** A Gearman front on a loopback port that the system gives, on a thread and a core of its own. */
+final class LabServer implements AutoCloseable {
+    final Counters counters = new Counters();
+    private final InetSocketAddress address;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private volatile boolean over;
+
+    LabServer(GearmanConfig config, double coldMs) throws IOException {
+        String settings = Scenario.SETTINGS.replace("\"coldMs\":400.0", "\"coldMs\":" + coldMs);
+        Json.Fields raw = Json.object("settings", settings.getBytes(StandardCharsets.UTF_8));
+        SystemClock clock = new SystemClock();
+        TimerWheel wheel = new TimerWheel(clock.nowMs());
+        SelectorLoop loop = new SelectorLoop(clock, wheel, counters, words -> { });
+        NodeConfig node = new NodeConfig("lab", null, null, 7, 4096, SettingsReader.settings(raw), raw, raw, config);
+        DispatchRoom room = new DispatchRoom(node.settings(), 7, clock, wheel, counters,
+            new DispatchRoom.Bounds(200_000, 64 << 20, 100_000, 64 << 20, config.limits().packetBytes()), words -> { });
+        GearmanDoor door = new GearmanDoor(node, "0", room, new Kit(loop, clock, wheel, counters, words -> { }),
+            () -> { });
+        InetSocketAddress[] at = new InetSocketAddress[1];
+        door.open((to, users, most, unread, shed) -> at[0] = loop.listen(new InetSocketAddress(
+            InetAddress.getLoopbackAddress(), 0), users, most, unread, shed).address());
+        address = at[0];
+        Thread thread = new Thread(() -> {
+            try {
+                loop.run(() -> over);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            } finally {
+                ended.countDown();
+            }
+        }, "lab-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    @Override
+    public void close() {
+        over = true;
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
