--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -23,10 +23,11 @@
  * @param raw the settings as given
  * @param known the list of route nodes as last had
  * @param gearman the Gearman front, or null while it is off
+ * @param jsonLog whether the log's lines are JSON objects
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                          Dispatcher.Settings settings, Fields raw, Fields known,
-                         GearmanConfig gearman) {
+                         GearmanConfig gearman, boolean jsonLog) {
 
     /**
      * What real links add to the granularity that is told: an order's new connection and the proof that it stands take
@@ -59,7 +60,8 @@
         NodeConfig c = new NodeConfig(environment.getOrDefault("NODE_NAME", f.text("name", "plumpost")),
             address(environment, "NODE_LISTEN", f, "listen"), address(environment, "NODE_DISCOVERY", f, "discovery"),
             seed(f.text("seed", "0")), (int) f.objectOrEmpty("limits").number("sockets", 1024), settings, raw,
-            f.objectOrEmpty("known"), f.has("gearman") ? GearmanConfig.read(f.object("gearman"), raw) : null);
+            f.objectOrEmpty("known"), f.has("gearman") ? GearmanConfig.read(f.object("gearman"), raw) : null,
+            jsonLog(f.objectOrEmpty("log")));
         if (c.listen == null && c.gearman == null) {
             throw new BadInput("configuration: neither listen nor gearman.listen is given");
         }
@@ -69,6 +71,15 @@
         return c;
     }
 
+    private static boolean jsonLog(Fields f) {
+        f.only("format");
+        String format = f.text("format", "text");
+        if (!format.equals("text") && !format.equals("json")) {
+            throw new BadInput(f.where() + ": field format is " + format + ", not text or json");
+        }
+        return format.equals("json");
+    }
+
     /** Reads a section {@code gearman} beside the settings that it names classes, plants and models of. */
     public static GearmanConfig gearman(Fields section, Fields settings) {
         return GearmanConfig.read(section, settings);
--- a/src/main/java/plumpost/lab/gearman/Audit.java
+++ b/src/main/java/plumpost/lab/gearman/Audit.java
@@ -25,6 +25,11 @@
         counts.merge(what, 1, Integer::sum);
     }
 
+    /** The most of a figure. */
+    synchronized void most(String what, double value) {
+        counts.merge(what, (int) Math.ceil(value), Math::max);
+    }
+
     /** A worker was given the job. */
     synchronized void begun(Work w) {
         if (w.number() >= 0 && w.number() < begun.length && begun[w.number()] < 100) {
--- a/src/main/java/plumpost/lab/gearman/Fault.java
+++ b/src/main/java/plumpost/lab/gearman/Fault.java
@@ -17,6 +17,8 @@
     GARBAGE,
     /** The worker sleeps through the next wake-up. */
     SLEEP,
+    /** The worker cannot do one function for a while: a drain. */
+    DRAIN,
     /** The worker says that the job failed. */
     FAIL,
     /** The client's connection ends while it waits; it comes again under the same key. */
--- a/src/main/java/plumpost/lab/gearman/LoadWorker.java
+++ b/src/main/java/plumpost/lab/gearman/LoadWorker.java
@@ -12,6 +12,9 @@
     private static final double RETRY_MS = 50;
     private static final double STALL_MS = 1500;
     private static final double SLEEP_MS = 1200;
+    private static final double DRAIN_MS = 900;
+    /** The rule: nothing new later than this after a drain was told. */
+    private static final double DRAIN_LIMIT_MS = 400;
 
     private final Yard yard;
     private final String name;
@@ -21,6 +24,7 @@
     private String lastHandle = "H:none:0";
     private boolean sleepy;
     private boolean live;
+    private double drainedAt = Double.NaN;
 
     LoadWorker(Yard yard, String name) {
         this.yard = yard;
@@ -30,6 +34,7 @@
     void connect() {
         reader = new PacketReader(Packet.RESPONSE, false, 1 << 26);
         handle = null;
+        drainedAt = Double.NaN;
         wire = yard.loop.dial(yard.target, w -> this);
     }
 
@@ -86,6 +91,13 @@
         Work w = Work.of(p.parts().get(3));
         handle = p.parts().get(0);
         yard.audit.begun(w);
+        if (!w.order() && !Double.isNaN(drainedAt)) {
+            double after = yard.clock.nowMs() - drainedAt;
+            yard.audit.most("last job ms after CANT_DO", after);
+            if (after > DRAIN_LIMIT_MS) {
+                yard.audit.broken("a job later than 400 ms after CANT_DO", w.number());
+            }
+        }
         Fault f = Fault.of(yard.plan.seed(), w.number(), yard.plan.faults());
         double ms = w.micros() / 1000.0;
         ByteBuffer mine = handle;
@@ -149,6 +161,17 @@
             reconnect();
             return;
         }
+        if (f == Fault.DRAIN && Double.isNaN(drainedAt)) {
+            drainedAt = yard.clock.nowMs();
+            send(Type.CANT_DO, yard.plan.plan());
+            Wire drained = wire;
+            yard.later(DRAIN_MS, () -> {
+                if (wire == drained) {
+                    drainedAt = Double.NaN;
+                    send(Type.CAN_DO, yard.plan.plan());
+                }
+            });
+        }
         sleepy = f == Fault.SLEEP;
         lastHandle = new String(copy(mine), java.nio.charset.StandardCharsets.US_ASCII);
         send(Type.GRAB_JOB_UNIQ);
