--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -8,8 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.function.Consumer;
 import plumpost.config.Json.BadInput;
 import plumpost.config.GearmanConfig;
 import plumpost.config.NodeConfig;
@@ -22,7 +21,7 @@
 import plumpost.http.AnswerReader;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
-import plumpost.log.LinesProvider;
+import plumpost.log.Logs;
 import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
 import plumpost.net.WireUser;
@@ -39,7 +38,7 @@
 
     private final Path file;
     private final NodeConfig config;
-    private final Logger log;
+    private final Consumer<String> log;
     private final SystemClock clock = new SystemClock();
     private final TimerWheel wheel = new TimerWheel(clock.nowMs());
     private final Counters counters = new Counters();
@@ -53,8 +52,7 @@
     Serve(Path file) throws IOException {
         this.file = file;
         config = NodeConfig.read(file, System.getenv());
-        LinesProvider.begin(config.name(), config.jsonLog());
-        log = LoggerFactory.getLogger("plumpost");
+        log = Logs.sink(config.name(), config.logFormat());
         loop = new SelectorLoop(clock, wheel, counters, this::log);
         room = new DispatchRoom(config.settings(), config.seed(), clock, wheel, counters,
             bounds(Runtime.getRuntime().maxMemory(), config.gearman()), this::log);
@@ -87,7 +85,7 @@
     }
 
     private void log(String words) {
-        log.info(words);
+        log.accept(words);
     }
 
     int run() throws IOException {
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -23,11 +23,11 @@
  * @param raw the settings as given
  * @param known the list of route nodes as last had
  * @param gearman the Gearman front, or null while it is off
- * @param jsonLog whether the log's lines are JSON objects
+ * @param logFormat text or json, or null where the file says nothing of the log
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                          Dispatcher.Settings settings, Fields raw, Fields known,
-                         GearmanConfig gearman, boolean jsonLog) {
+                         GearmanConfig gearman, String logFormat) {
 
     /**
      * What real links add to the granularity that is told: an order's new connection and the proof that it stands take
@@ -61,7 +61,7 @@
             address(environment, "NODE_LISTEN", f, "listen"), address(environment, "NODE_DISCOVERY", f, "discovery"),
             seed(f.text("seed", "0")), (int) f.objectOrEmpty("limits").number("sockets", 1024), settings, raw,
             f.objectOrEmpty("known"), f.has("gearman") ? GearmanConfig.read(f.object("gearman"), raw) : null,
-            jsonLog(f.objectOrEmpty("log")));
+            f.has("log") ? logFormat(f.object("log")) : null);
         if (c.listen == null && c.gearman == null) {
             throw new BadInput("configuration: neither listen nor gearman.listen is given");
         }
@@ -71,13 +71,13 @@
         return c;
     }
 
-    private static boolean jsonLog(Fields f) {
+    private static String logFormat(Fields f) {
         f.only("format");
         String format = f.text("format", "text");
         if (!format.equals("text") && !format.equals("json")) {
             throw new BadInput(f.where() + ": field format is " + format + ", not text or json");
         }
-        return format.equals("json");
+        return format;
     }
 
     /** Reads a section {@code gearman} beside the settings that it names classes, plants and models of. */
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -42,6 +42,7 @@
     private final Map<String, Request> requests = new HashMap<>();
     private final List<Worker> plain = new ArrayList<>(); // those serving whose places are not known
     private final Map<Integer, Lane> lanes = new LinkedHashMap<>();
+    private final Set<Lane> waiting = new LinkedHashSet<>(); // lanes with held jobs, and some that had them
     private final Set<Request> spare = new LinkedHashSet<>(); // held, and can no longer be in time
     private final PriorityQueue<Task> tasks = new PriorityQueue<>(
         Comparator.comparingDouble(Task::at).thenComparingLong(Task::order));
@@ -326,11 +327,13 @@
     }
 
     private void keep(Request r) {
-        lane(r.job.work()).held.add(r);
+        Lane l = lane(r.job.work());
+        l.held.add(r);
+        waiting.add(l);
         if (r.dead) spare.add(r);
     }
 
-    int held() { return lanes.values().stream().mapToInt(l -> l.held.size()).sum(); }
+    int held() { return waiting.stream().mapToInt(l -> l.held.size()).sum(); }
 
     private Lane lane(int work) { return lanes.computeIfAbsent(work, k -> new Lane()); }
 
@@ -358,7 +361,7 @@
     /** The lane whose first job comes first, of those that this release is not through with. */
     private Lane next() {
         Lane first = null;
-        for (Lane l : lanes.values()) {
+        for (Lane l : waiting) {
             boolean unable = !sweeps && plain.isEmpty() && l.free.isEmpty();
             if (l.held.isEmpty() || mixed && (unable || l.passed >= LANE_AHEAD)) continue;
             if (first == null || ORDER.compare(l.held.first(), first.held.first()) < 0) first = l;
@@ -369,7 +372,8 @@
     /** Gives held jobs, smallest aged estimate first, to workers whose own count is below their bar. */
     private void release() {
         if (promptShare < SPARE_SHARE) List.copyOf(spare).forEach(this::finish);
-        lanes.values().forEach(l -> l.passed = 0);
+        waiting.removeIf(l -> l.held.isEmpty());
+        waiting.forEach(l -> l.passed = 0);
         List<Request> passed = new ArrayList<>();
         double[] blocked = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         for (Lane l = next(); l != null && (mixed || passed.size() < LOOK_AHEAD); l = next()) {
@@ -395,7 +399,7 @@
             }
         }
         passed.forEach(this::keep);
-        if (!recheckSet && lanes.values().stream().anyMatch(l -> !l.held.isEmpty())) {
+        if (!recheckSet && held() > 0) {
             recheckSet = true;
             at(now + RECHECK_MS, () -> {
                 recheckSet = false;
--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -12,6 +12,9 @@
     private static final double SLOW_MS = 10_000;
     private static final double SLOW_BYTES_A_MS = 16;
 
+    /** Bytes of a long answer that are written at a time. */
+    private static final int PIECE = 64 * 1024;
+
     final Wire wire;
     private final GearmanDoor door;
     private final long number;
@@ -23,6 +26,7 @@
     private boolean over;
     private double waitingSince = Double.NaN;
     private boolean spoke;
+    private ByteBuffer listing;
 
     Caller(GearmanDoor door, Wire wire, long number) {
         since = door.kit.clock().nowMs();
@@ -86,11 +90,13 @@
         try {
             Packet p = reader.next(in);
             String line = p == null ? reader.line() : null;
-            if (p != null) {
+            if (listing != null && (p != null || line != null)) {
+                error("impatient", "the list that was asked for is not read yet");
+            } else if (p != null) {
                 door.kit.counters().count(p.type().inCounter);
                 packet(p);
             } else if (line != null) {
-                wire.write(ByteBuffer.wrap(door.admin.answer(line).getBytes(StandardCharsets.UTF_8)));
+                list(door.admin.answer(line));
             }
             return p != null || line != null;
         } catch (PacketReader.BadPacket e) {
@@ -104,6 +110,41 @@
         }
     }
 
+    /** Writes an admin's answer; a long one in pieces as the peer reads, so that a full ledger's list is not held twice. */
+    private void list(String answer) {
+        listing = ByteBuffer.wrap(answer.getBytes(StandardCharsets.UTF_8));
+        if (listing.remaining() > PIECE) {
+            if (door.lister != null && door.lister != this) {
+                listing = null;
+                wire.write(ByteBuffer.wrap("ERR BUSY Another+long+list+is+being+read\n".getBytes(
+                    StandardCharsets.US_ASCII)));
+                return;
+            }
+            door.lister = this;
+        }
+        flushed();
+    }
+
+    @Override
+    public void flushed() {
+        if (listing != null && !over) {
+            int n = Math.min(PIECE, listing.remaining());
+            ByteBuffer piece = listing.slice(listing.position(), n);
+            listing.position(listing.position() + n);
+            if (!listing.hasRemaining()) {
+                listed();
+            }
+            wire.write(piece);
+        }
+    }
+
+    private void listed() {
+        listing = null;
+        if (door.lister == this) {
+            door.lister = null;
+        }
+    }
+
     /** Says what is wrong and ends the connection; what hangs on it ends as if the peer had left. */
     void error(String code, String words) {
         door.kit.counters().count("gearman.bad." + code);
@@ -150,6 +191,7 @@
             return;
         }
         over = true;
+        listed();
         reader.end();
         door.left(this);
         if (client != null) {
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanDoor.java
@@ -45,6 +45,7 @@
     private final String handles;
     private final long firstId;
     private final Set<Caller> callers = new LinkedHashSet<>();
+    Caller lister;
     private TimerWheel.Timer next;
     private long ids;
     private long taken;
--- a/src/main/java/plumpost/gearman/Submission.java
+++ b/src/main/java/plumpost/gearman/Submission.java
@@ -68,7 +68,9 @@
 
     @Override
     public void served(ByteBuffer result) {
-        last(() -> client.write(Type.WORK_COMPLETE, handle, result.slice(told, result.remaining() - told)));
+        ByteBuffer rest = result.duplicate();
+        rest.position(rest.position() + told);
+        last(() -> client.write(Type.WORK_COMPLETE, handle, rest));
     }
 
     @Override
--- a/src/main/java/plumpost/lab/gearman/Audit.java
+++ b/src/main/java/plumpost/lab/gearman/Audit.java
@@ -30,14 +30,16 @@
         counts.merge(what, (int) Math.ceil(value), Math::max);
     }
 
-    /** A worker was given the job. */
-    synchronized void begun(Work w) {
+    /** A worker was given the job; true the first time. */
+    synchronized boolean begun(Work w) {
         if (w.number() >= 0 && w.number() < begun.length && begun[w.number()] < 100) {
             begun[w.number()]++;
             if (w.order() && begun[w.number()] > 1) {
                 broken("order begun twice", w.number());
             }
+            return begun[w.number()] == 1;
         }
+        return false;
     }
 
     /** A client waits for the job, once for each submit that the server has taken. */
--- a/src/main/java/plumpost/lab/gearman/LoadResult.java
+++ b/src/main/java/plumpost/lab/gearman/LoadResult.java
@@ -9,18 +9,18 @@
 import org.HdrHistogram.Histogram;
 
 /** What came of a load run, as JSON and as a page. Times are in milliseconds from when a job was meant to start. */
-public record LoadResult(LoadPlan plan, double tookMs, int begun, int ended, Map<String, Integer> endings,
+public record LoadResult(LoadPlan plan, double tookMs, int begun, int ended, int counted, Map<String, Integer> endings,
                          Map<String, Integer> counts, List<String> examples, int broken, Histogram times,
                          List<LoadRun.Second> seconds, LoadRun.ServerMeter meter) {
 
     /** Jobs that ended a second. */
     public double ratePerS() {
-        return ended / tookMs * 1000;
+        return counted / tookMs * 1000;
     }
 
     /** The server's CPU time for a job in microseconds, or NaN. */
     public double cpuMicros() {
-        return meter.cpuS() * 1e6 / Math.max(1, ended);
+        return meter.cpuS() * 1e6 / Math.max(1, counted);
     }
 
     /** A time in milliseconds below which so many in 100 jobs ended. */
@@ -38,6 +38,7 @@
             j.writeNumberField("clients", plan.clients());
             j.writeNumberField("workers", plan.workers());
             j.writeNumberField("jobs", plan.jobs());
+            j.writeNumberField("warmup", plan.warmup());
             j.writeNumberField("ratePerS", plan.ratePerS());
             j.writeNumberField("orders", plan.orders());
             j.writeNumberField("background", plan.background());
--- a/src/test/java/plumpost/gearman/HardCasesTest.java
+++ b/src/test/java/plumpost/gearman/HardCasesTest.java
@@ -238,6 +238,23 @@
         assertThat(s.room.open()).isZero();
     }
 
+    /** Guards the list of a full ledger: it comes whole, in pieces, and a second one at the same time is told to wait. */
+    @Test
+    void aLongListComesInPieces() {
+        Scenario s = scenario(0, 0, 20_000);
+        Peers peers = new Peers(s);
+        for (int i = 0; i < 20_000; i++) {
+            peers.send("c", Type.SUBMIT_JOB_BG, "route-plan", "", "");
+            peers.read("c");
+        }
+        peers.rig.send("a", "show jobs\n".getBytes(StandardCharsets.US_ASCII));
+        String all = new String(peers.rig.take("a", 0), StandardCharsets.US_ASCII);
+        assertThat(all.lines().count()).isEqualTo(20_001);
+        assertThat(all).endsWith("\n.\n");
+        peers.rig.send("a", "version\n".getBytes(StandardCharsets.US_ASCII));
+        assertThat(new String(peers.rig.take("a", 0), StandardCharsets.US_ASCII)).startsWith("OK ");
+    }
+
     /** Guards the cost of a newcomer: 5,000 workers come within a second of the clock, and work is given to them. */
     @Test
     void fiveThousandWorkersComeWithinASecond() {
