Conformance over TCP: cases about the order of jobs have a server of their own

Cause: other cases leave jobs that run out of time, which presses the module for 2 s and shifts the keys of jobs that come meanwhile; a case about order whose two jobs come just before and just after would see them change places.

--- a/src/test/java/plumpost/lab/ConformanceTest.java
+++ b/src/test/java/plumpost/lab/ConformanceTest.java
@@ -63,12 +63,18 @@
     @Test
     void overTcp() throws Exception {
         List<Conformance.Result> results = new ArrayList<>();
-        for (String on : List.of("usual", "open", "tight")) {
+        for (String part : List.of("usual", "usual priority.plug", "open", "tight")) {
+            String on = part.split(" ")[0];
+            // Other cases' jobs that run out of time press the module for a while, which shifts keys: order is apart.
+            boolean order = part.contains(" ");
             try (LabServer server = new LabServer(setUp(on), 0)) {
                 ExecutorService pool = Executors.newFixedThreadPool(24);
                 List<Future<Conformance.Result>> running = new ArrayList<>();
                 int n = 0;
                 for (Script.Case c : Conformance.cases(on::equals)) {
+                    if (order != c.steps().get(0).place().startsWith("priority.plug")) {
+                        continue;
+                    }
                     String mark = on + n++;
                     running.add(pool.submit(() -> {
                         try (TcpRig rig = new TcpRig(server.address())) {
