Upgrades: accept on the clients' socket inherited as descriptor 0 beside the old process

Change: where NODE_FD names descriptor 0, the platform's front adopts System.inheritedChannel() in place of a bind; at SIGTERM the old process lets go of its hold on that socket at once, since the new one accepts on it already, and serves the connections that it has as before.

Measured by a probe (a Python parent holding the socket, two processes on it): both answer /health/ready 200 side by side, after SIGTERM to the first every call is answered 200 by the second, the first exits 0.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -4,6 +4,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.Channel;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -47,11 +49,15 @@
     private final DispatchRoom room;
     private final Platform platform;
     private final List<Front> fronts = new ArrayList<>(2);
+    /** Listeners that the platform holds and shares with the next process: let go of at SIGTERM, never closed for it. */
+    private final List<SelectorLoop.Door> shared = new ArrayList<>(1);
+    private final String inheritedFd;
     private double stopAt = Double.NaN;
 
     Serve(Path file) throws IOException {
         this.file = file;
         config = NodeConfig.read(file, System.getenv());
+        inheritedFd = System.getenv("NODE_FD");
         log = Logs.sink(config.name(), config.logFormat());
         loop = new SelectorLoop(clock, wheel, counters, this::log);
         room = new DispatchRoom(config.settings(), config.seed(), clock, wheel, counters,
@@ -84,6 +90,21 @@
         return Path.of(path);
     }
 
+    /**
+     * The clients' listening socket that the platform holds for all processes of this scheduler, as descriptor 0: the
+     * old process and the new one accept on it side by side, so that no client finds the address closed meanwhile.
+     */
+    static ServerSocketChannel inherited(String fd) throws IOException {
+        if (!fd.strip().equals("0")) {
+            throw new BadInput("NODE_FD is " + fd + ": only descriptor 0 can be taken over");
+        }
+        Channel given = System.inheritedChannel();
+        if (!(given instanceof ServerSocketChannel listening)) {
+            throw new BadInput("NODE_FD is 0, but descriptor 0 is " + (given == null ? "no socket" : "no listening socket"));
+        }
+        return listening;
+    }
+
     private void log(String words) {
         log.accept(words);
     }
@@ -94,7 +115,13 @@
         StringBuilder where = new StringBuilder();
         for (Front f : fronts) {
             where.append(' ').append(f.open((at, users, most, batched, unread, shed) -> {
-                SelectorLoop.Door door = loop.listen(at, users, most, unread, shed);
+                SelectorLoop.Door door;
+                if (at.equals(config.listen()) && inheritedFd != null && !inheritedFd.isEmpty()) {
+                    door = loop.adopt(inherited(inheritedFd), users, most, unread, shed);
+                    shared.add(door);
+                } else {
+                    door = loop.listen(at, users, most, unread, shed);
+                }
                 return (batched ? door.batched() : door).address();
             }));
         }
@@ -166,6 +193,8 @@
         loop.onLoop(() -> {
             stopAt = clock.nowMs();
             log("stopping, " + room.open() + " jobs open");
+            // The next process accepts on the shared socket already: what comes from now on is its to take.
+            shared.forEach(SelectorLoop.Door::close);
             fronts.forEach(f -> f.stop(GOING_MS));
         });
         try {
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -126,6 +126,15 @@
         ServerSocketChannel channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(at, 512);
+        return adopt(channel, users, most, unreadBytes, shed);
+    }
+
+    /**
+     * Serves a socket that listens already, such as one inherited from the platform and shared with another process:
+     * closing it here ends only this process's hold on it.
+     */
+    public Door adopt(ServerSocketChannel channel, Function<Wire, WireUser> users, int most, long unreadBytes,
+                      BooleanSupplier shed) throws IOException {
         channel.configureBlocking(false);
         return new Door(channel, users, most, unreadBytes, shed);
     }
