Add the operators' listener: ready, statsd counters, workers out and back by hand

Refusals before the ledger now count by class; forwards count when an attempt's last byte has left. SIGHUP now counts config.applied / config.rejected once a signal; a later SIGHUP ends the re-readings of an earlier bad file.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -14,6 +14,9 @@
 import plumpost.config.Json.BadInput;
 import plumpost.config.GearmanConfig;
 import plumpost.config.NodeConfig;
+import plumpost.control.Console;
+import plumpost.control.ControlDoor;
+import plumpost.control.SharedBans;
 import plumpost.count.Counters;
 import plumpost.dispatch.DispatchRoom;
 import plumpost.time.SystemClock;
@@ -50,8 +53,11 @@
     private final Platform platform;
     private final List<Front> fronts = new ArrayList<>(2);
     /** Listeners that the platform holds and shares with the next process: let go of at SIGTERM, never closed for it. */
-    private final List<SelectorLoop.Door> shared = new ArrayList<>(1);
+    private final List<SelectorLoop.Door> inheritedDoors = new ArrayList<>(1);
     private final String inheritedFd;
+    private final SharedBans sharedBans;
+    private boolean serving;
+    private int hangups;
     private double stopAt = Double.NaN;
 
     Serve(Path file) throws IOException {
@@ -69,6 +75,24 @@
             fronts.add(new GearmanDoor(config, Main.version(), room, kit, () -> new Thread(() -> System.exit(0),
                 "shutdown").start()));
         }
+        if (config.ops() == null) {
+            sharedBans = null;
+        } else {
+            sharedBans = new SharedBans(sharedDirectory(), room, kit);
+            fronts.add(new ControlDoor(config.ops(), controlPlaces(config.sockets()), kit,
+                new Console(room, counters, sharedBans, () -> serving && Double.isNaN(stopAt))));
+        }
+    }
+
+    /** Callers of the operators' listener at once: a few dozen, out of the descriptors that jobs need. */
+    static int controlPlaces(int sockets) {
+        return Math.max(16, Math.min(256, sockets / 16));
+    }
+
+    /** The directory that the processes of one scheduler share, and that is kept over an upgrade. */
+    private static Path sharedDirectory() {
+        String dir = System.getenv("TMPDIR");
+        return Path.of(dir == null || dir.isEmpty() ? System.getProperty("java.io.tmpdir") : dir);
     }
 
     /** What the core may hold: a fifth of the heap for bodies of open jobs, a tenth for kept outcomes. */
@@ -110,7 +134,7 @@
     }
 
     int run() throws IOException {
-        Signals.onHangup(() -> loop.onLoop(() -> reload(READINGS)));
+        Signals.onHangup(() -> loop.onLoop(this::hangup));
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         StringBuilder where = new StringBuilder();
         for (Front f : fronts) {
@@ -118,15 +142,19 @@
                 SelectorLoop.Door door;
                 if (at.equals(config.listen()) && inheritedFd != null && !inheritedFd.isEmpty()) {
                     door = loop.adopt(inherited(inheritedFd), users, most, unread, shed);
-                    shared.add(door);
+                    inheritedDoors.add(door);
                 } else {
                     door = loop.listen(at, users, most, unread, shed);
                 }
                 return (batched ? door.batched() : door).address();
             }));
         }
+        if (sharedBans != null) {
+            sharedBans.begin();
+        }
         Rehearsal.play(config);
         fronts.forEach(Front::ready);
+        serving = true;
         log("ready," + where);
         try {
             loop.run(this::done);
@@ -173,17 +201,31 @@
             && fronts.stream().allMatch(Front::quiet);
     }
 
-    /** On SIGHUP: takes over what may change while jobs are open, which is where discovery is. */
-    private void reload(int readings) {
+    /**
+     * On SIGHUP: takes over what may change while jobs are open. A file that cannot be taken is counted as turned down
+     * at once and read again for a while, in case it was being written; a later SIGHUP ends those readings.
+     */
+    private void hangup() {
+        int round = ++hangups;
+        reload(round, READINGS);
+    }
+
+    private void reload(int round, int readings) {
+        if (round != hangups) {
+            return;
+        }
         try {
             NodeConfig now = NodeConfig.reread(file, System.getenv());
-            counters.count("config.reloaded");
+            counters.count("config.applied");
             fronts.forEach(f -> f.reload(now));
+            log("SIGHUP: the file is taken");
         } catch (BadInput e) {
-            counters.count("config.bad");
-            log("the old configuration stays: " + e.getMessage());
+            if (readings == READINGS) {
+                counters.count("config.rejected");
+                log("SIGHUP: the file is turned down, the old configuration stays: " + e.getMessage());
+            }
             if (readings > 1) {
-                wheel.at(clock.nowMs() + REREAD_MS, () -> reload(readings - 1));
+                wheel.at(clock.nowMs() + REREAD_MS, () -> reload(round, readings - 1));
             }
         }
     }
@@ -194,7 +236,7 @@
             stopAt = clock.nowMs();
             log("stopping, " + room.open() + " jobs open");
             // The next process accepts on the shared socket already: what comes from now on is its to take.
-            shared.forEach(SelectorLoop.Door::close);
+            inheritedDoors.forEach(SelectorLoop.Door::close);
             fronts.forEach(f -> f.stop(GOING_MS));
         });
         try {
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -24,10 +24,11 @@
  * @param known the list of route nodes as last had
  * @param gearman the Gearman front, or null while it is off
  * @param logFormat text or json, or null where the file says nothing of the log
+ * @param ops where the operators' calls are listened for, or null
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                          Dispatcher.Settings settings, Fields raw, Fields known,
-                         GearmanConfig gearman, String logFormat) {
+                         GearmanConfig gearman, String logFormat, InetSocketAddress ops) {
 
     /**
      * What real links add to the granularity that is told: an order's new connection and the proof that it stands take
@@ -61,7 +62,7 @@
             address(environment, "NODE_LISTEN", f, "listen"), address(environment, "NODE_DISCOVERY", f, "discovery"),
             seed(f.text("seed", "0")), (int) f.objectOrEmpty("limits").number("sockets", 1024), settings, raw,
             f.objectOrEmpty("known"), f.has("gearman") ? GearmanConfig.read(f.object("gearman"), raw) : null,
-            f.has("log") ? logFormat(f.object("log")) : null);
+            f.has("log") ? logFormat(f.object("log")) : null, address(environment, "NODE_OPS", f, "ops"));
         if (c.listen == null && c.gearman == null) {
             throw new BadInput("configuration: neither listen nor gearman.listen is given");
         }
--- a/src/main/java/plumpost/decision/Dispatcher.java
+++ b/src/main/java/plumpost/decision/Dispatcher.java
@@ -162,6 +162,11 @@
     /** A message from another dispatcher of the same tier. */
     void peerMessage(double now, int from, byte[] bytes);
 
+    /** Serving workers that it avoids for now by its own choice, such as for their failures; for the counters. */
+    default int avoided(double now) {
+        return 0;
+    }
+
     /** What an instance asks of its host, carried out in the order of the calls. */
     interface Actions {
         /** Starts the job's next attempt (numbered from 0) on a worker; 0 ms means no time-out of its own. */
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -590,6 +590,9 @@
         }
     }
 
+    @Override public int avoided(double t) {
+        return (int) plain.stream().filter(x -> x.badUntil > t).count(); }
+
     private void eject(Worker w, double part) {
         w.failures++;
         w.badUntil = now + part * Math.min(EJECT_MS * (1 << Math.min(w.failures, 10)), EJECT_MAX_MS);
--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -38,6 +38,11 @@
         return ending == null && room.serving(node);
     }
 
+    /** The attempt's last byte has been written: from here on it counts as sent. A link tells this once. */
+    public void whole() {
+        room.whole(this);
+    }
+
     /** The node has started the job. */
     public void started() {
         room.started(this);
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -44,6 +44,7 @@
     private final Bounds bounds;
     private final Dispatcher logic;
     private final KeptOutcomes kept;
+    private final Bans bans = new Bans();
     private final Map<String, LedgerEntry> ledger = new HashMap<>();
     private final Tallies tallies = new Tallies();
     private final Map<String, LedgerEntry> byUnique = new HashMap<>();
@@ -127,7 +128,75 @@
 
     boolean serving(String node) {
         Node n = nodes.get(node);
-        return n != null && n.serving();
+        return n != null && n.serving() && !bans.out(node);
+    }
+
+    // ---- the operators' bans ----
+
+    /** An operator takes a node out: from the return of this call on, nothing new goes to it. */
+    public Bans.Said offline(String node) {
+        Bans.Said said = bans.ban(node);
+        if (said == Bans.Said.CHANGED) {
+            counters.count("bans.out");
+            retell(node);
+        }
+        return said;
+    }
+
+    /** An operator calls a node back: the module is told its line as the list last gave it. */
+    public Bans.Said online(String node) {
+        Bans.Said said = bans.lift(node);
+        if (said == Bans.Said.CHANGED) {
+            counters.count("bans.in");
+            retell(node);
+        }
+        return said;
+    }
+
+    /** The bans as text, to hand over to the next process of this scheduler. */
+    public String bansText() {
+        return bans.text();
+    }
+
+    /** Takes over the bans that another process of this scheduler wrote; true where any node's state changed. */
+    public boolean handOver(String text) {
+        List<String> changed = bans.adopt(text);
+        changed.forEach(this::retell);
+        return !changed.isEmpty();
+    }
+
+    /** The names of the classes, in the order of their numbers. */
+    public List<String> classNames() {
+        return set.classes().stream().map(Dispatcher.JobClass::name).toList();
+    }
+
+    /** Nodes on the lists. */
+    public int listedNodes() {
+        return nodes.size();
+    }
+
+    /** Listed nodes that get nothing new: out by hand, or avoided by the module for their failures. */
+    public int avoided() {
+        int out = 0;
+        for (String id : nodes.keySet()) {
+            out += bans.out(id) ? 1 : 0;
+        }
+        return out + logic.avoided(nowMs());
+    }
+
+    private void retell(String node) {
+        Node n = nodes.get(node);
+        if (n != null) {
+            WorkerEntry e = shown(n.line.entry());
+            event(() -> logic.workers(nowMs(), ListMode.INCREMENTAL, List.of(e)));
+        }
+    }
+
+    /** The line as the module is to see it: a node out by hand drains, whatever its list says. */
+    private WorkerEntry shown(WorkerEntry e) {
+        return e.phase() != Phase.SERVING || !bans.out(e.id()) ? e
+            : new WorkerEntry(e.id(), e.zone(), e.kind(), e.cell(), Phase.DRAINING, e.units(), e.cameUpMs(), e.runs(),
+                e.places());
     }
 
     // ---- node lists ----
@@ -148,7 +217,7 @@
             lines.forEach(l -> named.put(l.entry().id(), l));
             for (Node n : List.copyOf(nodes.values())) {
                 if (n.source != source) {
-                    told.add(n.line.entry());
+                    told.add(shown(n.line.entry()));
                 } else if (!named.containsKey(n.line.entry().id())) {
                     drop(n);
                 }
@@ -165,8 +234,10 @@
             }
             if (e.phase() == Phase.DELETED) {
                 drop(n);
+            } else {
+                bans.saw(e.id());
             }
-            told.add(e);
+            told.add(shown(e));
         }
         event(() -> logic.workers(nowMs(), mode, told));
     }
@@ -199,8 +270,10 @@
             if (outcome != null) {
                 counters.count("jobs.kept");
                 if (outcome.result() == null) {
+                    counters.count("jobs.failed." + cls.name());
                     replyTo.failed();
                 } else {
+                    counters.count("jobs.served." + cls.name());
                     replyTo.served(outcome.result().duplicate());
                 }
                 return null;
@@ -208,6 +281,7 @@
         }
         if (ledger.containsKey(sheet.id())) {
             counters.count("jobs.twice");
+            counters.count("jobs.failed." + cls.name());
             replyTo.failed();
             return null;
         }
@@ -215,6 +289,7 @@
             || sheet.unique() != null && !kept.hasRoom(byUnique.size());
         if (full || sheet.patienceMs() <= 0) {
             counters.count(full ? "jobs.overfull" : "jobs.too_late");
+            counters.count("jobs.refused." + cls.name());
             replyTo.refused(full ? 1000 : 0);
             return null;
         }
@@ -308,6 +383,10 @@
 
     // ---- what links report ----
 
+    void whole(Attempt a) {
+        counters.count("attempts.whole." + a.job.cls.name());
+    }
+
     void started(Attempt a) {
         if (a.ending == null) {
             event(() -> logic.started(nowMs(), a.job.sheet.id(), a.number, a.node));
@@ -480,7 +559,7 @@
             return;
         }
         Node n = nodes.get(node);
-        String broken = n == null || !n.serving() || !n.line.entry().does(e.sheet.work().kind(), set.classes().size())
+        String broken = n == null || !n.serving() || bans.out(node) || !n.line.entry().does(e.sheet.work().kind(), set.classes().size())
             ? "drain"
             : e.out() != null ? "second_copy"
             : e.attempts.size() >= set.limits().maxAttempts() ? "attempts"
--- a/src/main/java/plumpost/gearman/WorkerSeat.java
+++ b/src/main/java/plumpost/gearman/WorkerSeat.java
@@ -295,6 +295,7 @@
             default -> caller.write(Type.JOB_ASSIGN_ALL, handle, f.name, unique,
                 s.work().reducer() == null ? "" : s.work().reducer(), s.body());
         }
+        a.whole(); // handed to the worker's connection whole: its write is batched for the turn, not held back
         double limit = limits.getOrDefault(f, 0.0);
         if (limit > 0) {
             door.kit.wheel().at(door.kit.clock().nowMs() + limit, () -> {
--- a/src/main/java/plumpost/platform/Rehearsal.java
+++ b/src/main/java/plumpost/platform/Rehearsal.java
@@ -37,7 +37,7 @@
 
     private long serve(NodeConfig like) {
         NodeConfig config = new NodeConfig(like.name(), like.listen(), new InetSocketAddress("127.0.0.1", 2), 1, 1024,
-            like.settings(), like.raw(), Json.object("rehearsal", LIST.getBytes(StandardCharsets.US_ASCII)), null, null);
+            like.settings(), like.raw(), Json.object("rehearsal", LIST.getBytes(StandardCharsets.US_ASCII)), null, null, null);
         TimerWheel wheel = new TimerWheel(now);
         Counters counters = new Counters();
         DispatchRoom room = new DispatchRoom(config.settings(), 1, () -> now, wheel, counters,
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -260,6 +260,9 @@
 
         @Override
         public void flushed() {
+            if (given && !written && attempt != null) {
+                attempt.whole();
+            }
             written |= given;
         }
 
--- a/src/test/java/plumpost/LoopbackTest.java
+++ b/src/test/java/plumpost/LoopbackTest.java
@@ -327,7 +327,7 @@
         Json.Fields known = Json.object("known", ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}")
             .getBytes(StandardCharsets.UTF_8));
         NodeConfig config = new NodeConfig("t", anywhere(), anywhere(), 7, 1024, SettingsReader.settings(raw), raw,
-            known, GearmanConfig.usual(anywhere()), null);
+            known, GearmanConfig.usual(anywhere()), null, null);
         DispatchRoom room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
             new DispatchRoom.Bounds(1000, 1 << 24, JOBS, 1 << 24), log::add);
         Kit kit = new Kit(loop, () -> now, wheel, counters, log::add);
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.function.Function;
 import plumpost.config.GearmanConfig;
+import plumpost.control.Console;
+import plumpost.control.ControlDoor;
 import plumpost.config.Json;
 import plumpost.config.NodeConfig;
 import plumpost.config.NodeListReader;
@@ -39,6 +41,7 @@
  * node1 send done a result                   a line of a route node's answer; likewise other states
  * list send {"seq":...}                      a line of the node list's watch
  * plug1 send SUBMIT_JOB|route-plan|u|data    a Gearman packet; text: sends an admin's line
+ * ops1 send POST /control/workers/node1/offline   an operators' call
  * node1 close                                ends the connection, or refuses the ones to come
  * node1 wait                                 new connections hang; with a number, take so many bytes
  * wait 100                                   milliseconds pass
@@ -59,6 +62,9 @@
     public final List<String> log = new ArrayList<>();
     public final Platform platform;
     public final GearmanDoor gearman;
+    public final ControlDoor control;
+    /** What the operators' ready call says. */
+    public boolean serving = true;
     public final DispatchRoom room;
     private final NodeConfig config;
     public boolean stopped;
@@ -92,20 +98,27 @@
             ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}").getBytes(StandardCharsets.UTF_8));
         config = new NodeConfig("t", new InetSocketAddress("127.0.0.1", 1),
             new InetSocketAddress("127.0.0.1", 8500), 7, sockets, SettingsReader.settings(raw), raw, known,
-            gearmanConfig, null);
+            gearmanConfig, null, null);
         room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
             new DispatchRoom.Bounds(openJobs, Math.max(1 << 20, openJobs * 2048L), 64, 1 << 20, gearmanConfig.limits().packetBytes()), log::add);
         Kit kit = new Kit(this::dial, () -> now, wheel, counters, log::add);
         platform = new Platform(config, room, kit, () -> 0);
         gearman = new GearmanDoor(config, "0", room, kit, () -> stopped = true);
+        control = new ControlDoor(new InetSocketAddress("127.0.0.1", 9600), 16, kit,
+            new Console(room, counters, null, () -> serving));
         platform.begin();
         platform.ready();
     }
 
+    /** The timer wheel that the scenario's clock turns. */
+    public TimerWheel wheel() {
+        return wheel;
+    }
+
     /** The configuration read anew, with discovery at another address. */
     public NodeConfig config(String discovery) {
         return new NodeConfig(config.name(), config.listen(), NodeListReader.address("discovery", discovery),
-            config.seed(), config.sockets(), config.settings(), config.raw(), config.known(), config.gearman(), null);
+            config.seed(), config.sockets(), config.settings(), config.raw(), config.known(), config.gearman(), null, config.ops());
     }
 
     /** A host of the node list in discovery's words. */
@@ -217,7 +230,8 @@
             p = new Pipe(who);
             pipes.put(who, p);
             p.up = true;
-            p.user = who.startsWith("desk") ? platform.accept(p) : gearman.accept(p);
+            p.user = who.startsWith("desk") ? platform.accept(p) : who.startsWith("ops") ? control.accept(p)
+                : gearman.accept(p);
         }
         return p;
     }
@@ -268,6 +282,9 @@
                 raw = unquote(words);
             } else if (words.startsWith("text:")) {
                 raw = words.substring(5) + "\n";
+            } else if (who.startsWith("ops")) {
+                String[] p = words.split(" ");
+                raw = p[0] + " " + p[1] + " HTTP/1.1\r\nHost: h\r\n\r\n";
             } else if (who.startsWith("desk")) {
                 String[] p = (words + " x").split(" ");
                 raw = p[0].equals("GET") ? "GET " + p[1] + " HTTP/1.1\r\nHost: h\r\n\r\n" : p[0] + " " + p[1]
--- /dev/null
+++ b/src/test/java/plumpost/control/HostileCallsTest.java
@@ -0,0 +1,104 @@
+package plumpost.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import plumpost.Scenario;
+import plumpost.net.Wire;
+import plumpost.net.WireUser;
+
+/** Hostile bytes on the operators' listener, in pieces of any size: one answer at most, and never a fault. */
+class HostileCallsTest {
+    private static final List<String> CALLS = List.of("GET /control/ready HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET /control/counters HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST /control/workers/node1/offline HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+        "POST /control/workers/node1/online HTTP/1.0\r\n\r\n",
+        "POST /control/workers/node1/offline HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+
+    /** Guards the listener's state machine against any bytes in any pieces: at most one answer, a known status. */
+    @Property(tries = 600, seed = "600")
+    void anyBytesInAnyPiecesGetOneAnswerAtMost(@ForAll("calls") byte[] bytes, @ForAll("cuts") List<Integer> cuts) {
+        Scenario s = new Scenario(1);
+        Mouth m = new Mouth();
+        WireUser call = s.control.accept(m);
+        int at = 0;
+        for (int cut : cuts) {
+            int end = Math.min(bytes.length, at + cut);
+            call.bytes(ByteBuffer.wrap(bytes, at, end - at).slice());
+            at = end;
+        }
+        call.bytes(ByteBuffer.wrap(bytes, at, bytes.length - at).slice());
+        String said = new String(m.said(), StandardCharsets.ISO_8859_1);
+        assertThat(s.counters.of("net.fault") + s.counters.of("guard.fault")).isZero();
+        int answers = said.split("HTTP/1.1 ", -1).length - 1;
+        assertThat(answers).isLessThanOrEqualTo(1);
+        if (answers == 1) {
+            assertThat(said).matches("(?s)HTTP/1.1 (200|400|404|405|413|431|503) .*");
+            assertThat(m.closed).isTrue();
+        }
+    }
+
+    @Provide
+    Arbitrary<byte[]> calls() {
+        Arbitrary<byte[]> good = Arbitraries.of(CALLS).map(c -> c.getBytes(StandardCharsets.ISO_8859_1));
+        Arbitrary<byte[]> mangled = good.flatMap(b -> Arbitraries.integers().between(0, b.length - 1).flatMap(i ->
+            Arbitraries.bytes().map(x -> {
+                byte[] c = b.clone();
+                c[i] = x;
+                return c;
+            })));
+        Arbitrary<byte[]> noise = Arbitraries.bytes().array(byte[].class).ofMaxSize(20_000);
+        return Arbitraries.oneOf(good, mangled, noise);
+    }
+
+    @Provide
+    Arbitrary<List<Integer>> cuts() {
+        return Arbitraries.integers().between(1, 64).list().ofMaxSize(40);
+    }
+
+    /** One connection that keeps what is written to it. */
+    private static final class Mouth implements Wire {
+        private final List<ByteBuffer> out = new ArrayList<>();
+        private boolean closed;
+
+        @Override
+        public void write(ByteBuffer... parts) {
+            for (ByteBuffer p : parts) {
+                out.add(p.duplicate());
+            }
+        }
+
+        byte[] said() {
+            int n = out.stream().mapToInt(ByteBuffer::remaining).sum();
+            ByteBuffer all = ByteBuffer.allocate(n);
+            out.forEach(b -> all.put(b.duplicate()));
+            return all.array();
+        }
+
+        @Override
+        public boolean flushed() {
+            return true;
+        }
+
+        @Override
+        public void finish() {
+            closed = true;
+        }
+
+        @Override
+        public void cut() {
+            closed = true;
+        }
+
+        @Override
+        public void look() { }
+    }
+}
--- a/src/test/java/plumpost/lab/LabServer.java
+++ b/src/test/java/plumpost/lab/LabServer.java
@@ -31,7 +31,7 @@
         SystemClock clock = new SystemClock();
         TimerWheel wheel = new TimerWheel(clock.nowMs());
         SelectorLoop loop = new SelectorLoop(clock, wheel, counters, words -> { });
-        NodeConfig node = new NodeConfig("lab", null, null, 7, 4096, SettingsReader.settings(raw), raw, raw, config, null);
+        NodeConfig node = new NodeConfig("lab", null, null, 7, 4096, SettingsReader.settings(raw), raw, raw, config, null, null);
         DispatchRoom room = new DispatchRoom(node.settings(), 7, clock, wheel, counters,
             new DispatchRoom.Bounds(200_000, 64 << 20, 100_000, 64 << 20, config.limits().packetBytes()), words -> { });
         GearmanDoor door = new GearmanDoor(node, "0", room, new Kit(loop, clock, wheel, counters, words -> { }),
