Take new settings at SIGHUP: new classes, fewer attempts, broken files turned down whole

Change: NodeConfig.again judges a file (Shape: no key of the last taken file may be missing; the settings' own checks for deadlines and attempts; a cut-off file says so). The front looks classes up by name through the room, the links take a job's own class and the settings in force.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.GearmanConfig;
 import plumpost.config.NodeConfig;
@@ -58,11 +59,14 @@
     private final SharedBans sharedBans;
     private boolean serving;
     private int hangups;
+    /** The file as last taken: a later one that lacks any of its keys is broken. */
+    private Json.Fields lastFile;
     private double stopAt = Double.NaN;
 
     Serve(Path file) throws IOException {
         this.file = file;
-        config = NodeConfig.read(file, System.getenv());
+        lastFile = NodeConfig.parse(file);
+        config = NodeConfig.from(lastFile, System.getenv());
         inheritedFd = System.getenv("NODE_FD");
         log = Logs.sink(config.name(), config.logFormat());
         loop = new SelectorLoop(clock, wheel, counters, this::log);
@@ -215,11 +219,15 @@
             return;
         }
         try {
-            NodeConfig now = NodeConfig.reread(file, System.getenv());
+            Json.Fields whole = NodeConfig.parse(file);
+            NodeConfig now = NodeConfig.again(lastFile, whole, System.getenv());
+            room.retune(now.settings());
+            lastFile = whole;
             counters.count("config.applied");
             fronts.forEach(f -> f.reload(now));
-            log("SIGHUP: the file is taken");
-        } catch (BadInput e) {
+            log("SIGHUP: the file is taken, classes " + String.join(" ", room.classNames()) + ", attempts "
+                + room.settings().limits().maxAttempts());
+        } catch (BadInput | IllegalArgumentException e) {
             if (readings == READINGS) {
                 counters.count("config.rejected");
                 log("SIGHUP: the file is turned down, the old configuration stays: " + e.getMessage());
--- a/src/main/java/plumpost/config/Json.java
+++ b/src/main/java/plumpost/config/Json.java
@@ -30,6 +30,8 @@
                 throw new BadInput(where + ": something follows the object");
             }
             return fields(where, value);
+        } catch (com.fasterxml.jackson.core.io.JsonEOFException e) {
+            throw new BadInput(where + " is not JSON: it ends in the middle, after " + bytes.length + " bytes");
         } catch (IOException e) {
             throw new BadInput(where + " is not JSON");
         }
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -36,21 +36,41 @@
      */
     static final double LINK_MS = 2.5;
 
-    /** Reads the file anew: it is newer than the environment, so its discovery goes before NODE_DISCOVERY. */
-    public static NodeConfig reread(Path file, Map<String, String> environment) {
+    /** Takes the file read anew: it is newer than the environment, so its discovery goes before NODE_DISCOVERY. */
+    public static NodeConfig reread(Fields file, Map<String, String> environment) {
         Map<String, String> older = new HashMap<>(environment);
         older.remove("NODE_DISCOVERY");
-        return read(file, older);
+        return from(file, older);
+    }
+
+    /**
+     * Takes a file read at SIGHUP, or says why not: one that is empty or cut off, lacks a key that the file taken last
+     * had, or has a deadline or attempts not over 0, is bad input as a whole, and nothing of it is taken.
+     */
+    public static NodeConfig again(Fields last, Fields whole, Map<String, String> environment) {
+        String gap = Shape.missing(last.map(), whole.map());
+        if (gap != null) {
+            throw new BadInput("configuration: key " + gap + " is missing");
+        }
+        return reread(whole, environment);
     }
 
     /** Reads the file and lets the environment's NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before it. */
     public static NodeConfig read(Path file, Map<String, String> environment) {
-        Fields f;
+        return from(parse(file), environment);
+    }
+
+    /** The file as JSON, before anything is taken from it; an empty or cut-off file is bad input. */
+    public static Fields parse(Path file) {
         try {
-            f = Json.object("configuration", Files.readAllBytes(file));
+            return Json.object("configuration", Files.readAllBytes(file));
         } catch (IOException e) {
             throw new BadInput("configuration " + file + " cannot be read");
         }
+    }
+
+    /** Takes what a file says, with the environment's NODE_NAME, NODE_LISTEN and NODE_DISCOVERY before it. */
+    public static NodeConfig from(Fields f, Map<String, String> environment) {
         Fields raw = f.object("settings");
         Dispatcher.Settings settings;
         try {
--- a/src/main/java/plumpost/decision/Dispatcher.java
+++ b/src/main/java/plumpost/decision/Dispatcher.java
@@ -162,6 +162,12 @@
     /** A message from another dispatcher of the same tier. */
     void peerMessage(double now, int from, byte[] bytes);
 
+    /**
+     * New settings from the operators: the classes of the old ones keep their numbers, new ones come after; jobs under
+     * way keep the class that they came with.
+     */
+    default void retune(double now, Settings next) { }
+
     /** Serving workers that it avoids for now by its own choice, such as for their failures; for the counters. */
     default int avoided(double now) {
         return 0;
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -35,7 +35,7 @@
     private static final Comparator<Request> ORDER =
         Comparator.<Request>comparingDouble(r -> r.key).thenComparingLong(r -> r.order);
 
-    private final Settings set;
+    private Settings set;
     private final Actions out;
     private final SplittableRandom random;
     private final Map<String, Worker> known = new LinkedHashMap<>();
@@ -50,7 +50,8 @@
     private final PriorityQueue<Double> wakes = new PriorityQueue<>();
     private final Set<Worker> untold = new LinkedHashSet<>();
     private final Map<Integer, Worker> byTag = new HashMap<>();
-    private final double[] prompt, waits, fullPatience, credit, creditAt, hints = new double[31];
+    private final double[] prompt, waits, credit, creditAt, hints = new double[31];
+    private double[] fullPatience; // by class, grown as classes come
     private final double topImportance;
     private final boolean tells, pulls;
     private final int lowest;
@@ -136,7 +137,6 @@
 
     private record Task(double at, long order, Runnable what, Request about) { }
 
-    // ---- events ----
 
     @Override public void workers(double t, ListMode mode, List<WorkerEntry> entries) {
         now = t;
@@ -189,6 +189,7 @@
         double cost = Double.isNaN(job.costMs()) ? medianHint() : Math.max(1, job.costMs());
         if (!Double.isNaN(job.costMs())) hints[hintCount++ % hints.length] = cost;
         // A later try comes with less patience than first tries have: its aim runs since the first.
+        if (job.cls() >= fullPatience.length) fullPatience = Arrays.copyOf(fullPatience, job.cls() + 1);
         fullPatience[job.cls()] = Math.max(fullPatience[job.cls()], job.patienceMs());
         double age = job.patienceMs() < fullPatience[job.cls()] - 1
             ? Math.max(0, c.deadlineMs() - job.patienceMs()) : 0;
@@ -563,7 +564,6 @@
         if (!started && over > -0.5 && over <= 1) k.slots = Math.max(k.proven, k.slots - 2 * SLOT_GAIN);
     }
 
-    // ---- health ----
 
     private void judge(Request r, Attempt a, Worker w, boolean ran) {
         boolean word = a.ending == Ending.ERROR || a.ending == Ending.FULL;
@@ -590,6 +590,8 @@
         }
     }
 
+    @Override public void retune(double t, Settings next) { now = t; set = next; }
+
     @Override public int avoided(double t) {
         return (int) plain.stream().filter(x -> x.badUntil > t).count(); }
 
@@ -609,7 +611,6 @@
         w.run = w.run * 0.8 + run;
     }
 
-    // ---- rules ----
 
     private void retry(Request r) {
         Attempt first = mayHaveRun(r);
@@ -703,7 +704,6 @@
         if (r.attemptsOut == 0) requests.remove(r.job.id());
     }
 
-    // ---- time ----
 
     private void at(double when, Runnable what, Request r) { tasks.add(new Task(when, order++, what, r)); }
 
--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -1,6 +1,7 @@
 package plumpost.dispatch;
 
 import java.nio.ByteBuffer;
+import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.LoadReport;
 
@@ -28,6 +29,11 @@
         return job.sheet;
     }
 
+    /** The class that the job came with; settings that came since do not change it. */
+    public Dispatcher.JobClass jobClass() {
+        return job.cls;
+    }
+
     /** Time until the client gives up. */
     public double leftMs() {
         return job.deadline - room.nowMs();
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -36,7 +36,8 @@
     /** What an open job takes beside its body, measured on 100,000 Gearman jobs; the module has half of it. */
     private static final int ENTRY_BYTES = 1100;
 
-    private final Dispatcher.Settings set;
+    private final ClassBook book;
+    private Dispatcher.Settings set;
     private final Clock clock;
     private final TimerWheel wheel;
     private final Counters counters;
@@ -83,6 +84,7 @@
     DispatchRoom(Dispatcher.Settings settings, Clock clock, TimerWheel wheel, Counters counters, Bounds bounds,
                  Consumer<String> log, Function<Dispatcher.Actions, Dispatcher> module) {
         this.set = settings;
+        this.book = new ClassBook(settings);
         this.clock = clock;
         this.wheel = wheel;
         this.counters = counters;
@@ -165,6 +167,28 @@
         return !changed.isEmpty();
     }
 
+    /** The settings in force: the newest, with every class that was ever known under the number it first had. */
+    public Dispatcher.Settings settings() {
+        return set;
+    }
+
+    /** The number of the class of a name while it takes new jobs, or -1. */
+    public int offered(String name) {
+        return book.offered(name, nowMs());
+    }
+
+    /**
+     * Takes new settings from SIGHUP: new classes, new definitions for new jobs, fewer attempts. Jobs under way keep
+     * the class that they came with. Throws IllegalArgumentException, naming the cause, for settings that cannot be
+     * taken; then nothing is changed.
+     */
+    public void retune(Dispatcher.Settings next) {
+        Dispatcher.Settings merged = book.retune(next, nowMs());
+        set = merged;
+        counters.count("config.retuned");
+        event(() -> logic.retune(nowMs(), merged));
+    }
+
     /** The names of the classes, in the order of their numbers. */
     public List<String> classNames() {
         return set.classes().stream().map(Dispatcher.JobClass::name).toList();
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -44,7 +44,6 @@
 
     private final DispatchRoom room;
     private final Kit kit;
-    private final Dispatcher.Settings set;
     private final Lag lag;
     private final Set<Desk> desks = new LinkedHashSet<>();
     private boolean ready;
@@ -56,10 +55,9 @@
         double ms();
     }
 
-    FrontDoor(DispatchRoom room, Kit kit, Dispatcher.Settings set, Lag lag) {
+    FrontDoor(DispatchRoom room, Kit kit, Lag lag) {
         this.room = room;
         this.kit = kit;
-        this.set = set;
         this.lag = lag;
         kit.wheel().at(kit.clock().nowMs() + SWEEP_MS, this::sweep);
     }
@@ -79,7 +77,7 @@
         stopping = true;
         double at = kit.clock().nowMs();
         kit.wheel().at(at + STAY_MS, this::leave);
-        double longest = set.classes().stream().mapToDouble(JobClass::deadlineMs).max().orElse(0);
+        double longest = room.settings().classes().stream().mapToDouble(JobClass::deadlineMs).max().orElse(0);
         kit.wheel().at(at + Math.min(longest, LAST_CALL_MS), () -> lastCall(at + GOING_MS));
     }
 
@@ -283,11 +281,8 @@
         private void job(String path) {
             int end = path.indexOf('/', 1);
             String first = path.substring(1, end < 0 ? path.length() : end);
-            int cls = 0;
-            while (cls < set.classes().size() && !set.classes().get(cls).name().equals(first)) {
-                cls++;
-            }
-            if (cls == set.classes().size()) {
+            int cls = room.offered(first);
+            if (cls < 0) {
                 refuseBytes(404, "no such class");
             } else if (!reader.method().equals("POST")) {
                 kit.counters().count("front.bad.405");
@@ -312,7 +307,7 @@
 
         private JobSheet sheet(int cls) {
             var head = reader.head();
-            JobClass c = set.classes().get(cls);
+            JobClass c = room.settings().classes().get(cls);
             String id = head.only("X-Txn");
             String lane = head.field("X-Lane");
             if (id == null || !id.matches("[!-~]{1,128}")) {
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -33,9 +33,9 @@
             kit.counters().count("list.malformed_line");
             kit.log().accept("malformed node list line: " + why);
         });
-        RouteNodes nodes = new RouteNodes(kit, config.settings(), nodeConnections);
+        RouteNodes nodes = new RouteNodes(kit, room::settings, nodeConnections);
         watch = new NodeListWatch(kit, config.discovery(), reader, nodes, room);
-        door = new FrontDoor(room, kit, config.settings(), lag::getAsDouble);
+        door = new FrontDoor(room, kit, lag::getAsDouble);
     }
 
     /** Connections that front desks may hold open together. */
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
@@ -38,17 +39,19 @@
     private static final double RETIRE_AT = 0.5;
 
     private final Kit kit;
-    private final Dispatcher.Settings set;
+    private final Supplier<Dispatcher.Settings> settings;
     private final int mostConnections;
     private final double retireMs;
     private final Map<InetSocketAddress, Node> nodes = new HashMap<>();
     private int connections;
 
-    RouteNodes(Kit kit, Dispatcher.Settings set, int mostConnections) {
+    /** Links whose figures follow the settings in force, which SIGHUP may change. */
+    RouteNodes(Kit kit, Supplier<Dispatcher.Settings> settings, int mostConnections) {
         this.kit = kit;
-        this.set = set;
+        this.settings = settings;
         this.mostConnections = mostConnections;
-        this.retireMs = set.limits().keepaliveMs() > 0 ? set.limits().keepaliveMs() * RETIRE_AT : 1000;
+        double keep = settings.get().limits().keepaliveMs();
+        this.retireMs = keep > 0 ? keep * RETIRE_AT : 1000;
     }
 
     /** The link to the node at an address; the same one as long as the node is listed there. */
@@ -57,7 +60,7 @@
     }
 
     private boolean repeatable(Attempt attempt) {
-        return set.classes().get(attempt.sheet().cls()).effect() == Effect.FREE;
+        return attempt.jobClass().effect() == Effect.FREE; // the class the job came with, whatever came since
     }
 
     /** Ends a connection that idles, of whichever node, so that another can be opened. */
@@ -169,7 +172,7 @@
                 return;
             }
             wire = kit.network().dial(node.dial, w -> this);
-            kit.wheel().at(kit.clock().nowMs() + set.limits().dialTimeoutMs(), () -> {
+            kit.wheel().at(kit.clock().nowMs() + settings.get().limits().dialTimeoutMs(), () -> {
                 if (!up) {
                     end(Ending.CONNECT_FAILED);
                 }
@@ -198,9 +201,9 @@
             }
             var job = attempt.sheet();
             ByteBuffer target = job.target() == null
-                ? Answers.ascii('/' + set.classes().get(job.cls()).name()) : job.target().duplicate();
+                ? Answers.ascii('/' + attempt.jobClass().name()) : job.target().duplicate();
             ByteBuffer fields = Answers.ascii(" HTTP/1.1\r\nHost: " + host() + "\r\nX-Txn: "
-                + job.id() + "\r\nX-Lane: " + set.classes().get(job.cls()).name() + "\r\nX-Remaining-Ms: "
+                + job.id() + "\r\nX-Lane: " + attempt.jobClass().name() + "\r\nX-Remaining-Ms: "
                 + (long) Math.max(1, attempt.leftMs()) + "\r\nContent-Length: " + job.body().remaining()
                 + "\r\n\r\n");
             if (repeatable(attempt)) {
@@ -244,7 +247,7 @@
                     return;
                 }
                 double most = !reader.hasHead() ? TAKEN_MS
-                    : running && set.progressMs() > 0 ? INTERVALS * set.progressMs() : Double.POSITIVE_INFINITY;
+                    : running && settings.get().progressMs() > 0 ? INTERVALS * settings.get().progressMs() : Double.POSITIVE_INFINITY;
                 if (kit.clock().nowMs() - heardAt >= most) {
                     kit.counters().count("nodes.silent");
                     end(Ending.TIMEOUT);
@@ -309,7 +312,7 @@
                 if (!f.text("id").equals(a.sheet().id())) {
                     throw new BadInput("a line about another job");
                 }
-                LoadReport load = f.has("load") ? LoadReports.read(f.object("load"), set.reportsFreeSlots()) : null;
+                LoadReport load = f.has("load") ? LoadReports.read(f.object("load"), settings.get().reportsFreeSlots()) : null;
                 switch (f.text("state")) {
                     case "started" -> {
                         running = true;
@@ -343,7 +346,7 @@
             Attempt a = attempt;
             if (probe != null) {
                 Probe p = probe;
-                LoadReport load = status == 200 ? LoadReports.read(reader.body(), set.reportsFreeSlots()) : null;
+                LoadReport load = status == 200 ? LoadReports.read(reader.body(), settings.get().reportsFreeSlots()) : null;
                 return () -> p.ended(status == 200 ? Ending.OK : status == 503 ? Ending.FULL : Ending.ERROR, load);
             }
             if (a == null) {
@@ -351,7 +354,7 @@
             }
             String pressure = reader.head().field("X-Pressure");
             LoadReport load = pressure == null ? null
-                : LoadReports.read(Answers.ascii(pressure), set.reportsFreeSlots());
+                : LoadReports.read(Answers.ascii(pressure), settings.get().reportsFreeSlots());
             boolean turnedAway = (status == 503 || status == 504) && "1".equals(reader.head().field("X-Turned-Away"));
             return () -> a.ended(status == 200 ? Ending.RESET : turnedAway ? Ending.FULL : Ending.ERROR, load);
         }
