Ask discovery at once in a process that takes over from another on an upgrade

Change: where the clients' socket was inherited (an upgrade), the platform asks for the list right after the saved one is told; the module's later subscribe finds the call under way. Other starts keep the spread.

Test: the list is asked at once with the call, and not at all within 2 ms without it.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -156,6 +156,9 @@
         if (sharedBans != null) {
             sharedBans.begin();
         }
+        if (!inheritedDoors.isEmpty()) {
+            platform.askNow();
+        }
         Rehearsal.play(config);
         fronts.forEach(Front::ready);
         serving = true;
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -77,6 +77,15 @@
         }
     }
 
+    /**
+     * Asks discovery for the list now, without the module's spread over the first seconds: a process that takes over
+     * from another one of its scheduler has no herd to avoid, and what discovery told counts as known 2 s after its
+     * yes.
+     */
+    public void askNow() {
+        watch.watch();
+    }
+
     /** Takes a front desk's connection in. */
     public WireUser accept(Wire wire) {
         return door.accept(wire);
