Split the node roster and the bans out of DispatchRoom

Change: dispatch.Roster (package-private, no I/O) keeps the listed nodes, their sources, the attempts out on each and the bans, and returns the lines for the module; DispatchRoom keeps the ledger, the module's events and the guards, and tells the module what the roster returns. No behaviour changes.

--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -5,10 +5,8 @@
 import plumpost.time.Clock;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -20,7 +18,6 @@
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.ListMode;
 import plumpost.decision.Dispatcher.LoadReport;
-import plumpost.decision.Dispatcher.Phase;
 import plumpost.decision.Dispatcher.WorkerEntry;
 import plumpost.decision.Logic;
 
@@ -45,12 +42,10 @@
     private final Bounds bounds;
     private final Dispatcher logic;
     private final KeptOutcomes kept;
-    private final Bans bans = new Bans();
+    private final Roster roster = new Roster();
     private final Map<String, LedgerEntry> ledger = new HashMap<>();
     private final Tallies tallies = new Tallies();
     private final Map<String, LedgerEntry> byUnique = new HashMap<>();
-    private final Map<String, Node> nodes = new LinkedHashMap<>();
-    private final List<NodeList> lists = new ArrayList<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
     private boolean busy;
@@ -64,16 +59,6 @@
         }
     }
 
-    private static final class Node {
-        ListedNode line;
-        NodeList source;
-        int out;
-
-        boolean serving() {
-            return line.entry().phase() == Phase.SERVING;
-        }
-    }
-
     /** A core with an empty ledger and no node yet. */
     public DispatchRoom(Dispatcher.Settings settings, long seed, Clock clock, TimerWheel wheel, Counters counters,
                         Bounds bounds, Consumer<String> log) {
@@ -129,15 +114,14 @@
     }
 
     boolean serving(String node) {
-        Node n = nodes.get(node);
-        return n != null && n.serving() && !bans.out(node);
+        return roster.serving(node);
     }
 
     // ---- the operators' bans ----
 
     /** An operator takes a node out: from the return of this call on, nothing new goes to it. */
     public Bans.Said offline(String node) {
-        Bans.Said said = bans.ban(node);
+        Bans.Said said = roster.ban(node);
         if (said == Bans.Said.CHANGED) {
             counters.count("bans.out");
             retell(node);
@@ -147,7 +131,7 @@
 
     /** An operator calls a node back: the module is told its line as the list last gave it. */
     public Bans.Said online(String node) {
-        Bans.Said said = bans.lift(node);
+        Bans.Said said = roster.lift(node);
         if (said == Bans.Said.CHANGED) {
             counters.count("bans.in");
             retell(node);
@@ -157,12 +141,12 @@
 
     /** The bans as text, to hand over to the next process of this scheduler. */
     public String bansText() {
-        return bans.text();
+        return roster.bansText();
     }
 
     /** Takes over the bans that another process of this scheduler wrote; true where any node's state changed. */
     public boolean handOver(String text) {
-        List<String> changed = bans.adopt(text);
+        List<String> changed = roster.adopt(text);
         changed.forEach(this::retell);
         return !changed.isEmpty();
     }
@@ -196,81 +180,36 @@
 
     /** Nodes on the lists. */
     public int listedNodes() {
-        return nodes.size();
+        return roster.size();
     }
 
     /** Listed nodes that get nothing new: out by hand, or avoided by the module for their failures. */
     public int avoided() {
-        int out = 0;
-        for (String id : nodes.keySet()) {
-            out += bans.out(id) ? 1 : 0;
-        }
-        return out + logic.avoided(nowMs());
+        return roster.bannedListed() + logic.avoided(nowMs());
     }
 
     private void retell(String node) {
-        Node n = nodes.get(node);
-        if (n != null) {
-            WorkerEntry e = shown(n.line.entry());
+        WorkerEntry e = roster.shown(node);
+        if (e != null) {
             event(() -> logic.workers(nowMs(), ListMode.INCREMENTAL, List.of(e)));
         }
     }
 
-    /** The line as the module is to see it: a node out by hand drains, whatever its list says. */
-    private WorkerEntry shown(WorkerEntry e) {
-        return e.phase() != Phase.SERVING || !bans.out(e.id()) ? e
-            : new WorkerEntry(e.id(), e.zone(), e.kind(), e.cell(), Phase.DRAINING, e.units(), e.cameUpMs(), e.runs(),
-                e.places());
-    }
-
     // ---- node lists ----
 
     /** Adds a source of route nodes; it is asked to watch when the module subscribes. */
     public void add(NodeList list) {
-        lists.add(list);
+        roster.add(list);
     }
 
     /** What a node list tells. A complete list replaces this source's nodes only; a failed call changes nothing. */
     public void listed(NodeList source, ListMode mode, Collection<ListedNode> lines) {
         counters.count("list." + mode.name().toLowerCase(Locale.ROOT));
         counters.add("list.lines", lines.size());
-        List<WorkerEntry> told = new ArrayList<>();
-        boolean complete = mode == ListMode.FULL || mode == ListMode.SAVED;
-        if (complete) {
-            Map<String, ListedNode> named = new HashMap<>();
-            lines.forEach(l -> named.put(l.entry().id(), l));
-            for (Node n : List.copyOf(nodes.values())) {
-                if (n.source != source) {
-                    told.add(shown(n.line.entry()));
-                } else if (!named.containsKey(n.line.entry().id())) {
-                    drop(n);
-                }
-            }
-        }
-        for (ListedNode l : lines) {
-            WorkerEntry e = l.entry();
-            Node n = nodes.computeIfAbsent(e.id(), id -> new Node());
-            NodeLink old = n.line == null ? null : n.line.link();
-            n.line = l;
-            n.source = source;
-            if (old != null && old != l.link()) {
-                old.leave();
-            }
-            if (e.phase() == Phase.DELETED) {
-                drop(n);
-            } else {
-                bans.saw(e.id());
-            }
-            told.add(shown(e));
-        }
+        List<WorkerEntry> told = roster.listed(source, mode, lines);
         event(() -> logic.workers(nowMs(), mode, told));
     }
 
-    private void drop(Node n) {
-        nodes.remove(n.line.entry().id());
-        n.line.link().leave();
-    }
-
     // ---- jobs ----
 
     /**
@@ -485,7 +424,7 @@
         a.ending = how;
         tallies.moved(a.job, false);
         counters.count("attempts." + how.name().toLowerCase(Locale.ROOT));
-        Node n = nodes.get(a.node);
+        Roster.Node n = roster.get(a.node);
         if (n != null) {
             n.out = Math.max(0, n.out - 1); // a node dropped and listed anew began at 0
         }
@@ -582,8 +521,8 @@
             counters.count("guard.over");
             return;
         }
-        Node n = nodes.get(node);
-        String broken = n == null || !n.serving() || bans.out(node) || !n.line.entry().does(e.sheet.work().kind(), set.classes().size())
+        Roster.Node n = roster.get(node);
+        String broken = n == null || !n.serving() || roster.banned(node) || !n.line.entry().does(e.sheet.work().kind(), set.classes().size())
             ? "drain"
             : e.out() != null ? "second_copy"
             : e.attempts.size() >= set.limits().maxAttempts() ? "attempts"
@@ -606,7 +545,7 @@
         a.link.send(a);
     }
 
-    private boolean cold(Node n) {
+    private boolean cold(Roster.Node n) {
         double up = n.line.entry().cameUpMs();
         return up > 0 && nowMs() - up < set.rules().coldMs();
     }
@@ -619,7 +558,7 @@
     }
 
     private void probe(String node) {
-        Node n = nodes.get(node);
+        Roster.Node n = roster.get(node);
         counters.count("probes.out");
         double asked = nowMs();
         Probe reply = (how, report) -> {
@@ -688,7 +627,7 @@
 
         @Override
         public void subscribe() {
-            actions.add(() -> lists.forEach(NodeList::watch));
+            actions.add(roster::watch);
         }
 
         @Override
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -9,7 +9,6 @@
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
 import plumpost.config.LoadReports;
-import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.JobClass;
 import plumpost.dispatch.DispatchRoom;
 import plumpost.dispatch.JobSheet;
