Probe the nodes where a job should end first, not any node; drop peer messages

At fault: ask(), which drew nodes alike from the whole list.

Change: for each probe six nodes are drawn and the one is asked where the job should end first, by the same measure that choose() uses, now in endOn(). Drawing leaves schedulers apart: they do not all ask the same node. The exception that told peers its counts is gone, with its 56 lines: schedulers here cannot talk, and no front carried it.

--- a/src/main/java/plumpost/decision/Dispatcher.java
+++ b/src/main/java/plumpost/decision/Dispatcher.java
@@ -159,7 +159,7 @@
     /** A probe's result; {@code report} may be null. */
     void probed(double now, String worker, Ending ending, double waitMs, LoadReport report);
 
-    /** A message from another dispatcher of the same tier. */
+    /** A message from another dispatcher of the same tier: taken and left, since schedulers share nothing. */
     void peerMessage(double now, int from, byte[] bytes);
 
     /**
@@ -196,9 +196,6 @@
         /** Subscribes to changes of the worker list. */
         void subscribe();
 
-        /** Sends a message to a peer, or to all with -1. */
-        void tell(int peer, byte[] bytes);
-
         /** A line for the operator. */
         void log(String words);
     }
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -12,10 +12,7 @@
     static final double EVIDENCE_RUNS = 1.5; // mean run times until evidence is void: the jobs seen are gone
     static final int PROBES_PER_ROUND = 3; // asked for one held job: more costs fees, fewer find no room
     static final int PROBE_ROUNDS = 2; // for one job, before it goes by what is known
-    static final double PEER_PRICE = 0.03; // peers are told where that may cost this share of the result
-    static final double TELL_MS = 100, TELL_PEERS = 40; // told together at intervals; more peers, longer ones
-    static final double SLOT_GAIN = 0.1; // how fast a kind's slots follow what starts and what waits
-    static final int LINK_TRIES = 6; // draws for an idle connection, where a new one has a price
+    static final int DRAWS = 6; // for each probe: asked is the one where the job should end first
     static final double FEE_WEIGHT = 3; // times to the aim that sending at full price is worth
     static final double COLD_PART = 0.4; // of a cold worker's budget is planned for; chance needs the rest
     static final double EJECT_MS = 500, EJECT_MAX_MS = 8_000; // ejection of a failing worker
@@ -48,13 +45,10 @@
         Comparator.comparingDouble(Task::at).thenComparingLong(Task::order));
     private final Kind[] kinds;
     private final PriorityQueue<Double> wakes = new PriorityQueue<>();
-    private final Set<Worker> untold = new LinkedHashSet<>();
-    private final Map<Integer, Worker> byTag = new HashMap<>();
     private final double[] prompt, waits, credit, creditAt, hints = new double[31];
     private double[] fullPatience; // by class, grown as classes come
     private final double topImportance;
-    private final boolean tells, pulls;
-    private final int lowest;
+    private final boolean pulls;
     private int hintCount, ejected, probesOut, moot;
     private long order;
     private boolean recheckSet, mixed, sweeps;
@@ -69,10 +63,7 @@
         Arrays.setAll(kinds = new Kind[settings.kinds()], k -> new Kind());
         waits = new double[settings.zones()];
         Arrays.setAll(prompt = new double[settings.zones()], z -> z == settings.zone() ? 20 : 60);
-        tells = settings.limits().peers() && settings.balancers() > 1
-            && 6 * (settings.balancers() - 1) * settings.fees().peer() / 256 < PEER_PRICE;
-        pulls = !tells && settings.reports() != Reports.SILENT && settings.limits().probes();
-        lowest = settings.classes().stream().mapToInt(JobClass::priority).min().orElse(0);
+        pulls = settings.reports() != Reports.SILENT && settings.limits().probes();
         topImportance = settings.classes().stream().mapToDouble(JobClass::importance).max().orElse(1);
         Arrays.fill(credit = new double[settings.tenants().size()], 3);
         creditAt = new double[credit.length];
@@ -88,7 +79,7 @@
 
     private static final class Worker {
         final String id;
-        int zone, kind, cell, failures, jobs, others;
+        int zone, kind, cell, failures, jobs;
         boolean probing;
         Phase phase = Phase.SERVING;
         double cameUp, own, running, room;
@@ -97,15 +88,8 @@
         long turn, freeAs;
         BitSet runs;
         int places;
-        int[] heard = new int[0];
 
         Worker(String id) { this.id = id; }
-
-        void hear(int peer, int slots) {
-            if (peer >= heard.length) heard = Arrays.copyOf(heard, peer + 1);
-            others += slots - heard[peer];
-            heard[peer] = slots;
-        }
     }
 
     private static final class Attempt {
@@ -165,7 +149,6 @@
 
     private void list(WorkerEntry e) {
         Worker w = known.computeIfAbsent(e.id(), Worker::new);
-        if (tells) byTag.put(tag(w), w);
         if (w.turn == 0) w.turn = 1 + random.nextInt(1 << 20);
         w.phase = e.phase();
         w.zone = Math.min(Math.max(e.zone(), 0), prompt.length - 1);
@@ -237,8 +220,6 @@
             if (!a.late) startSeen(w, 1);
             if (delay <= lateAfter(w)) {
                 prompt[w.zone] += (delay - prompt[w.zone]) * (delay < prompt[w.zone] ? 0.3 : 0.05);
-                // A job of higher priority starts at once by pushing another out: it tells no slots.
-                if (tells && r.cls.priority() == lowest) fit(w, true);
                 k.proven = Math.max(k.proven, w.running);
                 k.slots = Math.max(k.slots, k.proven);
                 see(w, Math.max(roomNow(w), w.own < k.slots ? 1 : 0));
@@ -268,7 +249,6 @@
         boolean ran = !Double.isNaN(a.startedAt);
         if (ran) w.running = Math.max(0, w.running - a.need);
         w.room += a.need;
-        tell(w);
         vacate(w);
         judge(r, a, w, ran);
         if (o.report() != null) report(w, o.report());
@@ -303,15 +283,7 @@
         settle();
     }
 
-    @Override public void peerMessage(double t, int from, byte[] bytes) {
-        now = t;
-        for (int n = 0; tells && from >= 0 && from < set.balancers() && n + 3 <= bytes.length; n += 3) {
-            Worker w = byTag.get((bytes[n] & 255) << 8 | bytes[n + 1] & 255);
-            if (w != null) w.hear(from, bytes[n + 2] & 255);
-        }
-        release();
-        settle();
-    }
+    @Override public void peerMessage(double t, int from, byte[] bytes) { }
 
     // ---- ordinary path: hold, bar, release ----
 
@@ -417,7 +389,7 @@
         Worker best = null;
         double bestEnd = Double.POSITIVE_INFINITY;
         // Exception, few attempts start at once: the fleet is full, theta alone would fill queues blindly.
-        boolean wary = !tells && promptShare < COMMIT_SHARE && !recallable(r, 1);
+        boolean wary = promptShare < COMMIT_SHARE && !recallable(r, 1);
         boolean ignoreBad = ejected > EJECT_CAP * plain.size();
         Iterator<Worker> seats = lane.free.values().iterator();
         for (int i = 0, looked = 0; i < plain.size() || looked < SCAN && seats.hasNext();) {
@@ -431,17 +403,10 @@
             if (asks && !seat && now - w.reportAt > meanRun) continue;
             looked += seat ? 1 : 0;
             if (!ignoreBad && w.badUntil > now || !mayRun(r, w) || !runs(r, w)) continue;
-            boolean near = w.zone == set.zone();
             double room = roomNow(w);
             if (wary && !seat) room -= Math.max(0, 1 - weight(w)) * (THETA - w.own);
             if (room <= 0 || asks && room < r.job.slots() || !coldAllows(r, w)) continue;
-            // What sending there costs in fees is worth as large a share of the time to the aim.
-            double fee = (linked(w) ? 0 : set.fees().handshake()) + (near ? 0 : set.fees().crossZone());
-            double odds = fee * FEE_WEIGHT + (tells || pulls ? 0 : waits[w.zone]);
-            double lack = Math.max(0, r.job.slots() - room);
-            double end = r.cost / speed(w) + lack * meanRun / kinds[w.kind].slots;
-            if (!near) end += prompt[w.zone];
-            end = Math.max(pulls ? 0 : r.aim - now, end) + odds * Math.max(0, r.aim - now);
+            double end = endOn(w, r, Math.max(0, r.job.slots() - room));
             if (end < bestEnd || end == bestEnd && w.turn < best.turn) {
                 best = w;
                 bestEnd = end;
@@ -454,6 +419,15 @@
         return best;
     }
 
+    /** How long until the job should have ended there; fees count as the same share of the time to its aim. */
+    private double endOn(Worker w, Request r, double lack) {
+        boolean near = w.zone == set.zone();
+        double fee = (linked(w) ? 0 : set.fees().handshake()) + (near ? 0 : set.fees().crossZone());
+        double odds = fee * FEE_WEIGHT + (pulls ? 0 : waits[w.zone]);
+        double end = r.cost / speed(w) + lack * meanRun / kinds[w.kind].slots + (near ? 0 : prompt[w.zone]);
+        return Math.max(pulls ? 0 : r.aim - now, end) + odds * Math.max(0, r.aim - now);
+    }
+
     private boolean runs(Request r, Worker w) {
         return w.runs == null ? r.job.work() < set.classes().size() : w.runs.get(r.job.work());
     }
@@ -463,7 +437,6 @@
     /** Slots below the bar: the bar is what evidence says while it is fresh, and theta as it ages. */
     private double roomNow(Worker w) {
         if (w.places > 0) return w.places - w.own;
-        if (tells) return kinds[w.kind].slots - w.own - w.others;
         double weight = weight(w);
         return weight * w.room + (1 - weight) * (THETA - w.own);
     }
@@ -483,21 +456,22 @@
 
     private double lateAfter(Worker w) { return 2 * prompt[w.zone] + 4 * set.granularityMs() + 5; }
 
-    // ---- exception: reports exist, peers not told; a held job asks before theta is believed ----
+    // ---- exception: reports exist; a held job asks before theta is believed ----
 
     private void ask(Request r) {
         int n = plain.size();
         for (int i = 0, asked = 0; i < 4 * PROBES_PER_ROUND && asked < PROBES_PER_ROUND && n > 0; i++) {
-            Worker w = plain.get(random.nextInt(n));
-            for (int k = 0; k < LINK_TRIES && set.fees().handshake() > 0 && !linked(w); k++) {
-                w = plain.get(random.nextInt(n));
-            }
-            if (!w.probing && mayRun(r, w) && w.badUntil <= now && now - w.reportAt > meanRun / 2) {
-                w.probing = true;
-                probesOut++;
-                asked++;
-                out.probe(w.id);
+            Worker best = null;
+            for (int k = 0; k < DRAWS; k++) {
+                Worker w = plain.get(random.nextInt(n));
+                if (w.probing || !mayRun(r, w) || w.badUntil > now || now - w.reportAt <= meanRun / 2) continue;
+                if (best == null || endOn(w, r, 0) < endOn(best, r, 0)) best = w;
             }
+            if (best == null) continue;
+            best.probing = true;
+            probesOut++;
+            asked++;
+            out.probe(best.id);
         }
     }
 
@@ -515,7 +489,6 @@
         at(a.sentAt + lateAfter(a.worker), () -> {
             if (a.ending != null || !Double.isNaN(a.startedAt)) return;
             a.late = true;
-            if (tells) fit(a.worker, false);
             startSeen(a.worker, 0);
             see(a.worker, Math.min(a.worker.room, a.worker.running - a.worker.own));
             if (recallable(r, 0)) out.cancel(r.job.id(), r.attempts.indexOf(a));
@@ -532,39 +505,6 @@
         waits[w.zone] += (1 - prompt - waits[w.zone]) * PROMPT_GAIN;
     }
 
-    // ---- exception: where telling peers is cheap, each tells the slots it holds on workers ----
-
-    private static int tag(Worker w) { return (w.id.hashCode() ^ w.id.hashCode() >>> 16) & 0xffff; }
-
-    private void tell(Worker w) {
-        if (!tells) return;
-        double crowd = Math.max(1, Math.pow(set.balancers() / TELL_PEERS, 2));
-        if (untold.isEmpty()) at(now + TELL_MS * crowd, this::tellAll, null);
-        untold.add(w);
-    }
-
-    private void tellAll() {
-        byte[] bytes = new byte[Math.min(untold.size(), 85) * 3];
-        int n = 0;
-        for (Worker w : untold) {
-            if (n == bytes.length) break;
-            bytes[n++] = (byte) (tag(w) >> 8);
-            bytes[n++] = (byte) tag(w);
-            bytes[n++] = (byte) Math.min(255, w.own);
-        }
-        untold.clear();
-        out.tell(-1, bytes);
-    }
-
-    /** Near the edge a prompt start says one more slot, a wait one less; elsewhere the cause is not slots. */
-    private void fit(Worker w, boolean started) {
-        Kind k = kinds[w.kind];
-        double over = w.own + w.others - k.slots;
-        if (started && over > -0.5) k.slots += SLOT_GAIN;
-        if (!started && over > -0.5 && over <= 1) k.slots = Math.max(k.proven, k.slots - 2 * SLOT_GAIN);
-    }
-
-
     private void judge(Request r, Attempt a, Worker w, boolean ran) {
         boolean word = a.ending == Ending.ERROR || a.ending == Ending.FULL;
         if (w.places > 0 && word) return; // of a seat on the job, not on itself
@@ -576,7 +516,6 @@
             case FULL -> {
                 // What turns jobs away is full, or drains and is not yet listed so.
                 see(w, -THETA);
-                if (tells) fit(w, false);
                 eject(w, 0.25);
             }
             case ERROR, TIMEOUT, RESET, CONNECT_FAILED -> {
@@ -658,7 +597,6 @@
         w.jobs++;
         if (w.places > 0 && w.own >= w.places) occupy(w);
         w.room -= a.need;
-        tell(w);
         w.turn = -order++;
         w.lastSent = now;
         out.assign(r.job.id(), w.id, 0);
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -630,11 +630,6 @@
             actions.add(roster::watch);
         }
 
-        @Override
-        public void tell(int peer, byte[] bytes) {
-            counters.count("guard.peer"); // no front has peers; the settings say so to the module
-        }
-
         @Override
         public void log(String words) {
             log.accept(words);
