--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -419,7 +419,7 @@
         return best;
     }
 
-    /** How long until the job should have ended there; fees count as the same share of the time to its aim. */
+    /** How long until the job should have ended there; fees count as a share of the time to its aim. */
     private double endOn(Worker w, Request r, double lack) {
         boolean near = w.zone == set.zone();
         double fee = (linked(w) ? 0 : set.fees().handshake()) + (near ? 0 : set.fees().crossZone());
@@ -464,7 +464,8 @@
             Worker best = null;
             for (int k = 0; k < DRAWS; k++) {
                 Worker w = plain.get(random.nextInt(n));
-                if (w.probing || !mayRun(r, w) || w.badUntil > now || now - w.reportAt <= meanRun / 2) continue;
+                boolean fresh = w.probing || now - w.reportAt <= meanRun / 2;
+                if (fresh || !mayRun(r, w) || w.badUntil > now) continue;
                 if (best == null || endOn(w, r, 0) < endOn(best, r, 0)) best = w;
             }
             if (best == null) continue;
