Take what own jobs see as evidence of room beside reports, and slots from reports

Sent within 100 ms of a report: with 1 slot free 38% of the jobs waited, with 2 42%, with 3 37%, with 4 (idle) 34%; the fleet was half full. A report is up to 1.8 s old (period_ms plus delay_ms) where a job runs 0.7 s, and every scheduler of the plant sees the same free node and goes there. Yet each job had to ask anew: choose() passed over any node whose last report was older than a mean run, though a job of our own had just started there at once. At fault: the test on reportAt in choose(), no evidence taken from an attempt's end in ended(), and slots of a kind that stay at theta (report() never learned them).

Change: a node needs no probe while any evidence of its room is fresh. A job that had started at once and ends leaves a slot nobody waited for. Slots of a kind follow free + running as reported.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -12,6 +12,7 @@
     static final double EVIDENCE_RUNS = 1.5; // mean run times until evidence is void: the jobs seen are gone
     static final int PROBES_PER_ROUND = 3; // asked for one held job: more costs fees, fewer find no room
     static final int PROBE_ROUNDS = 2; // for one job, before it goes by what is known
+    static final double SLOT_GAIN = 0.1; // how fast a kind's slots follow what reports say
     static final int DRAWS = 6; // for each probe: asked is the one where the job should end first
     static final double FEE_WEIGHT = 3; // times to the aim that sending at full price is worth
     static final double COLD_PART = 0.4; // of a cold worker's budget is planned for; chance needs the rest
@@ -249,6 +250,8 @@
         boolean ran = !Double.isNaN(a.startedAt);
         if (ran) w.running = Math.max(0, w.running - a.need);
         w.room += a.need;
+        // It did not wait for its slot, so nobody was waiting there: the slot that it leaves is free.
+        if (ran && !a.late) see(w, Math.max(w.room, w.own < kinds[w.kind].slots ? 1 : 0));
         vacate(w);
         judge(r, a, w, ran);
         if (o.report() != null) report(w, o.report());
@@ -400,7 +403,7 @@
                 at(Math.max(w.badUntil, now + set.rules().coldMs() / COLD_LOOKS), () -> vacate(w), null);
                 continue;
             }
-            if (asks && !seat && now - w.reportAt > meanRun) continue;
+            if (asks && !seat && now - w.seenAt > meanRun) continue;
             looked += seat ? 1 : 0;
             if (!ignoreBad && w.badUntil > now || !mayRun(r, w) || !runs(r, w)) continue;
             double room = roomNow(w);
@@ -477,7 +480,11 @@
     }
 
     private void report(Worker w, LoadReport p) {
-        double room = !Double.isNaN(p.freeSlots()) ? p.freeSlots() : kinds[w.kind].slots - p.inflight();
+        Kind k = kinds[w.kind];
+        // What is free and what runs are a worker's slots; few jobs of one's own never show them all.
+        double slots = p.freeSlots() + p.inflight() - (Double.isNaN(p.queue()) ? 0 : p.queue());
+        if (!Double.isNaN(slots)) k.slots = Math.max(k.proven, k.slots + (slots - k.slots) * SLOT_GAIN);
+        double room = !Double.isNaN(p.freeSlots()) ? p.freeSlots() : k.slots - p.inflight();
         if (!Double.isNaN(p.queue())) room -= p.queue();
         if (!Double.isNaN(room)) see(w, room);
         w.reportAt = now;
