Eject a node at its first error, and keep orders from nodes that failed lately

At fault: judge(), where a first error only counted and one success cleared all, and choose(), which tried a node with an order as soon as its ejection ended.

Change: an error, which the settings' sites know only from bad nodes, ejects at once; a success halves the failures. An order asks elsewhere while a node has failures, and takes it last where nothing can be asked. Five tests; each of the four changes undone by hand makes one fail.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -406,6 +406,8 @@
             if (asks && !seat && now - w.seenAt > meanRun) continue;
             looked += seat ? 1 : 0;
             if (!ignoreBad && w.badUntil > now || !mayRun(r, w) || !runs(r, w)) continue;
+            // What may run only once is nothing to try a worker with that failed lately.
+            if (asks && w.failures > 0 && r.cls.effect() != Effect.FREE) continue;
             double room = roomNow(w);
             if (wary && !seat) room -= Math.max(0, 1 - weight(w)) * (THETA - w.own);
             if (room <= 0 || asks && room < r.job.slots() || !coldAllows(r, w)) continue;
@@ -428,6 +430,7 @@
         double fee = (linked(w) ? 0 : set.fees().handshake()) + (near ? 0 : set.fees().crossZone());
         double odds = fee * FEE_WEIGHT + (pulls ? 0 : waits[w.zone]);
         double end = r.cost / speed(w) + lack * meanRun / kinds[w.kind].slots + (near ? 0 : prompt[w.zone]);
+        if (w.failures > 0 && r.cls.effect() != Effect.FREE) odds += 1;
         return Math.max(pulls ? 0 : r.aim - now, end) + odds * Math.max(0, r.aim - now);
     }
 
@@ -518,7 +521,7 @@
         if (w.places > 0 && word) return; // of a seat on the job, not on itself
         switch (a.ending) {
             case OK -> {
-                w.failures = 0;
+                w.failures /= 2; // one that fails every second job is no better for the one between
                 if (ran) learn(r, a, w);
             }
             case FULL -> {
@@ -531,7 +534,8 @@
                 boolean failed = a.ending == Ending.CONNECT_FAILED;
                 boolean quick = failed && now - a.sentAt < set.limits().dialTimeoutMs() / 2;
                 if (!quick) see(w, Math.min(w.room, 0));
-                if (failed && !quick || w.failures > 0) eject(w, 1); else w.failures++;
+                boolean tells = a.ending == Ending.ERROR || failed && !quick;
+                if (tells || w.failures > 0) eject(w, 1); else w.failures++;
             }
             default -> see(w, ran ? w.room : Math.min(w.room, 0));
         }
--- a/src/test/java/plumpost/decision/EvidenceTest.java
+++ b/src/test/java/plumpost/decision/EvidenceTest.java
@@ -87,4 +87,88 @@
         }
         assertThat(coldWorkerTakesALargeJob(100_000)).as("four slots may be sent 1,440").isTrue();
     }
+
+    private void twoWorkers() {
+        logic.workers(0, ListMode.FULL, List.of(worker("w", Phase.SERVING), worker("x", Phase.SERVING)));
+    }
+
+    /** Answers what is asked with one free slot on each worker, and returns where the job went. */
+    private String placed(String id, int cls, double now) {
+        logic.arrived(now, job(id, cls, 100));
+        for (String asked : out.lines.stream().filter(l -> l.startsWith("probe ")).toList()) {
+            logic.probed(now + 1, asked.substring("probe ".length()), Ending.OK, 1,
+                new LoadReport(0, 0, 500, Double.NaN, 1, Double.NaN));
+        }
+        String line = out.take("assign " + id).get(0);
+        return line.substring(line.lastIndexOf(' ') + 1);
+    }
+
+    /** Guards orders from a failing worker: each scheduler of a large fleet met it twice before it kept away. */
+    @Test
+    void oneErrorEjectsItsWorker() {
+        twoWorkers();
+        String bad = placed("a", 1, 1);
+        logic.ended(300, outcome("a", 0, bad, Ending.ERROR));
+        assertThat(logic.avoided(301)).isEqualTo(1);
+        assertThat(placed("b", 0, 302)).isNotEqualTo(bad);
+    }
+
+    /** Guards against a worker that fails most jobs: a success between made it as good as new. */
+    @Test
+    void oneSuccessDoesNotClearManyErrors() {
+        Ending[] endings = {Ending.ERROR, Ending.ERROR, Ending.ERROR, Ending.OK, Ending.ERROR};
+        for (int i = 0; i < endings.length; i++) {
+            double now = 1 + 20_000 * i;
+            assertThat(placed("a" + i, 0, now)).isEqualTo("w");
+            logic.ended(now + 100, outcome("a" + i, 0, "w", endings[i]));
+            logic.clientGone(now + 100, "a" + i);
+        }
+        assertThat(logic.avoided(80_101 + 1_500)).as("a first error ejects for a second").isEqualTo(1);
+    }
+
+    /** Guards orders from being what a failing worker is tried with again: rather another worker is asked. */
+    @Test
+    void anOrderAsksElsewhereThanAtAWorkerThatFailedLately() {
+        firstJobStartsAtOnce("a", 1);
+        logic.ended(100, outcome("a", 0, "w", Ending.ERROR));
+        logic.clientGone(101, "a");
+        firstJobStartsAtOnce("b", 20_000);
+        logic.workers(20_010, ListMode.INCREMENTAL, List.of(worker("x", Phase.SERVING)));
+        logic.arrived(20_011, job("o", 1, 100));
+        assertThat(out.take("")).contains("probe x").noneMatch(l -> l.startsWith("assign"));
+    }
+
+    /** The same where nothing can be asked: with room on both, the one that failed comes last. */
+    @Test
+    void anOrderGoesLastToAWorkerThatFailedLately() {
+        bench.reports = Dispatcher.Reports.SILENT;
+        logic = new Logic(bench.settings(), 7, out);
+        logic.workers(0, ListMode.SAVED, List.of(worker("w", Phase.SERVING), worker("x", Phase.SERVING)));
+        logic.arrived(1, job("a", 1, 100));
+        String bad = out.take("assign a").get(0).substring("assign a ".length());
+        logic.ended(100, outcome("a", 0, bad, Ending.ERROR));
+        for (int i = 0; i < 4; i++) {
+            double now = 20_000 + 5_000 * i;
+            logic.arrived(now, job("o" + i, 1, 100));
+            assertThat(out.take("assign o")).noneMatch(l -> l.endsWith(" " + bad));
+            logic.ended(now + 100, outcome("o" + i, 0, bad.equals("w") ? "x" : "w", Ending.OK));
+        }
+    }
+
+    /** Where no other worker is left, an order goes to one that failed: better than not at all. */
+    @Test
+    void anOrderGoesToAWorkerThatFailedWhereThereIsNoOther() {
+        logic.arrived(1, job("a", 0, 100));
+        report(2, 1, 0);
+        logic.ended(100, outcome("a", 0, "w", Ending.ERROR));
+        out.lines.clear();
+        logic.clientGone(101, "a");
+        logic.arrived(20_000, job("o", 1, 100));
+        for (int i = 0; i < 3 && out.lines.contains("probe w"); i++) {
+            out.lines.clear();
+            report(20_001 + 600 * i, 1, 0);
+        }
+        logic.timer(22_000, 0);
+        assertThat(out.lines).contains("assign o w");
+    }
 }
