--- a/src/test/java/plumpost/decision/FleetTest.java
+++ b/src/test/java/plumpost/decision/FleetTest.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import plumpost.decision.Dispatcher.Ending;
@@ -44,9 +45,14 @@
         }
     }
 
-    /** Answers every probe that is out with so many free slots, until none is asked any more. */
+    /** The same where something has to be asked. */
     private List<String> answerProbes(int scheduler, double now, double free) {
-        List<String> asked = new ArrayList<>();
+        assertThat(outs.get(scheduler).lines).anyMatch(l -> l.startsWith("probe "));
+        return answered(scheduler, now, free);
+    }
+
+    /** Answers every probe with so many free slots, until none is asked any more; the nodes that jobs were sent to. */
+    private List<String> answered(int scheduler, double now, double free) {
         List<String> sent = new ArrayList<>();
         for (boolean more = true; more;) {
             List<String> lines = List.copyOf(outs.get(scheduler).lines);
@@ -55,7 +61,6 @@
             for (String line : lines) {
                 if (line.startsWith("probe ")) {
                     more = true;
-                    asked.add(line.substring("probe ".length()));
                     fleet.get(scheduler).probed(now, line.substring("probe ".length()), Ending.OK, 1,
                         new LoadReport(Double.NaN, 0, 0, Double.NaN, free, Double.NaN));
                 } else if (line.startsWith("assign ")) {
@@ -63,7 +68,6 @@
                 }
             }
         }
-        assertThat(asked).isNotEmpty();
         return sent;
     }
 
@@ -86,4 +90,96 @@
         assertThat(sent).isEqualTo(SCHEDULERS * 10);
         assertThat(crossed).as("jobs that crossed plants").isLessThan(sent / 10);
     }
+
+    /** Guards discovery, which serves calls in turn: after a common start the first calls come spread. */
+    @Test
+    void firstListCallsAreSpreadAfterACommonStart() {
+        for (int i = 0; i < SCHEDULERS; i++) {
+            Bench bench = new Bench();
+            bench.balancers = SCHEDULERS;
+            bench.index = i;
+            bench.onRequest = true;
+            outs.set(i, new Recorder());
+            fleet.set(i, new Logic(bench.settings(), 100 + i, outs.get(i)));
+            fleet.get(i).workers(0, ListMode.SAVED, List.copyOf(workers.values()));
+        }
+        int most = 0;
+        int all = 0;
+        for (double t = 500; t <= 3_500; t += 500) {
+            int asked = 0;
+            for (int i = 0; i < SCHEDULERS; i++) {
+                fleet.get(i).timer(t, 0);
+                asked += outs.get(i).take("subscribe").size();
+            }
+            most = Math.max(most, asked);
+            all += asked;
+        }
+        assertThat(all).isEqualTo(SCHEDULERS);
+        assertThat(most).as("calls within half a second").isLessThanOrEqualTo(SCHEDULERS / 2);
+    }
+
+    /** Guards equals from being ranked alike by all: four jobs of each scheduler, all nodes equally free. */
+    @Test
+    void jobsSpreadOverEquallyGoodWorkers() {
+        Map<String, Integer> got = new LinkedHashMap<>();
+        for (int s = 0; s < SCHEDULERS; s++) {
+            for (int j = 0; j < 4; j++) {
+                fleet.get(s).arrived(1_000, Bench.job("j" + j, 0, 1_000));
+            }
+            answerProbes(s, 1_001, 4).forEach(w -> got.merge(w, 1, Integer::sum));
+        }
+        assertThat(got.values().stream().mapToInt(n -> n).sum()).isEqualTo(4 * SCHEDULERS);
+        assertThat(got.values()).as("jobs on one worker of four slots").allMatch(n -> n <= 8);
+    }
+
+    /** Guards orders from what each scheduler has to learn alone: one of two nodes fails whatever it gets. */
+    @Test
+    void eachSchedulerLosesFewOrdersToABadWorker() {
+        int errors = 0;
+        for (int s = 0; s < SCHEDULERS; s++) {
+            fleet.get(s).workers(1, ListMode.FULL, List.of(workers.get("w0"), workers.get("w3")));
+            for (int j = 0; j < 30; j++) {
+                double now = 1_000 + 2_000 * j;
+                String id = "j" + j;
+                fleet.get(s).arrived(now, Bench.job(id, 1, 100));
+                boolean bad = answered(s, now + 1, 4).get(0).equals("w0");
+                errors += bad ? 1 : 0;
+                fleet.get(s).started(now + 2, id, 0, bad ? "w0" : "w3");
+                fleet.get(s).ended(now + 50, Bench.outcome(id, 0, bad ? "w0" : "w3", bad ? Ending.ERROR : Ending.OK));
+                outs.get(s).lines.clear();
+            }
+        }
+        assertThat(errors).as("orders lost, one a scheduler").isLessThanOrEqualTo(SCHEDULERS);
+    }
+
+    /** Guards rule 4 over all schedulers: what they send one cold worker within any window, while all have work. */
+    @Test
+    void togetherTheyDoNotFloodAColdWorker() {
+        WorkerEntry cold = new WorkerEntry("cold", 0, 0, 0, Phase.SERVING, 1, 1_000);
+        List<double[]> sent = new ArrayList<>();
+        Random random = new Random(5);
+        for (Logic each : fleet) {
+            each.workers(1_000, ListMode.FULL, List.of(cold));
+        }
+        for (double now = 1_000; now < 11_000; now += 20) {
+            for (int s = 0; s < SCHEDULERS; s++) {
+                double cost = 50 + random.nextInt(400);
+                String id = "j" + now;
+                fleet.get(s).arrived(now, Bench.job(id, 0, cost));
+                for (String w : answered(s, now, 4)) {
+                    sent.add(new double[] {now, cost});
+                    fleet.get(s).started(now + 1, id, 0, w);
+                    fleet.get(s).ended(now + 2, Bench.outcome(id, 0, w, Ending.OK));
+                }
+                fleet.get(s).clientGone(now + 3, id);
+                outs.get(s).lines.clear();
+            }
+        }
+        assertThat(sent.size()).as("its capacity is used").isGreaterThan(20);
+        for (double[] first : sent) {
+            double work = sent.stream().filter(x -> x[0] >= first[0] && x[0] < first[0] + 2_000).mapToDouble(x -> x[1]).sum();
+            double share = 0.2 + 0.8 * (first[0] - 1_000) / 10_000;
+            assertThat(work).as("sent within 2 s from " + first[0]).isLessThan(3 * share * 4 * 2_000);
+        }
+    }
 }
