Let no order wait to ask a Gearman seat that failed

At fault: the test on failures in choose(). Change: seats are left out of it; where another worker runs the work, the one that failed still comes last (endOn). The test in SeatsTest fails without it.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -407,7 +407,7 @@
             looked += seat ? 1 : 0;
             if (!ignoreBad && w.badUntil > now || !mayRun(r, w) || !runs(r, w)) continue;
             // What may run only once is nothing to try a worker with that failed lately.
-            if (asks && w.failures > 0 && r.cls.effect() != Effect.FREE) continue;
+            if (asks && !seat && w.failures > 0 && r.cls.effect() != Effect.FREE) continue;
             double room = roomNow(w);
             if (wary && !seat) room -= Math.max(0, 1 - weight(w)) * (THETA - w.own);
             if (room <= 0 || asks && room < r.job.slots() || !coldAllows(r, w)) continue;
--- a/src/test/java/plumpost/config/FleetSettingsTest.java
+++ b/src/test/java/plumpost/config/FleetSettingsTest.java
@@ -17,7 +17,8 @@
             {"listen":"127.0.0.1:8000","settings":{%s "classes":[
               {"name":"route-plan","sloMs":600.0,"deadlineMs":8000.0,"effect":"free"}],
               "ceilings":{"maxAttempts":6},"rules":{}}}""".formatted(fleet);
-        return NodeConfig.from(Json.object("configuration", file.getBytes(StandardCharsets.UTF_8)), Map.of()).settings();
+        Json.Fields fields = Json.object("configuration", file.getBytes(StandardCharsets.UTF_8));
+        return NodeConfig.from(fields, Map.of()).settings();
     }
 
     @ParameterizedTest
--- a/src/test/java/plumpost/decision/SeatsTest.java
+++ b/src/test/java/plumpost/decision/SeatsTest.java
@@ -146,4 +146,21 @@
         seat("w", Phase.SERVING, 7);
         assertThat(out.take("assign")).containsExactly("assign bg w");
     }
+
+    /** Guards orders for a Gearman worker beside probed nodes: nothing can be asked of a seat, so none waits for that. */
+    @Test
+    void anOrderDoesNotWaitToAskASeatThatFailed() {
+        Bench bench = new Bench();
+        bench.reports = Dispatcher.Reports.PULL;
+        Logic probing = new Logic(bench.settings(), 1, out);
+        BitSet runs = new BitSet();
+        runs.set(7);
+        probing.workers(0, ListMode.INCREMENTAL, List.of(new WorkerEntry("w", 0, 0, 0, Phase.SERVING, 1, 0, runs, 1)));
+        for (int i = 0; i < 2; i++) {
+            double now = 1 + 20_000 * i;
+            probing.arrived(now, new Job("o" + i, 1, 0, null, 5000, Double.NaN, 1, Double.NaN, false, 7, 0, 60_000));
+            assertThat(out.take("assign")).containsExactly("assign o" + i + " w");
+            probing.ended(now + 10, outcome("o" + i, 0, "w", Ending.RESET));
+        }
+    }
 }
