Let one load report move a kind's slots by a tenth at the most

Seen on reading the change again: report() learns a kind's slots from free + running as told, and coldAllows() takes a cold node's budget from them. At fault: the unbounded step in report(). Change: what a report tells counts as at most twice the slots known, so the step of a tenth stays a tenth.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -486,7 +486,9 @@
         Kind k = kinds[w.kind];
         // What is free and what runs are a worker's slots; few jobs of one's own never show them all.
         double slots = p.freeSlots() + p.inflight() - (Double.isNaN(p.queue()) ? 0 : p.queue());
-        if (!Double.isNaN(slots)) k.slots = Math.max(k.proven, k.slots + (slots - k.slots) * SLOT_GAIN);
+        // A false report must not open cold workers to a flood: one moves the slots by a tenth at the most.
+        double near = Math.min(slots, 2 * k.slots);
+        if (!Double.isNaN(near)) k.slots = Math.max(k.proven, k.slots + (near - k.slots) * SLOT_GAIN);
         double room = !Double.isNaN(p.freeSlots()) ? p.freeSlots() : k.slots - p.inflight();
         if (!Double.isNaN(p.queue())) room -= p.queue();
         if (!Double.isNaN(room)) see(w, room);
--- a/src/test/java/plumpost/decision/EvidenceTest.java
+++ b/src/test/java/plumpost/decision/EvidenceTest.java
@@ -88,6 +88,16 @@
         assertThat(coldWorkerTakesALargeJob(100_000)).as("four slots may be sent 1,440").isTrue();
     }
 
+    /** Guards cold workers from one false report, which would raise the budget of all of its kind. */
+    @Test
+    void oneFalseReportDoesNotOpenColdWorkers() {
+        logic.arrived(1, job("a", 0, 1_000));
+        report(2, 0, 1e9);
+        logic.clientGone(3, "a");
+        out.lines.clear();
+        assertThat(coldWorkerTakesALargeJob(10_000)).as("a quarter of what 2.2 slots may be sent is 792").isFalse();
+    }
+
     private void twoWorkers() {
         logic.workers(0, ListMode.FULL, List.of(worker("w", Phase.SERVING), worker("x", Phase.SERVING)));
     }
--- a/src/test/java/plumpost/decision/FleetTest.java
+++ b/src/test/java/plumpost/decision/FleetTest.java
@@ -45,7 +45,7 @@
         }
     }
 
-    /** The same where something has to be asked. */
+    /** Answers probes as {@link #answered} does, where there must be one. */
     private List<String> answerProbes(int scheduler, double now, double free) {
         assertThat(outs.get(scheduler).lines).anyMatch(l -> l.startsWith("probe "));
         return answered(scheduler, now, free);
