Add the fleet's book: lives, duties under fences, planned jobs, and its model checker

Need: three schedulers side by side know nothing of each other; work on behalf of the fleet has no owner. Change: package plumpost.fleet, without I/O and clock: FleetBook applies the entries of a replicated log (lives with incarnations, duties given under fences that are never used twice, planned jobs that are fired, begun and ended, bans, discovery's words), FleetCodec writes them as CBOR and refuses newer formats, Beats is the log leader's ear. Nothing of it is loaded by any command yet.

--- /dev/null
+++ b/src/main/java/plumpost/fleet/Beats.java
@@ -0,0 +1,69 @@
+package plumpost.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import plumpost.fleet.Sessions.Session;
+import plumpost.fleet.Sessions.State;
+
+/**
+ * What the log's leader has heard of each life, and whom it therefore proposes to call suspect, lost or alive again. It
+ * only makes takeover quick: a false word of it costs a change of owner and harms nothing. A leader that comes to
+ * office, or that notices that it has itself been stopped, begins to count anew. Does no I/O; times are milliseconds of
+ * any steady clock.
+ */
+public final class Beats {
+    private record Life(String name, long incarnation) { }
+
+    private final double suspectMs;
+    private final double lostMs;
+    private final double stoppedMs;
+    private final Map<Life, Double> heard = new HashMap<>();
+    private double since = Double.NaN;
+    private double lookedAt;
+
+    /** {@code stoppedMs}: two looks farther apart than this mean that the leader itself was stopped meanwhile. */
+    public Beats(double suspectMs, double lostMs, double stoppedMs) {
+        this.suspectMs = suspectMs;
+        this.lostMs = lostMs;
+        this.stoppedMs = stoppedMs;
+    }
+
+    /** This process leads from now on. */
+    public void lead(double nowMs) {
+        heard.clear();
+        since = nowMs;
+        lookedAt = nowMs;
+    }
+
+    /** A life was heard. */
+    public void beat(String name, long incarnation, double nowMs) {
+        heard.put(new Life(name, incarnation), nowMs);
+    }
+
+    /** What is to be proposed now, under the leader's term. */
+    public List<Entry> look(Collection<Session> sessions, long term, double nowMs) {
+        if (Double.isNaN(since) || nowMs - lookedAt > stoppedMs) {
+            lead(nowMs);
+        }
+        lookedAt = nowMs;
+        List<Entry> all = new ArrayList<>();
+        heard.keySet().removeIf(l -> sessions.stream().noneMatch(s -> s.name().equals(l.name)
+            && s.incarnation() == l.incarnation && s.live()));
+        for (Session s : sessions) {
+            if (s.live()) {
+                Double last = heard.get(new Life(s.name(), s.incarnation()));
+                double silent = nowMs - (last == null ? since : last);
+                Entry.Verdict v = silent >= lostMs ? Entry.Verdict.LOST : silent >= suspectMs ? Entry.Verdict.SUSPECT
+                    : last == null ? null : Entry.Verdict.ALIVE;
+                if (v != null && !(v == Entry.Verdict.ALIVE && s.state() == State.ALIVE
+                    || v == Entry.Verdict.SUSPECT && s.state() == State.SUSPECT)) {
+                    all.add(new Entry.Judge(s.name(), s.incarnation(), v, term));
+                }
+            }
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/plumpost/fleet/FleetCodec.java
@@ -0,0 +1,227 @@
+package plumpost.fleet;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.lang.reflect.Constructor;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Writes the fleet's entries, outcomes and snapshots as CBOR (RFC 8949): a record is the array of its components in
+ * their order, an entry the array of the record format's number, its kind and its components. A program that meets a
+ * newer format, an unknown kind or another shape says so and reads no further: to pass over an entry would part it from
+ * the others.
+ */
+public final class FleetCodec {
+    /** The newest record format that this program reads and, once all members read it, writes. */
+    public static final int FORMAT = 1;
+    /** The longest entry: a node list of some thousand lines, or a job's data, with room. */
+    public static final int MOST_BYTES = 1 << 20;
+
+    private static final CBORFactory CBOR = CBORFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
+        .maxNestingDepth(16).maxStringLength(MOST_BYTES).build()).build();
+    private static final Map<String, Class<?>> KINDS = new HashMap<>();
+
+    static {
+        for (Class<?> kind : Entry.class.getPermittedSubclasses()) {
+            KINDS.put(kind.getSimpleName(), kind);
+        }
+    }
+
+    private FleetCodec() { }
+
+    /** What was read is not of a form that this program knows; its text says what was found. */
+    public static final class Unreadable extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        Unreadable(String words, Throwable cause) {
+            super(words, cause);
+        }
+    }
+
+    /** An entry's bytes. */
+    public static byte[] bytes(Entry e) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream(128);
+        try (JsonGenerator out = CBOR.createGenerator(all)) {
+            out.writeStartArray();
+            out.writeNumber(FORMAT);
+            out.writeString(e.getClass().getSimpleName());
+            write(out, e);
+            out.writeEndArray();
+        } catch (IOException x) {
+            throw new IllegalStateException(x); // memory takes everything
+        }
+        return all.toByteArray();
+    }
+
+    /** The entry in bytes. */
+    public static Entry entry(byte[] bytes) throws Unreadable {
+        try (JsonParser in = CBOR.createParser(bytes)) {
+            need(in.nextToken() == JsonToken.START_ARRAY, "no entry");
+            int format = in.nextIntValue(-1);
+            need(format >= 1 && format <= FORMAT, "record format " + format + ", this program reads 1 to " + FORMAT);
+            String name = in.nextTextValue();
+            Class<?> kind = KINDS.get(name);
+            need(kind != null, "unknown kind of entry " + name);
+            in.nextToken();
+            Entry e = (Entry) read(in, kind);
+            need(in.nextToken() == JsonToken.END_ARRAY, "something follows the entry");
+            return e;
+        } catch (Unreadable e) {
+            throw e;
+        } catch (IOException | RuntimeException e) {
+            throw new Unreadable("the fleet's log holds what is no entry: " + e.getMessage(), e);
+        }
+    }
+
+    /** The bytes of a record that is no entry: an outcome. */
+    static byte[] plain(Record r) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream(64);
+        snapshot(r, all);
+        return all.toByteArray();
+    }
+
+    /** The outcome in bytes. */
+    public static Outcome outcome(byte[] bytes) throws Unreadable {
+        try (JsonParser in = CBOR.createParser(bytes)) {
+            in.nextToken();
+            return (Outcome) read(in, Outcome.class);
+        } catch (IOException | RuntimeException e) {
+            throw new Unreadable("no outcome: " + e.getMessage(), e);
+        }
+    }
+
+    /** Writes a record whole. */
+    static void snapshot(Record r, OutputStream to) {
+        try (JsonGenerator out = CBOR.createGenerator(to)) {
+            out.disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
+            write(out, r);
+        } catch (IOException x) {
+            throw new java.io.UncheckedIOException(x);
+        }
+    }
+
+    /** Writes a book's snapshot: the format's number, then its content. */
+    public static void write(FleetBook book, OutputStream to) {
+        snapshot(new Saved(FORMAT, book.image()), to);
+    }
+
+    /** A snapshot with the format that it is written in. */
+    record Saved(int format, FleetBook.Image image) { }
+
+    /** Reads a book's snapshot. */
+    public static FleetBook.Image snapshot(InputStream from) throws Unreadable {
+        try (JsonParser in = CBOR.createParser(from)) {
+            need(in.nextToken() == JsonToken.START_ARRAY, "no snapshot");
+            int format = in.nextIntValue(-1);
+            need(format >= 1 && format <= FORMAT, "snapshot of format " + format + ", this program reads 1 to " + FORMAT);
+            in.nextToken();
+            return (FleetBook.Image) read(in, FleetBook.Image.class);
+        } catch (Unreadable e) {
+            throw e;
+        } catch (IOException | RuntimeException e) {
+            throw new Unreadable("the snapshot cannot be read: " + e.getMessage(), e);
+        }
+    }
+
+    private static void need(boolean holds, String words) throws Unreadable {
+        if (!holds) {
+            throw new Unreadable(words, null);
+        }
+    }
+
+    private static void write(JsonGenerator out, Object v) throws IOException {
+        if (v instanceof String s) {
+            out.writeString(s);
+        } else if (v instanceof Long n) {
+            out.writeNumber(n);
+        } else if (v instanceof Integer n) {
+            out.writeNumber(n);
+        } else if (v instanceof Double n) {
+            out.writeNumber(n);
+        } else if (v instanceof Boolean b) {
+            out.writeBoolean(b);
+        } else if (v instanceof byte[] b) {
+            out.writeBinary(b);
+        } else if (v instanceof Enum<?> c) {
+            out.writeString(c.name());
+        } else if (v instanceof List<?> l) {
+            out.writeStartArray();
+            for (Object o : l) {
+                write(out, o);
+            }
+            out.writeEndArray();
+        } else {
+            out.writeStartArray();
+            for (RecordComponent c : v.getClass().getRecordComponents()) {
+                try {
+                    write(out, c.getAccessor().invoke(v));
+                } catch (ReflectiveOperationException e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+            out.writeEndArray();
+        }
+    }
+
+    private static Object read(JsonParser in, Type type) throws IOException {
+        if (type == String.class) {
+            need(in.currentToken() == JsonToken.VALUE_STRING, "a string is missing");
+            return in.getText();
+        } else if (type == long.class) {
+            return in.getLongValue();
+        } else if (type == int.class) {
+            return in.getIntValue();
+        } else if (type == double.class) {
+            return in.getDoubleValue();
+        } else if (type == boolean.class) {
+            return in.getBooleanValue();
+        } else if (type == byte[].class) {
+            return in.getBinaryValue();
+        }
+        need(type instanceof Class<?> c && c.isEnum() || in.currentToken() == JsonToken.START_ARRAY, "a list is missing");
+        if (type instanceof ParameterizedType list) {
+            List<Object> items = new ArrayList<>();
+            while (in.nextToken() != JsonToken.END_ARRAY) {
+                items.add(read(in, list.getActualTypeArguments()[0]));
+            }
+            return List.copyOf(items);
+        }
+        Class<?> kind = (Class<?>) type;
+        if (kind.isEnum()) {
+            for (Object c : kind.getEnumConstants()) {
+                if (((Enum<?>) c).name().equals(in.getText())) {
+                    return c;
+                }
+            }
+            throw new Unreadable("unknown " + kind.getSimpleName() + " " + in.getText(), null);
+        }
+        RecordComponent[] parts = kind.getRecordComponents();
+        Object[] values = new Object[parts.length];
+        Class<?>[] types = new Class<?>[parts.length];
+        for (int i = 0; i < parts.length; i++) {
+            need(in.nextToken() != JsonToken.END_ARRAY, kind.getSimpleName() + " lacks " + parts[i].getName());
+            types[i] = parts[i].getType();
+            values[i] = read(in, parts[i].getGenericType());
+        }
+        need(in.nextToken() == JsonToken.END_ARRAY, kind.getSimpleName() + " has more than " + parts.length + " parts");
+        try {
+            Constructor<?> made = kind.getDeclaredConstructor(types);
+            return made.newInstance(values);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
