--- /dev/null
+++ b/src/main/java/plumpost/cli/FleetHost.java
@@ -0,0 +1,79 @@
+package plumpost.cli;
+
+import java.util.Collection;
+import java.util.List;
+import plumpost.config.NodeConfig;
+import plumpost.config.PeersConfig;
+import plumpost.control.Console;
+import plumpost.dispatch.DispatchRoom;
+import plumpost.gearman.GearmanDoor;
+import plumpost.net.Kit;
+import plumpost.net.SelectorLoop;
+import plumpost.peers.Fleet;
+import plumpost.peers.Host;
+import plumpost.peers.Peers;
+import plumpost.platform.Platform;
+
+/** What the fleet asks of this scheduler, carried out by its core and its fronts. */
+final class FleetHost implements Host {
+    private final DispatchRoom room;
+    private final Platform platform;
+    private final GearmanDoor gearman;
+
+    /** A host; {@code gearman} may be null. */
+    FleetHost(DispatchRoom room, Platform platform, GearmanDoor gearman) {
+        this.room = room;
+        this.platform = platform;
+        this.gearman = gearman;
+    }
+
+    /** Makes this scheduler's part in its fleet and joins it to the core and the fronts. */
+    static Fleet begin(NodeConfig config, String data, DispatchRoom room, Platform platform, GearmanDoor gearman,
+                       Console console, Kit kit, SelectorLoop loop) {
+        PeersConfig peers = PeersConfig.read(config.peers(), config.name(), data, config.discovery() != null);
+        Fleet made = Peers.maker().make(peers, new FleetHost(room, platform, gearman), kit, loop::onLoop);
+        console.in(made);
+        if (gearman != null) {
+            gearman.in(made);
+        }
+        platform.in(made::heard);
+        return made;
+    }
+
+    @Override
+    public void banned(String node, boolean out) {
+        room.banned(node, out);
+    }
+
+    @Override
+    public Collection<String> functions() {
+        return gearman == null ? List.of() : gearman.served();
+    }
+
+    @Override
+    public boolean run(Fleet.Job job) {
+        return gearman != null && gearman.runPlanned(job);
+    }
+
+    @Override
+    public void callBack(String id) {
+        if (gearman != null) {
+            gearman.callBack(id);
+        }
+    }
+
+    @Override
+    public void told(String line) {
+        platform.told(line);
+    }
+
+    @Override
+    public void ask(boolean itself, boolean whole) {
+        platform.ask(itself, whole);
+    }
+
+    @Override
+    public boolean hears() {
+        return platform.hears();
+    }
+}
--- a/src/main/java/plumpost/cli/Main.java
+++ b/src/main/java/plumpost/cli/Main.java
@@ -11,11 +11,12 @@
 import plumpost.benchlink.WireHost;
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeConfig;
+import plumpost.config.PeersConfig;
 import plumpost.lab.LabMain;
 
 /** Command line: one word names what to do, options follow. */
 public final class Main {
-    private static final String USAGE = "plumpost serve|rehearse|check|benchlink|lab|version|help [options]";
+    private static final String USAGE = "plumpost serve|rehearse|check|fleet|benchlink|lab|version|help [options]";
 
     private Main() { }
 
@@ -34,8 +35,12 @@
         if (args.length > 0 && args[0].equals("lab")) {
             return LabMain.run(Arrays.copyOfRange(args, 1, args.length), out, err);
         }
+        if (args.length > 0 && args[0].equals("fleet")) {
+            return FleetCommands.run(Arrays.copyOfRange(args, 1, args.length), out, err);
+        }
         Options options = new Options();
         options.addOption("c", "config", true, "configuration file; NODE_CONFIG where it is not given");
+        options.addOption(null, "data", true, "serve: data directory, in place of peers.data");
         try {
             CommandLine line = new DefaultParser().parse(options,
                 args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length));
@@ -44,13 +49,18 @@
             }
             switch (args.length == 0 ? "" : args[0]) {
                 case "serve" -> {
-                    return new Serve(Serve.file(line.getOptionValue("config"))).run();
+                    return new Serve(Serve.file(line.getOptionValue("config")), line.getOptionValue("data")).run();
                 }
                 case "rehearse" -> {
-                    return new Serve(Serve.file(line.getOptionValue("config"))).rehearse();
+                    return new Serve(Serve.file(line.getOptionValue("config")), null).rehearse();
+                }
+                case "check" -> {
+                    NodeConfig c = NodeConfig.read(Serve.file(line.getOptionValue("config")), System.getenv());
+                    if (c.peers() != null) {
+                        PeersConfig.read(c.peers(), c.name(), null, c.discovery() != null);
+                    }
+                    out.println("configuration of " + c.name() + " is in order");
                 }
-                case "check" -> out.println("configuration of " + NodeConfig.read(
-                    Serve.file(line.getOptionValue("config")), System.getenv()).name() + " is in order");
                 case "benchlink" -> {
                     return new WireHost(System.in, out, err).run();
                 }
--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -31,6 +31,7 @@
 import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
 import plumpost.net.WireUser;
+import plumpost.peers.Fleet;
 import plumpost.platform.Platform;
 import plumpost.platform.Rehearsal;
 
@@ -40,6 +41,8 @@
     private static final double GOING_MS = 700;
     /** A file that is being written when SIGHUP comes is whole soon after: it is read so often, at such intervals. */
     private static final int READINGS = 12;
+    /** So long the start waits for what the data directory holds. */
+    private static final double FLEET_MS = 5000;
     private static final double REREAD_MS = 250;
 
     private final Path file;
@@ -63,29 +66,33 @@
     private Json.Fields lastFile;
     private double stopAt = Double.NaN;
 
-    Serve(Path file) throws IOException {
+    /** Its part in a fleet, or null while the file has no peers. */
+    private final Fleet fleet;
+
+    Serve(Path file, String data) throws IOException {
         this.file = file;
         lastFile = NodeConfig.parse(file);
         config = NodeConfig.from(lastFile, System.getenv());
         inheritedFd = System.getenv("NODE_FD");
-        log = Logs.sink(config.name(), config.logFormat());
+        log = Logs.sink(config.name(), config.peers() != null && config.logFormat() == null ? "text" : config.logFormat());
         loop = new SelectorLoop(clock, wheel, counters, this::log);
         room = new DispatchRoom(config.settings(), config.seed(), clock, wheel, counters,
             bounds(Runtime.getRuntime().maxMemory(), config.gearman()), this::log);
         Kit kit = new Kit(loop, clock, wheel, counters, this::log);
         platform = new Platform(config, room, kit, loop::lagMs);
         fronts.add(platform);
-        if (config.gearman() != null) {
-            fronts.add(new GearmanDoor(config, Main.version(), room, kit, () -> new Thread(() -> System.exit(0),
-                "shutdown").start()));
+        GearmanDoor gearman = config.gearman() == null ? null : new GearmanDoor(config, Main.version(), room, kit,
+            () -> new Thread(() -> System.exit(0), "shutdown").start());
+        if (gearman != null) {
+            fronts.add(gearman);
         }
-        if (config.ops() == null) {
-            sharedBans = null;
-        } else {
-            sharedBans = new SharedBans(sharedDirectory(), room, kit);
-            fronts.add(new ControlDoor(config.ops(), controlPlaces(config.sockets()), kit,
-                new Console(room, counters, sharedBans, () -> serving && Double.isNaN(stopAt))));
+        // In a fleet the log keeps the bans, and the data directory belongs to one process.
+        sharedBans = config.ops() == null || config.peers() != null ? null : new SharedBans(sharedDirectory(), room, kit);
+        Console console = new Console(room, counters, sharedBans, () -> serving && Double.isNaN(stopAt));
+        if (config.ops() != null) {
+            fronts.add(new ControlDoor(config.ops(), controlPlaces(config.sockets()), kit, console));
         }
+        fleet = config.peers() == null ? null : FleetHost.begin(config, data, room, platform, gearman, console, kit, loop);
     }
 
     /** Callers of the operators' listener at once: a few dozen, out of the descriptors that jobs need. */
@@ -140,6 +147,9 @@
     int run() throws IOException {
         Signals.onHangup(() -> loop.onLoop(this::hangup));
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
+        for (double until = clock.nowMs() + FLEET_MS; fleet != null && !fleet.ready() && clock.nowMs() < until;) {
+            loop.turn(20); // the bans that the fleet has agreed on hold before anything is served
+        }
         StringBuilder where = new StringBuilder();
         for (Front f : fronts) {
             where.append(' ').append(f.open((at, users, most, batched, unread, shed) -> {
@@ -160,6 +170,9 @@
             platform.askNow();
         }
         Rehearsal.play(config);
+        if (fleet != null) {
+            fleet.begin();
+        }
         fronts.forEach(Front::ready);
         serving = true;
         log("ready," + where);
@@ -204,8 +217,12 @@
     }
 
     private boolean done() {
-        return !Double.isNaN(stopAt) && clock.nowMs() - stopAt >= GOING_MS && room.open() == 0
+        boolean idle = !Double.isNaN(stopAt) && clock.nowMs() - stopAt >= GOING_MS && room.open() == 0
             && fronts.stream().allMatch(Front::quiet);
+        if (idle && fleet != null) {
+            fleet.idle();
+        }
+        return idle && (fleet == null || fleet.quiet());
     }
 
     /**
@@ -249,6 +266,9 @@
             // The next process accepts on the shared socket already: what comes from now on is its to take.
             inheritedDoors.forEach(SelectorLoop.Door::close);
             fronts.forEach(f -> f.stop(GOING_MS));
+            if (fleet != null) {
+                fleet.stop();
+            }
         });
         try {
             ended.await();
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -25,10 +25,18 @@
  * @param gearman the Gearman front, or null while it is off
  * @param logFormat text or json, or null where the file says nothing of the log
  * @param ops where the operators' calls are listened for, or null
+ * @param peers the section that names the schedulers that this one may talk to, as given, or null while there are none
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                          Dispatcher.Settings settings, Fields raw, Fields known,
-                         GearmanConfig gearman, String logFormat, InetSocketAddress ops) {
+                         GearmanConfig gearman, String logFormat, InetSocketAddress ops, Fields peers) {
+
+    /** A configuration without peers. */
+    public NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+                      Dispatcher.Settings settings, Fields raw, Fields known, GearmanConfig gearman, String logFormat,
+                      InetSocketAddress ops) {
+        this(name, listen, discovery, seed, sockets, settings, raw, known, gearman, logFormat, ops, null);
+    }
 
     /**
      * What real links add to the granularity that is told: an order's new connection and the proof that it stands take
@@ -82,7 +90,7 @@
             address(environment, "NODE_LISTEN", f, "listen"), address(environment, "NODE_DISCOVERY", f, "discovery"),
             seed(f.text("seed", "0")), (int) f.objectOrEmpty("limits").number("sockets", 1024), settings, raw,
             f.objectOrEmpty("known"), f.has("gearman") ? GearmanConfig.read(f.object("gearman"), raw) : null,
-            f.has("log") ? logFormat(f.object("log")) : null, address(environment, "NODE_OPS", f, "ops"));
+            f.has("log") ? logFormat(f.object("log")) : null, address(environment, "NODE_OPS", f, "ops"), f.has("peers") ? f.object("peers") : null);
         if (c.listen == null && c.gearman == null) {
             throw new BadInput("configuration: neither listen nor gearman.listen is given");
         }
--- a/src/main/java/plumpost/control/Console.java
+++ b/src/main/java/plumpost/control/Console.java
@@ -2,11 +2,13 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import plumpost.count.Counters;
 import plumpost.count.Statsd;
 import plumpost.dispatch.Bans;
 import plumpost.dispatch.DispatchRoom;
+import plumpost.peers.Fleet;
 
 /** What the operators' calls reach in one process: its readiness, its figures, and the bans shared with its twin. */
 public final class Console implements ControlDoor.Operations {
@@ -17,6 +19,7 @@
     private final Counters counters;
     private final SharedBans shared;
     private final BooleanSupplier ready;
+    private Fleet fleet;
 
     /** A console on a core; {@code shared} may be null where no other process is to be told. */
     public Console(DispatchRoom room, Counters counters, SharedBans shared, BooleanSupplier ready) {
@@ -26,6 +29,30 @@
         this.ready = ready;
     }
 
+    /** From now on what is taken out or called back here is so for the whole fleet. */
+    public void in(Fleet whole) {
+        fleet = whole;
+    }
+
+    /**
+     * In a fleet a node goes out here at once and everywhere when that is agreed on, and comes back once that is agreed
+     * on; a yes is owed only then.
+     */
+    @Override
+    public void change(String node, boolean out, BiConsumer<Bans.Said, String> then) {
+        if (fleet == null) {
+            ControlDoor.Operations.super.change(node, out, then);
+            return;
+        }
+        Bans.Said here = room.known(node) ? out ? room.offline(node) : Bans.Said.CHANGED : Bans.Said.UNKNOWN;
+        if (here == Bans.Said.UNKNOWN) {
+            then.accept(here, "");
+        } else {
+            fleet.ban(node, out, said -> then.accept(said.agreed() ? here : null, "worker " + node + (out
+                ? " is out here only: " : " stays out: ") + said.words()));
+        }
+    }
+
     @Override
     public boolean ready() {
         return ready.getAsBoolean();
--- a/src/main/java/plumpost/control/ControlDoor.java
+++ b/src/main/java/plumpost/control/ControlDoor.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import plumpost.dispatch.Bans;
 import plumpost.front.Front;
 import plumpost.front.Listeners;
@@ -50,6 +51,14 @@
 
         /** Calls a node back. */
         Bans.Said online(String node);
+
+        /**
+         * Takes a node out by hand or calls it back, and tells what came of it, at once or within a second: null and why
+         * where it does not hold everywhere that it should.
+         */
+        default void change(String node, boolean out, BiConsumer<Bans.Said, String> then) {
+            then.accept(out ? offline(node) : online(node), "");
+        }
     }
 
     /** A listener at an address with room for so many callers at once. */
@@ -160,13 +169,17 @@
             if (!out && !what.equals("online") || !Bans.isId(id) || id.indexOf('/') >= 0) {
                 answer(404, "no such call\n", "");
             } else if (only("POST", method)) {
-                Bans.Said said = out ? ops.offline(id) : ops.online(id);
-                kit.counters().count("control." + what + "." + said.name().toLowerCase(java.util.Locale.ROOT));
-                if (said == Bans.Said.UNKNOWN) {
-                    answer(404, "no worker " + id + " is known here\n", "");
-                } else {
-                    answer(200, "worker " + id + (out ? " is out\n" : " is in\n"), "");
-                }
+                ops.change(id, out, (said, why) -> {
+                    kit.counters().count("control." + what + "." + (said == null ? "not_agreed"
+                        : said.name().toLowerCase(java.util.Locale.ROOT)));
+                    if (said == null) {
+                        answer(503, why + "\n", "");
+                    } else if (said == Bans.Said.UNKNOWN) {
+                        answer(404, "no worker " + id + " is known here\n", "");
+                    } else {
+                        answer(200, "worker " + id + (out ? " is out\n" : " is in\n"), "");
+                    }
+                });
             }
         }
 
--- a/src/main/java/plumpost/dispatch/Bans.java
+++ b/src/main/java/plumpost/dispatch/Bans.java
@@ -48,6 +48,11 @@
         return out.contains(id);
     }
 
+    /** Whether the list ever named the node, or somebody banned it. */
+    public boolean known(String id) {
+        return seen.contains(id) || out.contains(id);
+    }
+
     /** How many nodes are out. */
     public int size() {
         return out.size();
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -139,6 +139,21 @@
         return said;
     }
 
+    /** Whether a node was ever listed here, or the fleet has spoken of it. */
+    public boolean known(String node) {
+        return roster.known(node);
+    }
+
+    /** The fleet's word on a node, whether it was ever listed here or not: out by hand, or called back. */
+    public void banned(String node, boolean out) {
+        roster.knows(node);
+        if (out) {
+            offline(node);
+        } else {
+            online(node);
+        }
+    }
+
     /** The bans as text, to hand over to the next process of this scheduler. */
     public String bansText() {
         return roster.bansText();
--- a/src/main/java/plumpost/dispatch/Roster.java
+++ b/src/main/java/plumpost/dispatch/Roster.java
@@ -107,6 +107,15 @@
         n.line.link().leave();
     }
 
+    boolean known(String id) {
+        return bans.known(id);
+    }
+
+    /** Others have had the node listed. */
+    void knows(String id) {
+        bans.saw(id);
+    }
+
     Bans.Said ban(String id) {
         return bans.ban(id);
     }
--- a/src/main/java/plumpost/fleet/Beats.java
+++ b/src/main/java/plumpost/fleet/Beats.java
@@ -21,6 +21,8 @@
     private final double lostMs;
     private final double stoppedMs;
     private final Map<Life, Double> heard = new HashMap<>();
+    /** When each life was first seen in the book by this leader: its time runs from then, not from the leader's start. */
+    private final Map<Life, Double> known = new HashMap<>();
     private double since = Double.NaN;
     private double lookedAt;
 
@@ -34,6 +36,7 @@
     /** This process leads from now on. */
     public void lead(double nowMs) {
         heard.clear();
+        known.clear();
         since = nowMs;
         lookedAt = nowMs;
     }
@@ -43,6 +46,10 @@
         heard.put(new Life(name, incarnation), nowMs);
     }
 
+    private static boolean over(Life l, Collection<Session> sessions) {
+        return sessions.stream().noneMatch(s -> s.name().equals(l.name) && s.incarnation() == l.incarnation && s.live());
+    }
+
     /** What is to be proposed now, under the leader's term. */
     public List<Entry> look(Collection<Session> sessions, long term, double nowMs) {
         if (Double.isNaN(since) || nowMs - lookedAt > stoppedMs) {
@@ -50,16 +57,19 @@
         }
         lookedAt = nowMs;
         List<Entry> all = new ArrayList<>();
-        heard.keySet().removeIf(l -> sessions.stream().noneMatch(s -> s.name().equals(l.name)
-            && s.incarnation() == l.incarnation && s.live()));
+        heard.keySet().removeIf(l -> over(l, sessions));
+        known.keySet().removeIf(l -> over(l, sessions));
         for (Session s : sessions) {
             if (s.live()) {
                 Double last = heard.get(new Life(s.name(), s.incarnation()));
-                double silent = nowMs - (last == null ? since : last);
+                double first = known.computeIfAbsent(new Life(s.name(), s.incarnation()), l -> nowMs);
+                double silent = nowMs - (last == null ? first : last);
                 Entry.Verdict v = silent >= lostMs ? Entry.Verdict.LOST : silent >= suspectMs ? Entry.Verdict.SUSPECT
                     : last == null ? null : Entry.Verdict.ALIVE;
-                if (v != null && !(v == Entry.Verdict.ALIVE && s.state() == State.ALIVE
-                    || v == Entry.Verdict.SUSPECT && s.state() == State.SUSPECT)) {
+                boolean same = v == Entry.Verdict.ALIVE && s.state() == State.ALIVE
+                    || v == Entry.Verdict.SUSPECT && s.state() == State.SUSPECT
+                    || v != Entry.Verdict.LOST && s.state() == State.LEAVING;
+                if (v != null && !same) {
                     all.add(new Entry.Judge(s.name(), s.incarnation(), v, term));
                 }
             }
--- a/src/main/java/plumpost/fleet/Duties.java
+++ b/src/main/java/plumpost/fleet/Duties.java
@@ -99,7 +99,8 @@
     }
 
     private boolean owned(Duty d, Sessions sessions) {
-        return !d.owner.isEmpty() && sessions.live(d.owner, d.incarnation) && sessions.of(d.owner).offers(d.name);
+        return !d.owner.isEmpty() && sessions.live(d.owner, d.incarnation)
+            && sessions.of(d.owner).state() != State.LEAVING && sessions.of(d.owner).offers(d.name);
     }
 
     private static boolean atHome(Duty d, Session s) {
--- a/src/main/java/plumpost/fleet/Entry.java
+++ b/src/main/java/plumpost/fleet/Entry.java
@@ -26,8 +26,8 @@
     /** What can be thought of a life. */
     enum Verdict { ALIVE, SUSPECT, LOST }
 
-    /** A scheduler ends in order. */
-    record Leave(String name, long incarnation) implements Entry { }
+    /** A scheduler ends in order: first it passes its duties on and finishes what it has, at {@code last} it is gone. */
+    record Leave(String name, long incarnation, boolean last) implements Entry { }
 
     /** An operator takes a scheduler out for good: its data directory never joins again. */
     record Remove(String name) implements Entry { }
@@ -45,10 +45,10 @@
     record Word(String duty, long fence, long seq, boolean whole, String text) implements Entry { }
 
     /**
-     * A job that is to start at a time, in Unix milliseconds; {@code again} says whether it may run twice. A second job
-     * under one key is the first one.
+     * A job that is to start at a time, in Unix milliseconds; its id is the handle that its client was given; {@code
+     * again} says whether it may run twice. A second job under one key is the first one.
      */
-    record Plan(String id, String handle, String function, String unique, byte[] body, double atMs, boolean again)
+    record Plan(String id, String function, String unique, byte[] body, double atMs, boolean again)
         implements Entry { }
 
     /** The schedule's owner gives a job whose time has come to a life that is to run it. */
--- a/src/main/java/plumpost/fleet/FleetCodec.java
+++ b/src/main/java/plumpost/fleet/FleetCodec.java
@@ -86,8 +86,8 @@
         }
     }
 
-    /** The bytes of a record that is no entry: an outcome. */
-    static byte[] plain(Record r) {
+    /** An outcome's bytes. */
+    public static byte[] bytes(Outcome r) {
         ByteArrayOutputStream all = new ByteArrayOutputStream(64);
         snapshot(r, all);
         return all.toByteArray();
--- /dev/null
+++ b/src/main/java/plumpost/fleet/FleetLog.java
@@ -0,0 +1,36 @@
+package plumpost.fleet;
+
+import java.util.function.Consumer;
+
+/** Port to the replicated log. All that it calls back with is called on the scheduler's loop. */
+public interface FleetLog {
+    /** Who hears of the log; called on the scheduler's loop, in the log's order. */
+    interface Ear {
+        /** An entry was applied. */
+        void applied(Entry e, long term);
+
+        /** The book stands like this now: at the start, or where a snapshot took the place of entries. */
+        void restored(FleetBook.Image image);
+
+        /** What the data directory holds has been read. */
+        void started();
+
+        /** This scheduler can take part in the fleet no longer, and why; it serves on by itself. */
+        void halted(String why);
+    }
+
+    /**
+     * Proposes an entry; then tells what applying it came to, or null where that is not known: it may yet be applied, or
+     * never.
+     */
+    void propose(Entry e, Consumer<Outcome> then);
+
+    /**
+     * Lets the leader hear a life; then tells whether a leader that a majority follows has heard it and whether that life
+     * goes on: true, false, or null where none has answered.
+     */
+    void beat(String name, long incarnation, Consumer<Boolean> then);
+
+    /** Leaves the log; nothing is called back after it. */
+    void close();
+}
--- a/src/main/java/plumpost/fleet/Plans.java
+++ b/src/main/java/plumpost/fleet/Plans.java
@@ -33,10 +33,10 @@
     }
 
     /** A job; {@code tries} counts how often it was begun. */
-    public record Job(String id, String handle, String function, String unique, byte[] body, double atMs, boolean again,
+    public record Job(String id, String function, String unique, byte[] body, double atMs, boolean again,
                       State state, String target, long incarnation, long fence, int tries) {
         Job in(State next, String who, long life, long under) {
-            return new Job(id, handle, function, unique, body, atMs, again, next, who, life, under,
+            return new Job(id, function, unique, body, atMs, again, next, who, life, under,
                 tries + (next == State.BEGUN ? 1 : 0));
         }
     }
@@ -62,11 +62,16 @@
         return byId.get(byKey.getOrDefault(key(function, unique), ""));
     }
 
-    /** Handles of the last jobs given up since they may have run. */
+    /** Ids of the last jobs given up since they may have run. */
     public List<String> givenUp() {
         return List.copyOf(givenUp);
     }
 
+    /** How many are over, given up ones too. */
+    public long ended() {
+        return ended;
+    }
+
     private static String key(String function, String unique) {
         return function + '\0' + unique;
     }
@@ -75,12 +80,12 @@
         Job same = byId.get(p.id());
         same = same != null || p.unique().isEmpty() ? same : under(p.function(), p.unique());
         if (same != null) {
-            return new Outcome(true, 0, same.handle);
+            return new Outcome(true, 0, same.id);
         }
         if (byId.size() >= MOST || bytes + p.body().length > MOST_BYTES) {
             return Outcome.refused("the fleet's schedule is full: " + byId.size() + " jobs, " + bytes + " bytes");
         }
-        Job j = new Job(p.id(), p.handle(), p.function(), p.unique(), p.body(), p.atMs(), p.again(), State.WAITING, "", 0,
+        Job j = new Job(p.id(), p.function(), p.unique(), p.body(), p.atMs(), p.again(), State.WAITING, "", 0,
             0, 0);
         byId.put(j.id, j);
         if (!p.unique().isEmpty()) {
@@ -88,7 +93,7 @@
         }
         bytes += j.body.length;
         news.add(new News.Planned(j));
-        return new Outcome(true, 0, j.handle);
+        return new Outcome(true, 0, j.id);
     }
 
     Outcome fire(Entry.Fire f, String wrongFence, Sessions sessions, Collection<News> news) {
@@ -99,7 +104,8 @@
         if (j == null || j.state != State.WAITING) {
             return Outcome.refused("job " + f.id() + " is " + (j == null ? "over" : j.state + " at " + j.target));
         }
-        if (!sessions.live(f.target(), f.incarnation())) {
+        if (!sessions.live(f.target(), f.incarnation())
+            || sessions.of(f.target()).state() == Sessions.State.LEAVING) {
             return Outcome.refused("no such life as " + f.target() + "#" + f.incarnation());
         }
         put(j.in(State.FIRED, f.target(), f.incarnation(), f.fence()), news);
@@ -149,7 +155,7 @@
                     if (givenUp.size() >= MOST_GIVEN_UP) {
                         givenUp.remove(0);
                     }
-                    givenUp.add(j.handle);
+                    givenUp.add(j.id);
                     over(j, news);
                 }
             }
--- a/src/main/java/plumpost/fleet/Sessions.java
+++ b/src/main/java/plumpost/fleet/Sessions.java
@@ -21,6 +21,8 @@
         ALIVE,
         /** Not heard for a while: it keeps its duties and gets no new ones. */
         SUSPECT,
+        /** It ends in order: it has no duties any more and finishes what it was told to run. */
+        LEAVING,
         /** Not heard for too long: its life is over. */
         LOST,
         /** It ended in order. */
@@ -34,7 +36,7 @@
                           List<Offer> offers, long incarnation, State state, List<String> functions) {
         /** Whether this life goes on, as far as the fleet has agreed. */
         public boolean live() {
-            return state == State.ALIVE || state == State.SUSPECT;
+            return state == State.ALIVE || state == State.SUSPECT || state == State.LEAVING;
         }
 
         Session in(State next) {
@@ -105,14 +107,17 @@
         if (!live(j.name(), j.incarnation())) {
             return Outcome.refused("no such life");
         }
-        change(j.name(), j.verdict() == Verdict.ALIVE ? State.ALIVE : j.verdict() == Verdict.SUSPECT ? State.SUSPECT
-            : State.LOST, news);
+        if (j.verdict() == Verdict.LOST) {
+            change(j.name(), State.LOST, news);
+        } else if (byName.get(j.name()).state != State.LEAVING) {
+            change(j.name(), j.verdict() == Verdict.ALIVE ? State.ALIVE : State.SUSPECT, news);
+        }
         return Outcome.DONE;
     }
 
     Outcome leave(Entry.Leave l, Collection<News> news) {
         if (live(l.name(), l.incarnation())) {
-            change(l.name(), State.LEFT, news);
+            change(l.name(), l.last() ? State.LEFT : State.LEAVING, news);
         }
         return Outcome.DONE;
     }
--- /dev/null
+++ b/src/main/java/plumpost/fleet/engine/RatisLog.java
@@ -0,0 +1,440 @@
+package plumpost.fleet.engine;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.ratis.client.RaftClient;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientReply;
+import org.apache.ratis.protocol.RaftGroup;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.protocol.RaftPeer;
+import org.apache.ratis.protocol.SetConfigurationRequest;
+import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.LifeCycle;
+import plumpost.config.PeersConfig;
+import plumpost.fleet.Beats;
+import plumpost.fleet.Entry;
+import plumpost.fleet.FleetBook;
+import plumpost.fleet.FleetCodec;
+import plumpost.fleet.FleetLog;
+import plumpost.fleet.Outcome;
+import plumpost.fleet.Sessions;
+
+/**
+ * The replicated log on Apache Ratis. Joins a fleet by itself: the file's first voter founds it, alone, once every other
+ * voter of the file was reached and is in none; whoever else has an empty directory, also a voter whose disk was wiped,
+ * asks a member that is in it and joins under its directory's new identity, in place of the old one of its name. What was
+ * forgotten is therefore never voted with.
+ */
+final class RatisLog implements FleetLog, BookMachine.Listener {
+    private static final long LOOK_MS = 100;
+    private static final long TRY_MS = 300;
+    private static final int MOST_BEATS = 2;
+    private static final int WRITERS = 16;
+
+    private final PeersConfig config;
+    private final DataDirectory data;
+    private final Ear ear;
+    private final Executor loop;
+    private final Consumer<String> log;
+    private final RaftGroupId id;
+    private final RaftPeer self;
+    /** Becoming and staying a member may wait for others; what is proposed must not wait for that. */
+    private final ScheduledExecutorService own = thread("fleet");
+    private final ScheduledExecutorService calls = thread("fleet-calls");
+    /** Each proposal is a call of its own: one that hangs on a leader that was stopped holds up no other. */
+    private final ExecutorService writers = Executors.newFixedThreadPool(WRITERS, r -> named(r, "fleet-writer"));
+    private final BookMachine machine;
+    private final Beats beats;
+    private RaftServer server;
+    private volatile RaftClient client;
+    private volatile boolean closed;
+    private volatile int beating;
+    private boolean settled;
+    private String said = "";
+
+    RatisLog(PeersConfig config, DataDirectory data, Ear ear, Executor loop, Consumer<String> log) {
+        this.config = config;
+        this.data = data;
+        this.ear = ear;
+        this.loop = loop;
+        this.log = log;
+        this.id = Engine.group(config.group());
+        this.self = PeerNames.peer(config.self(), data.disk());
+        this.beats = new Beats(config.lostMs() * 2 / 3, config.lostMs(), 5 * LOOK_MS);
+        this.machine = new BookMachine(this, this::answer);
+        PeerNames.know(config);
+    }
+
+    private static ScheduledExecutorService thread(String name) {
+        return Executors.newSingleThreadScheduledExecutor(r -> named(r, name));
+    }
+
+    private static Thread named(Runnable r, String name) {
+        Thread t = new Thread(r, name);
+        t.setDaemon(true);
+        t.setContextClassLoader(RatisLog.class.getClassLoader()); // the engine looks its own classes up by it
+        return t;
+    }
+
+    /** Starts the engine in the background; what is wrong with the directory's content is told to the ear. */
+    void start() {
+        own.execute(() -> {
+            try {
+                server = RaftServer.newBuilder().setServerId(self.getId()).setProperties(Engine.server(config, data))
+                    .setStateMachineRegistry(g -> machine).setOption(RaftStorage.StartupOption.RECOVER).build();
+                server.start();
+                loop.execute(ear::started);
+                own.schedule(this::settle, 0, TimeUnit.MILLISECONDS);
+                own.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+            } catch (IOException | RuntimeException | LinkageError e) {
+                halted("the engine does not start on " + data.log() + ": " + cause(e));
+            }
+        });
+    }
+
+    private static String cause(Throwable e) {
+        Throwable t = e;
+        while (t.getCause() != null && t.getCause() != t) {
+            t = t.getCause();
+        }
+        return t.toString();
+    }
+
+    private void say(String words) {
+        if (!words.equals(said)) {
+            said = words;
+            log.accept("fleet: " + words);
+        }
+    }
+
+    // ---- becoming a member ----
+
+    private void settle() {
+        if (closed) {
+            return;
+        }
+        try {
+            if (isMember()) {
+                settled = true;
+                say("member " + self.getId() + " of " + config.group());
+                return;
+            }
+            RaftGroup group = null;
+            int empty = 0;
+            for (PeersConfig.Member m : config.members()) {
+                if (group == null && m.vote() && !m.name().equals(config.self().name())) {
+                    try {
+                        group = Engine.ask(id, m);
+                        empty += group == null ? 1 : 0;
+                    } catch (IOException | RuntimeException e) {
+                        say("waiting for members: " + m.name() + " is not reached");
+                    }
+                }
+            }
+            if (group != null && !group.getPeers().isEmpty()) {
+                join(group);
+            } else if (config.voters().get(0).name().equals(config.self().name())
+                && empty == config.voters().size() - 1) {
+                say("founding " + config.group());
+                try (RaftClient c = Engine.client(RaftGroup.valueOf(id, self), 3)) {
+                    c.getGroupManagementApi(self.getId()).add(RaftGroup.valueOf(id, self));
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            say("joining: " + cause(e));
+        }
+        own.schedule(this::settle, TRY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean has() {
+        for (RaftGroupId g : server.getGroupIds()) {
+            if (g.equals(id)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether the log's configuration, as far as it is known here, names this very directory. */
+    private boolean isMember() throws IOException {
+        return has() && server.getDivision(id).getRaftConf().getPeer(self.getId(), RaftPeerRole.FOLLOWER,
+            RaftPeerRole.LISTENER) != null;
+    }
+
+    private void join(RaftGroup group) throws IOException {
+        List<RaftPeer> others = new ArrayList<>();
+        boolean named = false;
+        for (RaftPeer p : group.getPeers()) {
+            named |= p.getId().equals(self.getId());
+            if (!PeerNames.name(p.getId()).equals(config.self().name())) {
+                others.add(p);
+            }
+        }
+        if (others.isEmpty()) {
+            say("joining: the fleet knows only this scheduler's lost directory; restore it, or found the fleet anew");
+            return;
+        }
+        if (!has()) {
+            try (RaftClient c = Engine.client(RaftGroup.valueOf(id, self), 3)) {
+                // Without itself in it: until the log names it, it neither votes nor stands for election.
+                c.getGroupManagementApi(self.getId()).add(RaftGroup.valueOf(id, others));
+            }
+        }
+        if (!named) {
+            say("joining " + config.group() + " through " + others);
+            List<RaftPeer> next = new ArrayList<>(others);
+            next.add(self);
+            configure(RaftGroup.valueOf(id, group.getPeers()), group.getPeers(), next);
+        }
+    }
+
+    private static List<RaftPeer> role(Collection<RaftPeer> peers, boolean voters) {
+        return peers.stream().filter(p -> (p.getStartupRole() != RaftPeerRole.LISTENER) == voters).toList();
+    }
+
+    private static void configure(RaftGroup through, Collection<RaftPeer> now, Collection<RaftPeer> next) throws IOException {
+        try (RaftClient c = Engine.client(through, 5)) {
+            RaftClientReply r = c.admin().setConfiguration(SetConfigurationRequest.Arguments.newBuilder()
+                .setServersInNewConf(role(next, true)).setListenersInNewConf(role(next, false))
+                .setServersInCurrentConf(role(now, true)).setListenersInCurrentConf(role(now, false))
+                .setMode(SetConfigurationRequest.Mode.COMPARE_AND_SET).build());
+            if (!r.isSuccess()) {
+                throw new IOException(String.valueOf(r.getException()));
+            }
+        }
+    }
+
+    // ---- the leader's part ----
+
+    private static double nowMs() {
+        return System.nanoTime() / 1e6;
+    }
+
+    private boolean leads() {
+        try {
+            return settled && server.getDivision(id).getInfo().isLeaderReady();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Called at intervals: the leader tells who is not heard, and takes removed members out of the engine's group. */
+    private void look() {
+        try {
+            if (closed || !settled) {
+                return;
+            }
+            if (server.getLifeCycleState() != LifeCycle.State.RUNNING
+                || server.getDivision(id).getInfo().getLifeCycleState().isClosingOrClosed()) {
+                halted("the engine has stopped");
+                close();
+                return;
+            }
+            if (!leads()) {
+                beats.lead(nowMs());
+                return;
+            }
+            List<Entry> due;
+            List<String> gone = new ArrayList<>();
+            synchronized (machine) {
+                due = beats.look(machine.book().sessions().all(), server.getDivision(id).getInfo().getCurrentTerm(), nowMs());
+                for (Sessions.Session s : machine.book().sessions().all()) {
+                    if (s.state() == Sessions.State.REMOVED) {
+                        gone.add(s.name() + "." + s.disk());
+                    }
+                }
+            }
+            due.forEach(e -> propose(e, o -> { }));
+            Collection<RaftPeer> now = server.getDivision(id).getGroup().getPeers();
+            List<RaftPeer> next = now.stream().filter(p -> !gone.contains(p.getId().toString())).toList();
+            if (next.size() < now.size() && !role(next, true).isEmpty()) {
+                configure(RaftGroup.valueOf(id, now), now, next);
+            }
+        } catch (IOException | RuntimeException e) {
+            say("as leader: " + cause(e));
+        }
+    }
+
+    /** Answers a question to the leader: called under the machine's lock. */
+    private String answer(String question) {
+        String[] words = question.split(" ");
+        if (words[0].equals("beat")) {
+            long incarnation = Long.parseLong(words[2]);
+            beats.beat(words[1], incarnation, nowMs());
+            return machine.book().sessions().live(words[1], incarnation) ? "live" : "over";
+        }
+        return FleetPage.json(machine.book(), leaderName());
+    }
+
+    private String leaderName() {
+        try {
+            return PeerNames.name(server.getDivision(id).getInfo().getLeaderId());
+        } catch (IOException | RuntimeException e) {
+            return "";
+        }
+    }
+
+    // ---- FleetLog ----
+
+    private RaftClient client() throws IOException {
+        RaftClient c = client;
+        if (c == null) {
+            if (!has() || server.getDivision(id).getGroup().getPeers().isEmpty()) {
+                throw new IOException("not a member yet");
+            }
+            c = Engine.client(server.getDivision(id).getGroup(), 5);
+            client = c;
+        }
+        return c;
+    }
+
+    /** A client that failed is made anew, with the members as they are known now. */
+    private void failed(RaftClient c) {
+        calls.execute(() -> {
+            if (client == c && c != null) {
+                client = null;
+                shut(c);
+            }
+        });
+    }
+
+    private void call(java.util.function.Function<RaftClient, CompletableFuture<RaftClientReply>> what,
+                      Consumer<RaftClientReply> then) {
+        try {
+            calls.execute(() -> {
+                RaftClient c = null;
+                try {
+                    c = client();
+                    RaftClient used = c;
+                    what.apply(c).whenComplete((reply, fault) -> {
+                        if (fault != null) {
+                            failed(used);
+                        }
+                        loop.execute(() -> then.accept(fault != null || !reply.isSuccess() ? null : reply));
+                    });
+                } catch (IOException | RuntimeException e) {
+                    failed(c);
+                    loop.execute(() -> then.accept(null));
+                }
+            });
+        } catch (java.util.concurrent.RejectedExecutionException e) {
+            loop.execute(() -> then.accept(null)); // closed meanwhile
+        }
+    }
+
+    @Override
+    public void propose(Entry e, Consumer<Outcome> then) {
+        Message m = Message.valueOf(ByteString.copyFrom(FleetCodec.bytes(e)));
+        call(c -> CompletableFuture.supplyAsync(() -> {
+            try {
+                return c.io().send(m);
+            } catch (IOException x) {
+                throw new CompletionException(x);
+            }
+        }, writers), reply -> {
+            try {
+                then.accept(reply == null ? null : FleetCodec.outcome(reply.getMessage().getContent().toByteArray()));
+            } catch (FleetCodec.Unreadable x) {
+                log.accept("fleet: " + x.getMessage());
+                then.accept(null);
+            }
+        });
+    }
+
+    @Override
+    public void beat(String name, long incarnation, Consumer<Boolean> then) {
+        if (beating >= MOST_BEATS) {
+            loop.execute(() -> then.accept(null));
+            return;
+        }
+        beating++; // on the loop only
+        call(c -> c.async().sendReadOnlyUnordered(Message.valueOf("beat " + name + " " + incarnation)), reply -> {
+            beating--;
+            then.accept(reply == null ? null : reply.getMessage().getContent().toStringUtf8().equals("live"));
+        });
+    }
+
+    @Override
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        calls.execute(() -> {
+            if (client != null) {
+                shut(client);
+            }
+        });
+        calls.shutdown();
+        writers.shutdown();
+        own.execute(() -> {
+            if (server != null) {
+                handOver();
+                shut(server);
+            }
+            shut(data);
+        });
+        own.shutdown();
+    }
+
+    /** A leader that ends in order lets another one lead first: nobody then waits for an election. */
+    private void handOver() {
+        if (!leads()) {
+            return;
+        }
+        try (RaftClient c = Engine.client(server.getDivision(id).getGroup(), 1)) {
+            for (RaftPeer p : role(server.getDivision(id).getGroup().getPeers(), true)) {
+                boolean alive;
+                synchronized (machine) {
+                    Sessions.Session s = machine.book().sessions().of(PeerNames.name(p.getId()));
+                    alive = s != null && s.state() == Sessions.State.ALIVE;
+                }
+                if (alive && !p.getId().equals(self.getId()) && c.admin().transferLeadership(p.getId(), 500).isSuccess()) {
+                    return;
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            say("leadership is not passed on: " + cause(e));
+        }
+    }
+
+    private void shut(Closeable what) {
+        try {
+            what.close();
+        } catch (IOException | RuntimeException e) {
+            log.accept("fleet: closing: " + cause(e));
+        }
+    }
+
+    // ---- BookMachine.Listener, on the engine's threads ----
+
+    @Override
+    public void applied(Entry e, long term) {
+        loop.execute(() -> ear.applied(e, term));
+    }
+
+    @Override
+    public void restored(FleetBook.Image image) {
+        loop.execute(() -> ear.restored(image));
+    }
+
+    @Override
+    public void halted(String why) {
+        loop.execute(() -> ear.halted(why));
+    }
+}
--- a/src/main/java/plumpost/gearman/AdminLines.java
+++ b/src/main/java/plumpost/gearman/AdminLines.java
@@ -1,6 +1,7 @@
 package plumpost.gearman;
 
 import java.util.List;
+import java.util.function.Consumer;
 import plumpost.config.GearmanConfig;
 import plumpost.dispatch.LedgerEntry;
 import plumpost.dispatch.Tallies;
@@ -20,8 +21,19 @@
         this.version = version;
     }
 
-    /** The answer to a line. */
-    String answer(String line) {
+    /** Answers a line, at once but for a call that a fleet has to agree on. */
+    void answer(String line, Consumer<String> to) {
+        String[] w = line.split("\\s+");
+        if (door.fleet != null && w.length == 3 && w[0].equalsIgnoreCase("cancel") && w[1].equalsIgnoreCase("job")
+            && door.config.allowed().contains("cancel") && door.fleet.fleet().planned(w[2]) != null) {
+            door.fleet.fleet().callOff(w[2], said -> to.accept(said.agreed() ? OK
+                : "ERR JOB_NOT_CALLED_OFF " + said.words().replace(' ', '+') + "\n"));
+        } else {
+            to.accept(answer(line));
+        }
+    }
+
+    private String answer(String line) {
         String[] w = line.split("\\s+");
         String command = w[0].toLowerCase(java.util.Locale.ROOT);
         door.kit.counters().count("gearman.admin");
@@ -78,6 +90,9 @@
             door.room.each(e -> all.append(door.handle(e.sheet().id())).append('\t')
                 .append(Math.max(0, e.tries() - 1)).append("\t0\t").append(e.running() ? 0 : 1).append('\n'));
             door.schedule.all().forEach(e -> all.append(door.handle(e.sheet().id())).append("\t0\t0\t0\n"));
+            if (door.fleet != null) {
+                door.fleet.handles().forEach(h -> all.append(h).append("\t0\t0\t0\n"));
+            }
             return all.append(".\n").toString();
         }
         if (w.length == 3 && w[1].equalsIgnoreCase("unique") && w[2].equalsIgnoreCase("jobs")) {
--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -96,7 +96,7 @@
                 door.kit.counters().count(p.type().inCounter);
                 packet(p);
             } else if (line != null) {
-                list(door.admin.answer(line));
+                door.admin.answer(line, this::list);
             }
             return p != null || line != null;
         } catch (PacketReader.BadPacket e) {
--- a/src/main/java/plumpost/gearman/ClientSide.java
+++ b/src/main/java/plumpost/gearman/ClientSide.java
@@ -4,6 +4,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.time.DateTimeException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.LinkedHashSet;
@@ -13,23 +14,38 @@
 import plumpost.dispatch.LedgerEntry;
 import plumpost.gearman.FunctionTable.Function;
 import plumpost.gearman.Packet.Type;
+import plumpost.peers.Fleet;
 
 /** A client's side of a connection: what it submits, asks and is told. */
 final class ClientSide {
     private static final int UNIQUE_LIMIT = 1024;
+    private static final int MOST_HELD = 256;
 
     private final GearmanDoor door;
     private final Caller caller;
     private final Set<Submission> waiting = new LinkedHashSet<>();
     private int background;
     private boolean exceptions;
+    private boolean asking;
+    private final ArrayDeque<Packet> held = new ArrayDeque<>(0);
 
     ClientSide(GearmanDoor door, Caller caller) {
         this.door = door;
         this.caller = caller;
     }
 
+    /** Answers come in the order of the questions: what follows a job that the fleet is asked about waits for it. */
     void packet(Packet p) {
+        if (!asking) {
+            take(p);
+        } else if (held.size() < MOST_HELD) {
+            held.add(p);
+        } else {
+            not("busy", "more than " + MOST_HELD + " packets while the fleet is asked");
+        }
+    }
+
+    private void take(Packet p) {
         switch (p.type()) {
             case SUBMIT_JOB -> submit(p, 2, null, 0, false);
             case SUBMIT_JOB_HIGH -> submit(p, 2, null, 1, false);
@@ -67,6 +83,10 @@
             caller.write(Type.STATUS_RES, p.parts().get(0), 1, 0, 0, 0);
             return;
         }
+        if (e == null && door.fleet != null && door.fleet.fleet().planned(p.text(0)) != null) {
+            caller.write(Type.STATUS_RES, p.parts().get(0), 1, door.fleet.fleet().fired(p.text(0)) ? 1 : 0, 0, 0);
+            return;
+        }
         boolean running = e != null && e.running();
         caller.write(Type.STATUS_RES, p.parts().get(0), e == null ? 0 : 1, running ? 1 : 0,
             e == null ? 0 : Math.round(e.share() * 100), e == null ? 0 : 100);
@@ -78,14 +98,15 @@
         for (Function f : door.functions.all()) {
             String key = key(f, p.text(0));
             e = e == null ? door.room.entryOf(key) : e;
-            later |= door.schedule.ofUnique(key) != null;
+            later |= door.schedule.ofUnique(key) != null
+                || door.fleet != null && door.fleet.fleet().planned(f.name, p.text(0)) != null;
         }
         boolean running = e != null && e.running();
         caller.write(Type.STATUS_RES_UNIQUE, p.parts().get(0), e == null && !later ? 0 : 1, running ? 1 : 0,
             e == null ? 0 : Math.round(e.share() * 100), e == null ? 0 : 100, e == null ? 0 : e.clients());
     }
 
-    private static String key(Function f, String unique) {
+    static String key(Function f, String unique) {
         return f.name + '\0' + unique;
     }
 
@@ -141,6 +162,16 @@
             caller.write(Type.JOB_CREATED, door.handle(later.sheet().id()));
             return;
         }
+        Fleet.Job planned = door.fleet == null ? null : door.fleet.under(sheet);
+        if (planned != null && (sheet.unique() == null || door.room.entryOf(sheet.unique()) == null)) {
+            if (inBackground) {
+                caller.write(Type.JOB_CREATED, planned.id());
+            } else {
+                not("scheduled", planned.id() + (door.fleet.fleet().fired(planned.id()) ? " runs at another scheduler"
+                    : " is to run at " + Math.round(planned.atMs() / 1000)));
+            }
+            return;
+        }
         boolean joins = sheet.unique() != null
             && (door.room.entryOf(sheet.unique()) != null || door.room.keeps(sheet.unique()));
         if (!joins && full(sheet)) {
@@ -219,6 +250,19 @@
             caller.write(Type.JOB_CREATED, door.handle(open.sheet().id())); // the same job is open already
         } else if (same != null) {
             caller.write(Type.JOB_CREATED, door.handle(same.sheet().id()));
+        } else if (door.fleet != null) {
+            asking = true;
+            door.fleet.plan(sheet, atMs, said -> {
+                asking = false;
+                if (said.agreed()) {
+                    caller.write(Type.JOB_CREATED, said.words());
+                } else {
+                    not(said.known() ? "schedule_full" : "fleet", said.words());
+                }
+                while (!asking && !held.isEmpty()) {
+                    take(held.poll());
+                }
+            });
         } else if (lack != null) {
             not("schedule_full", lack + " is used up");
         } else {
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanDoor.java
@@ -20,6 +20,7 @@
 import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
+import plumpost.peers.Fleet;
 import plumpost.time.TimerWheel;
 
 /** The Gearman front: takes clients and workers in; its workers are the route nodes of a node list of its own. */
@@ -50,6 +51,8 @@
     private long ids;
     private long taken;
     private boolean stopping;
+    /** Scheduled jobs are the fleet's where there is one; else null. */
+    FleetJobs fleet;
 
     /** A front whose handles carry the scheduler's name, and whose job ids start anew with each seed. */
     public GearmanDoor(NodeConfig node, String version, DispatchRoom room, Kit kit, Runnable shutdown) {
@@ -92,6 +95,9 @@
     /** From here on new jobs are answered with an error; what clients wait for goes on, the rest ends with the process. */
     private void refuse() {
         stopping = true;
+        if (fleet != null) {
+            fleet.callBackAll();
+        }
         long lost = schedule.all().size() + room.drop(e -> e.sheet().work().name() != null && e.background());
         kit.counters().add("gearman.lost_at_stop", lost);
         if (lost > 0) {
@@ -137,6 +143,28 @@
         callers.remove(c);
     }
 
+    // ---- the fleet ----
+
+    /** From now on scheduled jobs are planned with a fleet. */
+    public void in(Fleet whole) {
+        fleet = new FleetJobs(this, whole);
+    }
+
+    /** The functions that have workers here. */
+    public List<String> served() {
+        return functions.all().stream().filter(f -> f.workers > 0).map(f -> f.name).toList();
+    }
+
+    /** Runs a planned job for the fleet; false where it cannot be taken now. */
+    public boolean runPlanned(Fleet.Job job) {
+        return fleet.run(job);
+    }
+
+    /** A planned job is not this scheduler's any more: called off where no worker has it. */
+    public void callBack(String id) {
+        fleet.callBack(id);
+    }
+
     // ---- scheduled jobs ----
 
     void later(JobSheet sheet, double atMs) {
--- a/src/main/java/plumpost/log/Lines.java
+++ b/src/main/java/plumpost/log/Lines.java
@@ -13,11 +13,16 @@
 /** A logger of lines; warnings and all above are told, and what is below from info on. */
 final class Lines extends LegacyAbstractLogger {
     private static final long serialVersionUID = 1L;
+    /** The fleet's engine tells at length of each connection: of it only errors are printed. */
+    private final boolean library;
     private static volatile String who = "plumpost";
     private static volatile boolean json;
+    private static final long LIBRARY_NS = 10_000_000_000L;
+    private static long toldAt;
 
     Lines(String name) {
         this.name = name;
+        library = name.startsWith("org.apache.ratis");
     }
 
     static void begin(String name, boolean asJson) {
@@ -51,10 +56,21 @@
     @Override
     protected void handleNormalizedLoggingCall(Level level, Marker marker, String pattern, Object[] arguments,
                                                Throwable thrown) {
+        if (library && !dueAgain()) {
+            return;
+        }
         System.err.println(line(who, json, level, name, MessageFormatter.basicArrayFormat(pattern, arguments),
             thrown));
     }
 
+    /** Of a library's errors, which come by the hundred where a peer is gone, one in so many seconds is told. */
+    private static synchronized boolean dueAgain() {
+        long now = System.nanoTime();
+        boolean due = toldAt == 0 || now - toldAt > LIBRARY_NS;
+        toldAt = due ? now : toldAt;
+        return due;
+    }
+
     @Override
     protected String getFullyQualifiedCallerName() {
         return null;
@@ -72,12 +88,12 @@
 
     @Override
     public boolean isInfoEnabled() {
-        return true;
+        return !library;
     }
 
     @Override
     public boolean isWarnEnabled() {
-        return true;
+        return !library;
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/plumpost/peers/Peers.java
@@ -0,0 +1,68 @@
+package plumpost.peers;
+
+import java.io.IOException;
+import java.net.MalformedURLException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import plumpost.config.Json.BadInput;
+
+/**
+ * Brings the fleet's part of the program in where a file has {@code peers}. Its engine's libraries lie in {@code
+ * lib/fleet} beside the jar and are on no class path: while peers are off none of them is opened.
+ */
+public final class Peers {
+    private static final String MAKER = "plumpost.fleet.engine.FleetMaker";
+    private static final String PART = "plumpost.fleet.";
+
+    private Peers() { }
+
+    /** The maker of fleets; bad input where the libraries are not there. */
+    public static Fleet.Maker maker() {
+        try {
+            Path jar = Path.of(Peers.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            Path libraries = jar.resolveSibling("lib").resolve("fleet");
+            ClassLoader from = Peers.class.getClassLoader();
+            if (Files.isRegularFile(jar) && Files.isDirectory(libraries)) {
+                from = new Loader(urls(jar, libraries), from);
+            }
+            return (Fleet.Maker) from.loadClass(MAKER).getDeclaredConstructor().newInstance();
+        } catch (ReflectiveOperationException | IOException | java.net.URISyntaxException | NoClassDefFoundError e) {
+            throw new BadInput("peers: the fleet's libraries in lib/fleet cannot be used: " + e);
+        }
+    }
+
+    private static URL[] urls(Path jar, Path libraries) throws IOException {
+        List<URL> all = new ArrayList<>();
+        all.add(jar.toUri().toURL());
+        try (DirectoryStream<Path> jars = Files.newDirectoryStream(libraries, "*.jar")) {
+            for (Path p : jars) {
+                all.add(url(p));
+            }
+        }
+        return all.toArray(URL[]::new);
+    }
+
+    private static URL url(Path p) throws MalformedURLException {
+        return p.toUri().toURL();
+    }
+
+    /** Loads the fleet's part itself, since that must see the libraries; all else comes from the program. */
+    private static final class Loader extends URLClassLoader {
+        Loader(URL[] urls, ClassLoader program) {
+            super(urls, program);
+        }
+
+        @Override
+        protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+            synchronized (getClassLoadingLock(name)) {
+                Class<?> known = findLoadedClass(name);
+                return known != null ? known : name.startsWith(PART) ? findClass(name) : super.loadClass(name, resolve);
+            }
+        }
+    }
+}
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -24,7 +24,13 @@
  * The watch on discovery's node list. When it ends or falls silent the core hears of a failed call and asks again.
  * When discovery moves, the old watch goes on telling until the new service has told its list.
  */
-final class NodeListWatch implements NodeList {
+public final class NodeListWatch implements NodeList {
+    /** Hears what discovery tells this process, line by line. */
+    public interface Listener {
+        /** A line of the list. */
+        void heard(String line, long seq, boolean whole);
+    }
+
     private static final int LINE_LIMIT = 1024 * 1024;
     /** An empty line comes every 2 s: without any for this long the watch is dead. */
     private static final double SILENCE_MS = 3_500;
@@ -39,6 +45,9 @@
     private long seq = -1;
     private Call call;
     private Call former;
+    /** In a fleet: who hears of each line, and whether this process is the one to ask. */
+    private Listener fleet;
+    private boolean asks = true;
 
     NodeListWatch(Kit kit, InetSocketAddress discovery, NodeListReader reader, RouteNodes nodes, DispatchRoom room) {
         this.kit = kit;
@@ -57,12 +66,47 @@
     /** Asks for the list, unless a call for it is under way or no service is known. */
     @Override
     public void watch() {
-        if (discovery != null && (call == null || call.over)) {
+        if (asks && discovery != null && (call == null || call.over)) {
             kit.counters().count("list.asked");
             call = new Call();
         }
     }
 
+    /** From now on the fleet says who asks, and hears of each line; until it has spoken nobody is asked. */
+    void in(Listener whole) {
+        fleet = whole;
+        asks = false;
+    }
+
+    /** Whether this process is to ask; one that is not any more lets go of its watch, and keeps its list. */
+    void ask(boolean itself, boolean whole) {
+        asks = itself;
+        if (call != null && (!itself || whole)) {
+            call.drop();
+            call = null;
+        }
+        seq = whole ? -1 : seq;
+        watch();
+    }
+
+    boolean hears() {
+        return call != null && !call.over && call.told;
+    }
+
+    /** A line that another scheduler has heard from discovery. */
+    void told(String line) {
+        try {
+            NodeListReader.Listing listing = reader.read(Json.object("a list line", line.getBytes(
+                java.nio.charset.StandardCharsets.UTF_8)));
+            seq = listing.seq();
+            kit.counters().count("list.followed");
+            tell(listing.whole() ? ListMode.FULL : ListMode.INCREMENTAL, listing);
+        } catch (BadInput e) {
+            kit.counters().count("list.malformed");
+            kit.log().accept("node list, told by the fleet: " + e.getMessage());
+        }
+    }
+
     /** Watches another service from now on: its versions are its own, so the whole list is asked for. */
     void move(InetSocketAddress to) {
         if (to.equals(discovery)) {
@@ -164,6 +208,9 @@
                 }
             }
             tell(listing.whole() ? ListMode.FULL : ListMode.INCREMENTAL, listing);
+            if (fleet != null && this == call) {
+                fleet.heard(new String(line, java.nio.charset.StandardCharsets.UTF_8), listing.seq(), listing.whole());
+            }
         }
 
         @Override
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -86,6 +86,26 @@
         watch.watch();
     }
 
+    /** Discovery's word as another scheduler of the fleet has heard it: one line of the node list. */
+    public void told(String line) {
+        watch.told(line);
+    }
+
+    /** Whether discovery is to be asked by this scheduler itself, in a fleet that has an owner for that. */
+    public void ask(boolean itself, boolean whole) {
+        watch.ask(itself, whole);
+    }
+
+    /** Whether discovery, asked by this scheduler, has told its list and goes on. */
+    public boolean hears() {
+        return watch.hears();
+    }
+
+    /** From now on the fleet says who asks discovery, and hears what it tells this scheduler. */
+    public void in(NodeListWatch.Listener fleet) {
+        watch.in(fleet);
+    }
+
     /** Takes a front desk's connection in. */
     public WireUser accept(Wire wire) {
         return door.accept(wire);
--- a/src/test/java/plumpost/cli/ServeTest.java
+++ b/src/test/java/plumpost/cli/ServeTest.java
@@ -83,6 +83,27 @@
         assertThat(Serve.bounds((long) heap << 20, null).bodyBytes()).isLessThan((long) heap << 18);
     }
 
+    /** Guards the deployed scheduler: while its file has no peers, nothing of the fleet's part or its engine is loaded. */
+    @Test
+    @Timeout(60)
+    void withoutPeersNothingOfTheFleetIsLoaded() throws Exception {
+        Path file = Files.writeString(folder.resolve("c.json"), Files.readString(Path.of("deploy/gearman.json"))
+            .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:4730", "127.0.0.1:0"));
+        Path loaded = folder.resolve("loaded.txt");
+        ProcessBuilder builder = start(file);
+        builder.command().add(1, "-Xlog:class+load:file=" + loaded);
+        Process served = builder.start();
+        try (BufferedReader log = served.errorReader()) {
+            assertThat(log.readLine()).contains("ready, ");
+            served.toHandle().destroy();
+            assertThat(served.waitFor()).isZero();
+        } finally {
+            served.destroyForcibly();
+        }
+        assertThat(Files.readString(loaded)).contains("plumpost.cli.Serve").doesNotContain("plumpost.fleet.",
+            "plumpost.peers.", "PeersConfig", "ratis", "cbor");
+    }
+
     private static void hangUp(Process served) throws Exception {
         assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(served.pid())).start().waitFor()).isZero();
     }
