Run random faults on five real processes, judge them, and mend what the tests found

Need: the pieces of the fleet were shown by three processes and few faults only. Seen and mended, each with its test: a leader with a full disk led on without a log, and nobody else could (BookMachine.notifyLogFailed); a wiped voter's log was spoilt, the leader feeding its old and new identity at one address (RatisLog.join: the old one leaves first); a client closed under a call left it unanswered for good, and beats with it (RatisLog.call); an owner that hears nothing kept its duty (beats say how long); discovery's owner never said that a word without news still holds (NodeListWatch.hears); a job begun as SIGTERM came was given up (ScheduleRunner.look); a front whose address is taken left a process that served nothing (Serve.run, exit 2 with one line now).

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -146,23 +146,17 @@
 
     int run() throws IOException {
         Signals.onHangup(() -> loop.onLoop(this::hangup));
-        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
-        for (double until = clock.nowMs() + FLEET_MS; fleet != null && !fleet.ready() && clock.nowMs() < until;) {
-            loop.turn(20); // the bans that the fleet has agreed on hold before anything is served
-        }
-        StringBuilder where = new StringBuilder();
-        for (Front f : fronts) {
-            where.append(' ').append(f.open((at, users, most, batched, unread, shed) -> {
-                SelectorLoop.Door door;
-                if (at.equals(config.listen()) && inheritedFd != null && !inheritedFd.isEmpty()) {
-                    door = loop.adopt(inherited(inheritedFd), users, most, unread, shed);
-                    inheritedDoors.add(door);
-                } else {
-                    door = loop.listen(at, users, most, unread, shed);
-                }
-                return (batched ? door.batched() : door).address();
-            }));
+        String where;
+        try {
+            where = open();
+        } catch (IOException | BadInput e) {
+            // Nothing runs yet that could end in order, and a fleet's engine has threads that would keep the process.
+            System.err.println("plumpost: " + config.name() + " cannot start: " + e.getMessage());
+            System.err.flush();
+            Runtime.getRuntime().halt(2);
+            return 2;
         }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         if (sharedBans != null) {
             sharedBans.begin();
         }
@@ -184,6 +178,26 @@
         return 0;
     }
 
+    private String open() throws IOException {
+        for (double until = clock.nowMs() + FLEET_MS; fleet != null && !fleet.ready() && clock.nowMs() < until;) {
+            loop.turn(20); // the bans that the fleet has agreed on hold before anything is served
+        }
+        StringBuilder where = new StringBuilder();
+        for (Front f : fronts) {
+            where.append(' ').append(f.open((at, users, most, batched, unread, shed) -> {
+                SelectorLoop.Door door;
+                if (at.equals(config.listen()) && inheritedFd != null && !inheritedFd.isEmpty()) {
+                    door = loop.adopt(inherited(inheritedFd), users, most, unread, shed);
+                    inheritedDoors.add(door);
+                } else {
+                    door = loop.listen(at, users, most, unread, shed);
+                }
+                return (batched ? door.batched() : door).address();
+            }));
+        }
+        return where.toString();
+    }
+
     /** Goes through the start and one request on a port that the system gives, so that the JVM can archive what it loads. */
     int rehearse() throws IOException {
         InetSocketAddress front = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
--- a/src/main/java/plumpost/fleet/FleetLog.java
+++ b/src/main/java/plumpost/fleet/FleetLog.java
@@ -26,10 +26,11 @@
     void propose(Entry e, Consumer<Outcome> then);
 
     /**
-     * Lets the leader hear a life; then tells whether a leader that a majority follows has heard it and whether that life
+     * Lets the leader hear a life, which itself has heard no leader for so many milliseconds: one that is heard and hears
+     * nothing has stopped its duties by itself and must not keep them from others; then tells whether a leader that a majority follows has heard it and whether that life
      * goes on: true, false, or null where none has answered.
      */
-    void beat(String name, long incarnation, Consumer<Boolean> then);
+    void beat(String name, long incarnation, double deafMs, Consumer<Boolean> then);
 
     /** Leaves the log; nothing is called back after it. */
     void close();
--- a/src/main/java/plumpost/fleet/Member.java
+++ b/src/main/java/plumpost/fleet/Member.java
@@ -46,6 +46,7 @@
     private double joinAt;
     private double beatAt;
     private double leaseEnd;
+    private double heardAt;
     private List<String> served = List.of();
     private double servesAt;
     private final Map<Object, Double> asked = new HashMap<>();
@@ -122,6 +123,10 @@
         return incarnation > 0 && !halted && nowMs() < leaseEnd;
     }
 
+    boolean stopping() {
+        return stopping;
+    }
+
     /** The fence under which a duty is this life's, or 0. */
     long fence(String duty) {
         Duty d = view.duties().of(duty);
@@ -178,7 +183,7 @@
         } else if (now >= beatAt) {
             beatAt = now + config.beatMs();
             long life = incarnation;
-            log.beat(name(), life, heard -> heard(life, now, heard));
+            log.beat(name(), life, now - heardAt, heard -> heard(life, now, heard));
         }
         if (asked.size() > 1000) {
             asked.values().removeIf(at -> now - at >= AGAIN_MS);
@@ -189,6 +194,9 @@
             say.accept("fleet: no leader has heard this scheduler for " + Math.round(config.lostMs() * 2 / 3)
                 + " ms: it does no fleet duty and serves on by itself");
         }
+        if (lease && !hadLease) {
+            say("heard by the leader, incarnation " + incarnation + " takes part");
+        }
         hadLease = lease;
         if (stopping) {
             last();
@@ -207,6 +215,7 @@
                 joinAt = nowMs() + AGAIN_MS / 2;
                 if (o != null && o.done()) {
                     incarnation = o.number();
+                    heardAt = nowMs();
                     served = List.of();
                     count("joined");
                     say.accept("fleet: joined as incarnation " + incarnation);
@@ -221,6 +230,7 @@
             return;
         }
         if (heard) {
+            heardAt = nowMs();
             leaseEnd = Math.max(leaseEnd, sent + config.lostMs() * 2 / 3);
         } else {
             over("the fleet took it for lost");
@@ -308,8 +318,8 @@
             }
         } else if (n instanceof News.Refused r) {
             count("refused." + r.entry().getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
-            if (mine(r.entry())) {
-                say.accept("fleet: refused " + r.entry().getClass().getSimpleName() + ": " + r.why());
+            if (r.why().startsWith("fence ")) {
+                say("refused " + r.entry().getClass().getSimpleName() + ": " + r.why());
             }
         } else if (n instanceof News.Changed c && c.former() != null && c.now().state() == Sessions.State.LOST) {
             count("session_lost");
@@ -317,12 +327,6 @@
         }
     }
 
-    /** Whether an entry that was refused was a deed of this scheduler's as owner: told here and not everywhere. */
-    private boolean mine(Entry e) {
-        return e instanceof Entry.Fire f ? asked.containsKey("fire " + f.id())
-            : e instanceof Entry.Word w && asked.containsKey("word " + w.seq());
-    }
-
     private void look() {
         if (halted || left) {
             return;
--- a/src/main/java/plumpost/fleet/ScheduleRunner.java
+++ b/src/main/java/plumpost/fleet/ScheduleRunner.java
@@ -84,7 +84,8 @@
 
     /** Whether nothing is left here that it was told to run. */
     boolean done() {
-        return handed.isEmpty() && toEnd.isEmpty();
+        return handed.isEmpty() && toEnd.isEmpty() && mine.values().stream().noneMatch(
+            j -> j.state() == State.BEGUN && j.incarnation() == member.incarnation());
     }
 
     /** A job that was handed in here has ended, or nobody has seen it. */
@@ -112,7 +113,11 @@
             if (j.state() == State.FIRED && member.nowMs() >= fullUntil && member.mayAct()) {
                 member.once("begin " + j.id(), new Entry.Begin(j.id(), member.name(), member.incarnation()), o -> { });
             } else if (j.state() == State.BEGUN && !handed.contains(j.id()) && !toEnd.containsKey(j.id())) {
-                handOut(j);
+                if (member.stopping()) {
+                    toEnd.put(j.id(), true); // begun as the end was told: nobody has seen it, it goes back
+                } else {
+                    handOut(j);
+                }
             }
         }
         for (String id : new ArrayList<>(toEnd.keySet())) {
--- a/src/main/java/plumpost/fleet/engine/BookMachine.java
+++ b/src/main/java/plumpost/fleet/engine/BookMachine.java
@@ -173,6 +173,12 @@
         return CompletableFuture.completedFuture(Message.valueOf(ByteString.copyFrom(FleetCodec.bytes(o))));
     }
 
+    /** The engine closes the log that it cannot write, but would go on leading: the fleet would wait for it for good. */
+    @Override
+    public void notifyLogFailed(Throwable cause, LogEntryProto entry) {
+        listener.halted("its log cannot be written: " + cause);
+    }
+
     private void halt(String why) {
         halted = true;
         listener.halted(why);
--- a/src/main/java/plumpost/fleet/engine/RatisLog.java
+++ b/src/main/java/plumpost/fleet/engine/RatisLog.java
@@ -21,6 +21,7 @@
 import org.apache.ratis.protocol.RaftPeer;
 import org.apache.ratis.protocol.SetConfigurationRequest;
 import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
+import org.apache.ratis.server.RaftConfiguration;
 import org.apache.ratis.server.RaftServer;
 import org.apache.ratis.server.storage.RaftStorage;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
@@ -45,6 +46,9 @@
     private static final long TRY_MS = 300;
     private static final int MOST_BEATS = 2;
     private static final int WRITERS = 16;
+    /** What is not answered for so long is taken for not known. */
+    private static final long LONGEST_MS = 8_000;
+    private static final double CLIENT_MS = 1_000;
 
     private final PeersConfig config;
     private final DataDirectory data;
@@ -63,7 +67,9 @@
     private RaftServer server;
     private volatile RaftClient client;
     private volatile boolean closed;
+    private volatile boolean halted;
     private volatile int beating;
+    private double madeAt;
     private boolean settled;
     private String said = "";
 
@@ -170,10 +176,14 @@
         return false;
     }
 
-    /** Whether the log's configuration, as far as it is known here, names this very directory. */
+    /** Whether the log's configuration, as far as it is known here, names this very directory, and no change is under way. */
     private boolean isMember() throws IOException {
-        return has() && server.getDivision(id).getRaftConf().getPeer(self.getId(), RaftPeerRole.FOLLOWER,
-            RaftPeerRole.LISTENER) != null;
+        if (!has()) {
+            return false;
+        }
+        RaftConfiguration c = server.getDivision(id).getRaftConf();
+        return c.getPeer(self.getId(), RaftPeerRole.FOLLOWER, RaftPeerRole.LISTENER) != null
+            && c.getPreviousPeers().isEmpty();
     }
 
     private void join(RaftGroup group) throws IOException {
@@ -189,6 +199,15 @@
             say("joining: the fleet knows only this scheduler's lost directory; restore it, or found the fleet anew");
             return;
         }
+        if (others.size() + (named ? 1 : 0) < group.getPeers().size()) {
+            // The leader still feeds the old directory of this name, at this very address: two streams into one log spoil
+            // it. So the old one leaves first, while this process is in no group and takes nothing in.
+            say("taking the place of this name's former directory in " + config.group());
+            List<RaftPeer> without = group.getPeers().stream().filter(p -> p.getId().equals(self.getId())
+                || !PeerNames.name(p.getId()).equals(config.self().name())).toList();
+            configure(RaftGroup.valueOf(id, without), group.getPeers(), without);
+            return;
+        }
         if (!has()) {
             try (RaftClient c = Engine.client(RaftGroup.valueOf(id, self), 3)) {
                 // Without itself in it: until the log names it, it neither votes nor stands for election.
@@ -199,7 +218,7 @@
             say("joining " + config.group() + " through " + others);
             List<RaftPeer> next = new ArrayList<>(others);
             next.add(self);
-            configure(RaftGroup.valueOf(id, group.getPeers()), group.getPeers(), next);
+            configure(RaftGroup.valueOf(id, others), group.getPeers(), next);
         }
     }
 
@@ -242,11 +261,12 @@
             if (server.getLifeCycleState() != LifeCycle.State.RUNNING
                 || server.getDivision(id).getInfo().getLifeCycleState().isClosingOrClosed()) {
                 halted("the engine has stopped");
-                close();
                 return;
             }
             if (!leads()) {
-                beats.lead(nowMs());
+                synchronized (machine) {
+                    beats.lead(nowMs());
+                }
                 return;
             }
             List<Entry> due;
@@ -275,7 +295,9 @@
         String[] words = question.split(" ");
         if (words[0].equals("beat")) {
             long incarnation = Long.parseLong(words[2]);
-            beats.beat(words[1], incarnation, nowMs());
+            if (Long.parseLong(words[3]) < config.lostMs() * 2 / 3) {
+                beats.beat(words[1], incarnation, nowMs());
+            }
             return machine.book().sessions().live(words[1], incarnation) ? "live" : "over";
         }
         return FleetPage.json(machine.book(), leaderName());
@@ -299,29 +321,36 @@
             }
             c = Engine.client(server.getDivision(id).getGroup(), 5);
             client = c;
+            madeAt = nowMs();
         }
         return c;
     }
 
-    /** A client that failed is made anew, with the members as they are known now. */
+    /**
+     * A client that failed is made anew, with the members as they are known now, but not more often than once a second;
+     * it is closed only once what others have asked by it is over, since a closed one leaves that unanswered for good.
+     */
     private void failed(RaftClient c) {
+        if (closed) {
+            return;
+        }
         calls.execute(() -> {
-            if (client == c && c != null) {
+            if (client == c && c != null && nowMs() - madeAt > CLIENT_MS) {
                 client = null;
-                shut(c);
+                calls.schedule(() -> shut(c), LONGEST_MS, TimeUnit.MILLISECONDS);
             }
         });
     }
 
     private void call(java.util.function.Function<RaftClient, CompletableFuture<RaftClientReply>> what,
-                      Consumer<RaftClientReply> then) {
+                      long longestMs, Consumer<RaftClientReply> then) {
         try {
             calls.execute(() -> {
                 RaftClient c = null;
                 try {
                     c = client();
                     RaftClient used = c;
-                    what.apply(c).whenComplete((reply, fault) -> {
+                    what.apply(c).orTimeout(longestMs, TimeUnit.MILLISECONDS).whenComplete((reply, fault) -> {
                         if (fault != null) {
                             failed(used);
                         }
@@ -346,7 +375,7 @@
             } catch (IOException x) {
                 throw new CompletionException(x);
             }
-        }, writers), reply -> {
+        }, writers), LONGEST_MS, reply -> {
             try {
                 then.accept(reply == null ? null : FleetCodec.outcome(reply.getMessage().getContent().toByteArray()));
             } catch (FleetCodec.Unreadable x) {
@@ -357,13 +386,14 @@
     }
 
     @Override
-    public void beat(String name, long incarnation, Consumer<Boolean> then) {
+    public void beat(String name, long incarnation, double deafMs, Consumer<Boolean> then) {
         if (beating >= MOST_BEATS) {
             loop.execute(() -> then.accept(null));
             return;
         }
         beating++; // on the loop only
-        call(c -> c.async().sendReadOnlyUnordered(Message.valueOf("beat " + name + " " + incarnation)), reply -> {
+        call(c -> c.async().sendReadOnlyUnordered(Message.valueOf("beat " + name + " " + incarnation
+            + " " + Math.round(deafMs))), Math.round(2 * config.lostMs()), reply -> {
             beating--;
             then.accept(reply == null ? null : reply.getMessage().getContent().toStringUtf8().equals("live"));
         });
@@ -371,10 +401,12 @@
 
     @Override
     public void close() {
-        if (closed) {
-            return;
+        synchronized (own) {
+            if (closed) {
+                return;
+            }
+            closed = true;
         }
-        closed = true;
         calls.execute(() -> {
             if (client != null) {
                 shut(client);
@@ -384,7 +416,9 @@
         writers.shutdown();
         own.execute(() -> {
             if (server != null) {
-                handOver();
+                if (!halted) {
+                    handOver();
+                }
                 shut(server);
             }
             shut(data);
@@ -435,6 +469,8 @@
 
     @Override
     public void halted(String why) {
+        halted = true;
         loop.execute(() -> ear.halted(why));
+        close(); // on threads of its own: who leads lets others lead
     }
 }
--- a/src/main/java/plumpost/lab/LabMain.java
+++ b/src/main/java/plumpost/lab/LabMain.java
@@ -15,6 +15,7 @@
 import org.apache.commons.cli.ParseException;
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeListReader;
+import plumpost.lab.fleet.FleetLabMain;
 import plumpost.lab.gearman.LoadPage;
 import plumpost.lab.gearman.LoadPlan;
 import plumpost.lab.gearman.LoadResult;
@@ -24,14 +25,17 @@
 import plumpost.lab.script.Script;
 import plumpost.lab.script.TcpRig;
 
-/** The laboratory's commands: {@code conformance} and {@code gearman}. Targets are loopback addresses only. */
+/** The laboratory's commands: {@code conformance}, {@code gearman} and {@code fleet}. Targets are loopback addresses only. */
 public final class LabMain {
-    private static final String USAGE = "plumpost lab conformance|gearman [options]";
+    private static final String USAGE = "plumpost lab conformance|gearman|fleet [options]";
 
     private LabMain() { }
 
     /** Runs a command of the laboratory; 0 where all holds, 1 where it does not, 2 for bad arguments. */
     public static int run(String[] args, PrintStream out, PrintStream err) throws IOException {
+        if (args.length > 0 && args[0].equals("fleet")) {
+            return FleetLabMain.run(Arrays.copyOfRange(args, 1, args.length), out, err);
+        }
         Options options = new Options();
         options.addOption("t", "target", true, "the server's address, 127.0.0.1:4730 where it is not given");
         options.addOption(null, "on", true, "conformance: the server's set-up, usual, open or tight (usual)");
--- a/src/main/java/plumpost/lab/fleet/FleetLab.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLab.java
@@ -10,10 +10,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import plumpost.config.Json;
@@ -41,6 +43,7 @@
     private final History history = new History();
     private final Map<String, One> all = new LinkedHashMap<>();
     private final Random random = new Random();
+    private final Set<Integer> ports = new HashSet<>();
     private final Fleet.Maker maker = Peers.maker();
     private final Thread last = new Thread(this::killAll);
 
@@ -183,6 +186,9 @@
     private int port() {
         while (true) {
             int p = LOWEST_PORT + random.nextInt(HIGHEST_PORT - LOWEST_PORT);
+            if (!ports.add(p)) {
+                continue;
+            }
             try (ServerSocket free = new ServerSocket(p, 1, InetAddress.getByName("127.0.0.1"))) {
                 return free.getLocalPort();
             } catch (IOException e) {
--- a/src/main/java/plumpost/lab/fleet/Hands.java
+++ b/src/main/java/plumpost/lab/fleet/Hands.java
@@ -79,6 +79,7 @@
             p.send(Type.SUBMIT_JOB_EPOCH, function, key, atS, key);
             Packet got = p.next();
             boolean taken = got.type() == Type.JOB_CREATED;
+            history.add(at.name(), "function", key + " " + function);
             history.add(at.name(), taken ? "taken" : "not taken", key + (taken ? "" : " " + got.text(0) + " " + got.text(1)));
             return taken ? got.text(0) : null;
         } catch (IOException e) {
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -90,7 +90,7 @@
     }
 
     boolean hears() {
-        return call != null && !call.over && call.told;
+        return call != null && !call.over && call.answered;
     }
 
     /** A line that another scheduler has heard from discovery. */
@@ -144,6 +144,7 @@
         private double heardAt = kit.clock().nowMs();
         private boolean up;
         private boolean told;
+        private boolean answered;
         private boolean over;
 
         Call() {
@@ -183,6 +184,7 @@
                 }
                 for (byte[] l = answer.hasHead() ? answer.line() : null; l != null && !over; l = answer.line()) {
                     heardAt = kit.clock().nowMs();
+                    answered = true;
                     line(l);
                 }
                 if (whole && !over) {
--- a/src/test/java/plumpost/cli/ServeTest.java
+++ b/src/test/java/plumpost/cli/ServeTest.java
@@ -83,6 +83,23 @@
         assertThat(Serve.bounds((long) heap << 20, null).bodyBytes()).isLessThan((long) heap << 18);
     }
 
+    /** Guards against a process that serves nothing and stays: an address that is taken ends the start, in one line. */
+    @Test
+    @Timeout(60)
+    void anAddressThatIsTakenEndsTheStart() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            Path file = Files.writeString(folder.resolve("c.json"), Files.readString(Path.of("deploy/gearman.json"))
+                .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:4730", "127.0.0.1:" + taken.getLocalPort()));
+            Process served = start(file).start();
+            try (BufferedReader log = served.errorReader()) {
+                assertThat(log.lines().toList()).singleElement().asString().contains("cannot start", "in use");
+                assertThat(served.waitFor()).isEqualTo(2);
+            } finally {
+                served.destroyForcibly();
+            }
+        }
+    }
+
     /** Guards the deployed scheduler: while its file has no peers, nothing of the fleet's part or its engine is loaded. */
     @Test
     @Timeout(60)
