Write fault schedules in the script form, and judge given-up jobs by their handles

Need: the checker compared how many jobs never ran with how many the fleet gave up, so that one job lost and another given up that had run would have passed. The schedules of faults were drawn inside the run and could not be kept or played again.

--- a/src/main/java/plumpost/lab/fleet/FleetCheck.java
+++ b/src/main/java/plumpost/lab/fleet/FleetCheck.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -31,22 +32,25 @@
         return all;
     }
 
-    /** The rules that a history breaks, in words; {@code givenUp} is how many jobs the fleet says may have run. */
-    public static List<String> broken(History history, int givenUp) {
+    /** What a history says of jobs by their keys. */
+    private static Map<String, String> words(History history, String what) {
+        Map<String, String> all = new HashMap<>();
+        history.of(what).forEach(s -> all.put(s.words().split(" ")[0], s.words().split(" ")[1]));
+        return all;
+    }
+
+    /** The rules that a history breaks, in words; {@code givenUp} are the handles of jobs of which the fleet says so. */
+    public static List<String> broken(History history, Set<String> givenUp) {
         List<String> broken = new ArrayList<>();
         Map<String, Integer> runs = new HashMap<>();
         history.of("run").forEach(s -> runs.merge(s.words(), 1, Integer::sum));
-        List<String> never = new ArrayList<>();
+        Map<String, String> handles = words(history, "handle");
         for (History.Seen s : history.of("taken")) {
-            if (!runs.containsKey(s.words())) {
-                never.add(s.words());
+            if (!runs.containsKey(s.words()) && !givenUp.contains(handles.get(s.words()))) {
+                broken.add("the job " + s.words() + ", " + handles.get(s.words()) + ", was taken, never ran and is not given up");
             }
         }
-        if (never.size() > Math.max(0, givenUp)) {
-            broken.add(never.size() + " jobs were taken and never ran, " + givenUp + " are given up: " + never);
-        }
-        Map<String, String> functions = new HashMap<>();
-        history.of("function").forEach(s -> functions.put(s.words().split(" ")[0], s.words().split(" ")[1]));
+        Map<String, String> functions = words(history, "function");
         runs.forEach((key, n) -> {
             if (n > 1 && functions.getOrDefault(key, "order").startsWith("order")) {
                 broken.add("the order " + key + " ran " + n + " times");
--- a/src/main/java/plumpost/lab/fleet/FleetLabMain.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLabMain.java
@@ -9,6 +9,8 @@
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import plumpost.config.Json.BadInput;
+import plumpost.lab.script.Script;
 import plumpost.log.LinesProvider;
 
 /** The laboratory's command {@code fleet}: random faults on a fleet of real processes. */
@@ -23,6 +25,7 @@
         options.addOption(null, "changes", true, "changes of owner to cause (100)");
         options.addOption(null, "seconds", true, "time after which it ends all the same (3600)");
         options.addOption(null, "seed", true, "for all draws (1)");
+        options.addOption(null, "script", true, "file with a schedule of faults, played in place of a drawn one");
         options.addOption(null, "like", true, "configuration that the processes' files are made from (deploy/gearman.json)");
         options.addOption(null, "folder", true, "folder for files, data and the history (target/fleet-test)");
         options.addOption(null, "html", true, "file for the result as a page with a plot");
@@ -47,8 +50,12 @@
             Path jar = Path.of(FleetLabMain.class.getProtectionDomain().getCodeSource().getLocation().getPath());
             try (FleetLab lab = new FleetLab(new FleetLab.Plan(jar, Path.of(line.getOptionValue("like",
                 "deploy/gearman.json")).toAbsolutePath(), folder, voters, whole(line, "followers", 0, 0, 95), 3, "", ""))) {
-                FleetRun.Result r = new FleetRun(lab, seed, out).run(whole(line, "changes", 100, 1, 100_000),
-                    whole(line, "seconds", 3600, 1, 86_400));
+                FleetRun run = new FleetRun(lab, seed, out);
+                FleetRun.Result r = line.hasOption("script")
+                    ? run.replay(Script.parse(line.getOptionValue("script"), Files.readString(Path.of(
+                        line.getOptionValue("script")))))
+                    : run.run(whole(line, "changes", 100, 1, 100_000), whole(line, "seconds", 3600, 1, 86_400));
+                Files.writeString(folder.resolve("schedule.txt"), run.schedule());
                 StringBuilder seen = new StringBuilder();
                 lab.history().all().forEach(s -> seen.append(String.format("%9.0f %s %s %s%n", s.atMs(), s.who(), s.what(),
                     s.words())));
@@ -62,7 +69,7 @@
                 Thread.currentThread().interrupt();
                 return 1;
             }
-        } catch (ParseException e) {
+        } catch (ParseException | BadInput | Script.BadScript e) {
             err.println("plumpost lab fleet: " + e.getMessage());
             return 2;
         }
--- a/src/main/java/plumpost/lab/fleet/FleetRun.java
+++ b/src/main/java/plumpost/lab/fleet/FleetRun.java
@@ -3,16 +3,18 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.HdrHistogram.Histogram;
 import plumpost.config.Json.Fields;
 import plumpost.lab.fleet.FleetLab.One;
+import plumpost.lab.script.Script;
 
 /**
  * A seeded run of random faults on a fleet of real processes, until the schedule has changed its owner so often: the
@@ -20,12 +22,26 @@
  * cease. Written down is how long nobody owned it; judged is the history alone, by {@link FleetCheck}.
  */
 public final class FleetRun {
-    private static final Pattern OWNED = Pattern.compile("schedule under fence (\\d+) is (\\w+)'s, incarnation (\\d+)");
+    private static final String BACK = "owner expect takes part\n";
     private static final double PATIENCE_MS = 60_000;
     private static final long SETTLE_MS = 120_000;
 
     /** Kinds of fault, each with the owner as what it happens to. */
-    public enum Kind { KILL, STOP, CUT, CUT_SENDS, CUT_HEARS, TERM, YIELD }
+    public enum Kind {
+        KILL("kill"), STOP("stop"), CUT("cut sends hears"), CUT_SENDS("cut sends"), CUT_HEARS("cut hears"), TERM("term"),
+        YIELD("yield"), OTHER("");
+
+        private final String words;
+
+        Kind(String words) {
+            this.words = words;
+        }
+
+        /** The kind of a fault by its words in a script. */
+        static Kind of(String fault) {
+            return Arrays.stream(values()).filter(k -> k.words.equals(fault)).findFirst().orElse(OTHER);
+        }
+    }
 
     /** A change: the time from the fault until another process said that it owned the duty. */
     public record Change(Kind kind, double gapMs) { }
@@ -54,7 +70,12 @@
     private final List<Change> changes = new ArrayList<>();
     private final List<Hands> hands = new ArrayList<>();
     private final Map<Kind, Integer> missed = new LinkedHashMap<>();
+    /** Handles of jobs that the fleet says it gave up: it remembers the latest, so they are gathered all along. */
+    private final Set<String> givenUp = new HashSet<>();
+    private final StringBuilder schedule = new StringBuilder();
+    private final FleetPlayer player;
     private int jobs;
+    private int rounds;
 
     /** A run on a fleet that is not started yet. */
     public FleetRun(FleetLab lab, long seed, PrintStream out) {
@@ -62,126 +83,117 @@
         this.seed = seed;
         this.random = new Random(seed);
         this.out = out;
+        player = new FleetPlayer(lab);
     }
 
     /** Runs until so many changes were seen or so much time is over. */
     public Result run(int wanted, double mostS) throws IOException, InterruptedException {
-        for (One o : lab.all()) {
-            o.start();
-        }
-        for (One o : lab.all()) {
-            heard(o, 0);
-            hands.add(new Hands(o, lab.history(), 2, 2, "order-lab", "plan-lab"));
-        }
+        begin();
         while (changes.size() < wanted && lab.history().nowMs() < mostS * 1000) {
-            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+            Kind kind = Kind.values()[random.nextInt(Kind.OTHER.ordinal())];
             round(kind);
             if (changes.size() % 10 == 0) {
                 out.printf("%d changes after %.0f s%n", changes.size(), lab.history().nowMs() / 1000);
             }
         }
-        int givenUp = settle();
+        return end();
+    }
+
+    private void begin() throws IOException, InterruptedException {
+        for (One o : lab.all()) {
+            o.start();
+        }
+        for (One o : lab.all()) {
+            heard(o);
+            hands.add(new Hands(o, lab.history(), 2, 2, "order-lab", "plan-lab"));
+        }
+    }
+
+    private Result end() throws InterruptedException {
+        settle();
         hands.forEach(Hands::close);
         List<String> broken = FleetCheck.broken(lab.history(), givenUp);
         missed.forEach((k, n) -> out.printf("%d faults of kind %s changed no owner in time%n", n, k));
         return new Result(seed, lab.all().size(), lab.history().nowMs() / 1000, List.copyOf(changes),
             FleetCheck.owners(lab.history()).size(), lab.history().of("taken").size(), lab.history().of("run").size(),
-            givenUp, broken);
+            givenUp.size(), broken);
     }
 
-    private void heard(One o, double since) throws InterruptedException {
-        History.Seen s = lab.history().await(since, PATIENCE_MS, x -> x.who().equals(o.name()) && x.what().equals("log")
-            && x.words().contains("takes part"));
-        if (s == null) {
-            lab.history().add(o.name(), "stuck", "it does not take part again");
-            out.println(o.name() + " does not take part again, " + Math.round(lab.history().nowMs()) + " ms");
+    private void heard(One o) throws InterruptedException {
+        if (lab.history().await(0, PATIENCE_MS, x -> x.who().equals(o.name()) && x.what().equals("log")
+            && x.words().contains("takes part")) == null) {
+            lab.history().add(o.name(), "stuck", "it does not take part");
         }
     }
 
-    private One owner() throws InterruptedException {
-        for (int i = 0; i < 600; i++) {
-            for (One o : lab.all()) {
-                Fields page = lab.show(o);
-                if (page != null) {
-                    One owner = lab.one(FleetLab.owner(page, "schedule"));
-                    if (owner != null) {
-                        return owner;
-                    }
-                    break;
-                }
-            }
-            Thread.sleep(100);
+    /** Draws a fault with jobs before it and its repair after it, as a text of the scenario language. */
+    private String draw(Kind kind) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 4; i++) {
+            text.append("desk send plan ").append(lab.all().get(random.nextInt(lab.all().size())).name()).append(' ')
+                .append(random.nextBoolean() ? "order-lab" : "plan-lab").append(" j").append(jobs++).append(' ')
+                .append(random.nextInt(3)).append('\n');
         }
-        throw new IllegalStateException("nobody owns the schedule for a minute");
+        text.append("owner send ").append(kind.words).append("\nowner expect replaced\n");
+        return text.append(switch (kind) {
+            case KILL, TERM -> "owner expect ended\nowner send start\n" + BACK;
+            case STOP -> "owner send cont\n" + BACK;
+            case CUT, CUT_SENDS, CUT_HEARS -> "owner send heal\n" + BACK;
+            default -> "";
+        }).toString();
     }
 
     private void round(Kind kind) throws IOException, InterruptedException {
-        One owner = owner();
-        for (int i = 0; i < 4; i++) {
-            One at = lab.all().get(random.nextInt(lab.all().size()));
-            String key = "j" + jobs++;
-            Hands.plan(at, lab.history(), random.nextBoolean() ? "order-lab" : "plan-lab", key,
-                System.currentTimeMillis() / 1000 + random.nextInt(3));
-        }
-        double at = lab.history().nowMs();
-        boolean sends = kind == Kind.CUT || kind == Kind.CUT_SENDS;
-        boolean hears = kind == Kind.CUT || kind == Kind.CUT_HEARS;
-        switch (kind) {
-            case KILL, STOP, TERM -> owner.signal(kind.name());
-            case YIELD -> {
-                lab.history().add(owner.name(), "yield", "");
-                try {
-                    lab.call(lab.all().get(random.nextInt(lab.all().size())), "yield", "schedule");
-                } catch (RuntimeException e) {
-                    lab.history().add(owner.name(), "not yielded", e.getMessage());
-                }
+        String text = draw(kind);
+        schedule.append("# ").append(kind).append('\n').append(text);
+        play(Script.parse("round " + rounds++, text));
+        for (One o : lab.all()) {
+            Fields page = lab.show(o);
+            if (page != null) {
+                gather(page);
+                break;
             }
-            default -> lab.cutOff(owner.name(), sends, hears, true);
-        }
-        History.Seen other = lab.history().await(at, 15_000, s -> {
-            Matcher m = s.what().equals("log") ? OWNED.matcher(s.words()) : null;
-            return m != null && m.find() && m.group(2).equals(s.who()) && !s.who().equals(owner.name());
-        });
-        if (other != null) {
-            changes.add(new Change(kind, other.atMs() - at));
-        } else {
-            missed.merge(kind, 1, Integer::sum);
         }
-        double back = lab.history().nowMs();
-        switch (kind) {
-            case KILL, TERM -> {
-                if (!owner.ended(60_000)) {
-                    lab.history().add(owner.name(), "stuck", "it does not end");
-                    owner.signal("KILL");
-                    owner.ended(10_000);
-                }
-                owner.start();
-                heard(owner, back);
-            }
-            case STOP -> {
-                owner.signal("CONT");
-                heard(owner, back);
-            }
-            case YIELD -> { }
-            default -> {
-                lab.cutOff(owner.name(), sends, hears, false);
-                heard(owner, back);
+    }
+
+    /** The schedule as it was drawn so far: a text of the scenario language that can be played again. */
+    public String schedule() {
+        return schedule.toString();
+    }
+
+    /** Plays a schedule that was written down in place of drawing one. */
+    public Result replay(Script script) throws IOException, InterruptedException {
+        begin();
+        play(script);
+        return end();
+    }
+
+    private void play(Script script) throws IOException, InterruptedException {
+        for (Script.Step s : script.steps()) {
+            double gapMs = player.play(s);
+            if (Double.isInfinite(gapMs)) {
+                missed.merge(Kind.of(player.fault()), 1, Integer::sum);
+            } else if (!Double.isNaN(gapMs)) {
+                changes.add(new Change(Kind.of(player.fault()), gapMs));
             }
         }
     }
 
-    /** Waits until nothing waits or runs any more; returns how many jobs the fleet says it gave up. */
-    private int settle() throws InterruptedException {
+    private void gather(Fields page) {
+        page.object("schedule").list("givenUp").forEach(o -> givenUp.add(String.valueOf(o)));
+    }
+
+    /** Waits until nothing waits or runs any more. */
+    private void settle() throws InterruptedException {
         double until = lab.history().nowMs() + SETTLE_MS;
-        int givenUp = -1;
         while (lab.history().nowMs() < until) {
             for (One o : lab.all()) {
                 Fields page = lab.show(o);
                 if (page != null) {
                     Fields s = page.object("schedule");
-                    givenUp = s.list("givenUp").size();
+                    gather(page);
                     if (s.whole("waiting") + s.whole("fired") + s.whole("begun") == 0) {
-                        return givenUp;
+                        return;
                     }
                     break;
                 }
@@ -189,6 +201,5 @@
             Thread.sleep(200);
         }
         lab.history().add("fleet", "stuck", "planned jobs are not over after " + SETTLE_MS / 1000 + " s");
-        return givenUp;
     }
 }
--- a/src/main/java/plumpost/lab/fleet/Hands.java
+++ b/src/main/java/plumpost/lab/fleet/Hands.java
@@ -80,6 +80,9 @@
             Packet got = p.next();
             boolean taken = got.type() == Type.JOB_CREATED;
             history.add(at.name(), "function", key + " " + function);
+            if (taken) {
+                history.add(at.name(), "handle", key + " " + got.text(0));
+            }
             history.add(at.name(), taken ? "taken" : "not taken", key + (taken ? "" : " " + got.text(0) + " " + got.text(1)));
             return taken ? got.text(0) : null;
         } catch (IOException e) {
--- a/src/test/java/plumpost/lab/fleet/FleetRig.java
+++ b/src/test/java/plumpost/lab/fleet/FleetRig.java
@@ -158,11 +158,17 @@
             Fields f = page();
             return f != null && f.object("schedule").whole("waiting") == 0 && f.object("schedule").whole("begun") == 0
                 && f.object("schedule").whole("fired") == 0
-                && keys.stream().filter(k -> runs(k) == 0).count() <= f.object("schedule").list("givenUp").size();
+                && keys.stream().allMatch(k -> runs(k) > 0 || givenUp(f, k));
         });
         assertThat(keys).allSatisfy(k -> assertThat(runs(k)).as(k).isLessThanOrEqualTo(1));
     }
 
+    /** Whether the fleet says that it gave a job up. */
+    boolean givenUp(Fields page, String key) {
+        return lab.history().of("handle").stream().anyMatch(s -> s.words().startsWith(key + " ")
+            && page.object("schedule").list("givenUp").contains(s.words().substring(key.length() + 1)));
+    }
+
     /** An operator's call about a worker; its status. */
     static int call(One at, String what) throws Exception {
         return HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.ops()
