Agree on nothing before all voters are in, and pass over schedulers whose log is late

At fault: RatisLog let lives join, duties be owned and jobs be taken while the configuration still grew from its founder. Now the leader refuses entries until all voters of the file are in (RatisLog.refuses). A directory whose log folder alone is gone is refused: it would have voted with what it forgot. Membership is a class of its own.

Seen with a disk of 2 s a sync at one of three: its copy of the book fell 24 to 40 s behind, it was heard all the same, and a third of the jobs waited there that long. Now a beat says for how long the copy has been behind what the leader said; such a life is suspect, passes its duties on, gets nothing new, and what it was given and has not begun is given to another. Three slow disks of three stand the fleet's duties still, since the engine's heartbeats wait for the disk; nothing is lost, and it comes back.

--- a/src/main/java/plumpost/fleet/Beats.java
+++ b/src/main/java/plumpost/fleet/Beats.java
@@ -4,7 +4,9 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import plumpost.fleet.Sessions.Session;
 import plumpost.fleet.Sessions.State;
 
@@ -23,6 +25,7 @@
     private final Map<Life, Double> heard = new HashMap<>();
     /** When each life was first seen in the book by this leader: its time runs from then, not from the leader's start. */
     private final Map<Life, Double> known = new HashMap<>();
+    private final Set<Life> late = new HashSet<>();
     private double since = Double.NaN;
     private double lookedAt;
 
@@ -36,14 +39,21 @@
     /** This process leads from now on. */
     public void lead(double nowMs) {
         heard.clear();
+        late.clear();
         known.clear();
         since = nowMs;
         lookedAt = nowMs;
     }
 
-    /** A life was heard. */
-    public void beat(String name, long incarnation, double nowMs) {
-        heard.put(new Life(name, incarnation), nowMs);
+    /** A life was heard, whose copy of the book has been behind for so long: it keeps its life and gets nothing new. */
+    public void beat(String name, long incarnation, double nowMs, double behindMs) {
+        Life life = new Life(name, incarnation);
+        heard.put(life, nowMs);
+        if (behindMs >= suspectMs) {
+            late.add(life);
+        } else {
+            late.remove(life);
+        }
     }
 
     private static boolean over(Life l, Collection<Session> sessions) {
@@ -59,12 +69,14 @@
         List<Entry> all = new ArrayList<>();
         heard.keySet().removeIf(l -> over(l, sessions));
         known.keySet().removeIf(l -> over(l, sessions));
+        late.removeIf(l -> over(l, sessions));
         for (Session s : sessions) {
             if (s.live()) {
                 Double last = heard.get(new Life(s.name(), s.incarnation()));
                 double first = known.computeIfAbsent(new Life(s.name(), s.incarnation()), l -> nowMs);
                 double silent = nowMs - (last == null ? first : last);
-                Entry.Verdict v = silent >= lostMs ? Entry.Verdict.LOST : silent >= suspectMs ? Entry.Verdict.SUSPECT
+                Entry.Verdict v = silent >= lostMs ? Entry.Verdict.LOST : silent >= suspectMs
+                    || late.contains(new Life(s.name(), s.incarnation())) ? Entry.Verdict.SUSPECT
                     : last == null ? null : Entry.Verdict.ALIVE;
                 boolean same = v == Entry.Verdict.ALIVE && s.state() == State.ALIVE
                     || v == Entry.Verdict.SUSPECT && s.state() == State.SUSPECT
--- a/src/main/java/plumpost/fleet/FleetLog.java
+++ b/src/main/java/plumpost/fleet/FleetLog.java
@@ -27,11 +27,14 @@
 
     /**
      * Lets the leader hear a life, which itself has heard no leader for so many milliseconds: one that is heard and hears
-     * nothing has stopped its duties by itself and must not keep them from others; then tells whether a leader that a majority follows has heard it and whether that life
-     * goes on: true, false, or null where none has answered.
+     * nothing has stopped its duties by itself and must not keep them from others. Then tells whether a leader that a
+     * majority follows has heard it and whether that life goes on: true, false, or null where none has answered.
      */
     void beat(String name, long incarnation, double deafMs, Consumer<Boolean> then);
 
+    /** For how many milliseconds entries have been agreed on that have not been applied here yet; 0 where it keeps up. */
+    double behindMs();
+
     /** Leaves the log; nothing is called back after it. */
     void close();
 }
--- a/src/main/java/plumpost/fleet/Member.java
+++ b/src/main/java/plumpost/fleet/Member.java
@@ -25,6 +25,7 @@
  */
 public final class Member implements Fleet, FleetLog.Ear {
     private static final double STEP_MS = 50;
+    /** An equal entry is proposed again, and a wish is answered as not known, no sooner than this. */
     private static final double AGAIN_MS = 1000;
     private static final double LEAVE_MS = 400;
 
@@ -204,9 +205,23 @@
         if (lease && now >= servesAt) {
             serves();
         }
+        if (lease && log.behindMs() > config.lostMs() * 2 / 3) {
+            passOn();
+        }
         look();
     }
 
+    /** Its copy of the book is late, for instance since its disk is slow: its duties are done sooner by another. */
+    private void passOn() {
+        for (Duty d : view.duties().all()) {
+            long fence = fence(d.name());
+            if (fence > 0) {
+                once("late " + d.name(), new Entry.Yield(d.name(), fence), o -> say("has been behind the log for "
+                    + Math.round(log.behindMs()) + " ms: passes " + d.name() + " on"));
+            }
+        }
+    }
+
     private void join() {
         joining = true;
         log.propose(new Entry.Join(name(), config.self().site(), disk, config.self().vote(), nonce, FleetCodec.FORMAT,
--- a/src/main/java/plumpost/fleet/Plans.java
+++ b/src/main/java/plumpost/fleet/Plans.java
@@ -101,7 +101,7 @@
         if (wrongFence != null) {
             return Outcome.refused(wrongFence);
         }
-        if (j == null || j.state != State.WAITING) {
+        if (j == null || j.state != State.WAITING && !stuck(j, sessions)) {
             return Outcome.refused("job " + f.id() + " is " + (j == null ? "over" : j.state + " at " + j.target));
         }
         if (!sessions.live(f.target(), f.incarnation())
@@ -112,6 +112,11 @@
         return Outcome.DONE;
     }
 
+    /** Whether a job was given to a life that may not come to it: it has not begun it, so another may have it. */
+    static boolean stuck(Job j, Sessions sessions) {
+        return j.state == State.FIRED && sessions.of(j.target).state() != Sessions.State.ALIVE;
+    }
+
     Outcome begin(Entry.Begin b, Sessions sessions, Collection<News> news) {
         Job j = byId.get(b.id());
         if (j == null || j.state != State.FIRED || !j.target.equals(b.target()) || j.incarnation != b.incarnation()
--- a/src/main/java/plumpost/fleet/ScheduleRunner.java
+++ b/src/main/java/plumpost/fleet/ScheduleRunner.java
@@ -149,11 +149,26 @@
         }
     }
 
-    private void fire() {
+    /** What is due and waits, and what was given to a life that may not come to it. */
+    private List<Job> due() {
         double now = member.nowMs();
-        int asked = 0;
+        List<Job> all = new ArrayList<>();
+        if (member.view().sessions().all().stream().anyMatch(s -> s.live() && s.state() != Sessions.State.ALIVE)) {
+            open.values().stream().filter(j -> Plans.stuck(j, member.view().sessions())).forEach(all::add);
+        }
         for (Job j : waiting) {
-            if (j.atMs() > now || fired + asked >= MOST_FIRED) {
+            if (j.atMs() > now || all.size() >= MOST_FIRED) {
+                break;
+            }
+            all.add(j);
+        }
+        return all;
+    }
+
+    private void fire() {
+        int asked = 0;
+        for (Job j : due()) {
+            if (fired + asked >= MOST_FIRED && j.state() == State.WAITING) {
                 return;
             }
             Session to = target(j.function());
--- a/src/main/java/plumpost/fleet/engine/BookMachine.java
+++ b/src/main/java/plumpost/fleet/engine/BookMachine.java
@@ -46,18 +46,34 @@
         void restored(FleetBook.Image image);
 
         void halted(String why);
+
+        /** Why an entry may not be proposed now, or null: asked at the leader only. */
+        String refuses(Entry e);
     }
 
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
     private final FleetBook book = new FleetBook();
     private final Listener listener;
     private final Function<String, String> questions;
+    private final Trials trials;
     private boolean halted;
 
-    /** A machine whose questions (reads at the leader) are answered by the given function, under its lock. */
-    BookMachine(Listener listener, Function<String, String> questions) {
+    /** A machine whose questions (reads at the leader) are answered by the given function, under its lock; trials may be null. */
+    BookMachine(Listener listener, Function<String, String> questions, Trials trials) {
         this.listener = listener;
         this.questions = questions;
+        this.trials = trials;
+    }
+
+    /** Each sync of the log waits for this one's too: the laboratory makes a disk slow here. */
+    @Override
+    public DataApi data() {
+        return trials == null ? super.data() : new DataApi() {
+            @Override
+            public CompletableFuture<Void> flush(long index) {
+                return trials.synced();
+            }
+        };
     }
 
     /** The book; touched only while this machine's lock is held. */
@@ -74,6 +90,12 @@
         }, IOException.class);
     }
 
+    /** The index of the last entry that is in the book. */
+    long at() {
+        TermIndex at = getLastAppliedTermIndex();
+        return at == null ? 0 : at.getIndex();
+    }
+
     /** The engine installs a snapshot: until {@link #reinitialize} nothing is applied. */
     @Override
     public void pause() {
@@ -143,7 +165,10 @@
     public TransactionContext startTransaction(RaftClientRequest request) throws IOException {
         TransactionContext t = super.startTransaction(request);
         try {
-            FleetCodec.entry(request.getMessage().getContent().toByteArray());
+            String why = listener.refuses(FleetCodec.entry(request.getMessage().getContent().toByteArray()));
+            if (why != null) {
+                t.setException(new StateMachineException(why, null, false));
+            }
         } catch (FleetCodec.Unreadable e) {
             t.setException(new StateMachineException(e.getMessage(), e, false)); // before it is in the log
         }
--- a/src/main/java/plumpost/fleet/engine/DataDirectory.java
+++ b/src/main/java/plumpost/fleet/engine/DataDirectory.java
@@ -15,7 +15,6 @@
 import java.nio.file.StandardOpenOption;
 import java.security.SecureRandom;
 import java.util.HexFormat;
-import java.util.List;
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
@@ -28,6 +27,7 @@
  */
 final class DataDirectory implements Closeable {
     private static final String IDENTITY = "member.json";
+    private static final String MEMBER = "member";
 
     private final Path path;
     private final FileChannel lockFile;
@@ -102,18 +102,35 @@
             out.force(true);
         }
         Files.move(half, file, StandardCopyOption.ATOMIC_MOVE);
-        try (FileChannel folder = FileChannel.open(file.getParent(), List.of(StandardOpenOption.READ).toArray(
-            StandardOpenOption[]::new))) {
-            folder.force(true); // the name must outlive a crash as surely as the content
-        }
+        sync(file.getParent());
         return disk;
     }
 
+    /** A file's name must outlive a crash as surely as its content. */
+    private static void sync(Path folder) throws IOException {
+        try (FileChannel f = FileChannel.open(folder, StandardOpenOption.READ)) {
+            f.force(true);
+        }
+    }
+
     /** Its identity. */
     String disk() {
         return disk;
     }
 
+    /** Remembers that the log has named this directory: from now on the log must never be missing. */
+    void member() throws IOException {
+        if (!wasMember()) {
+            Files.createFile(path.resolve(MEMBER));
+            sync(path);
+        }
+    }
+
+    /** Whether the log has named this directory once. */
+    boolean wasMember() {
+        return Files.exists(path.resolve(MEMBER));
+    }
+
     /** Where the engine keeps its log. */
     Path log() {
         return path.resolve("log");
--- a/src/main/java/plumpost/fleet/engine/Engine.java
+++ b/src/main/java/plumpost/fleet/engine/Engine.java
@@ -46,7 +46,8 @@
         RaftServerConfigKeys.Rpc.setTimeoutMax(p, ms(election * 2));
         RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMin(p, ms(election));
         RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMax(p, ms(election * 2));
-        RaftServerConfigKeys.Rpc.setRequestTimeout(p, ms(Math.max(500, c.lostMs())));
+        // A follower answers an entry when its disk has it: sent again before that, each entry queues twice on a slow disk.
+        RaftServerConfigKeys.Rpc.setRequestTimeout(p, ms(Math.max(1000, 2 * c.lostMs())));
         RaftServerConfigKeys.LeaderElection.setLeaderStepDownWaitTime(p, ms(election * 2));
         RaftServerConfigKeys.LeaderElection.setPreVote(p, true);
         RaftServerConfigKeys.Read.setOption(p, RaftServerConfigKeys.Read.Option.LINEARIZABLE);
--- a/src/main/java/plumpost/fleet/engine/FleetMaker.java
+++ b/src/main/java/plumpost/fleet/engine/FleetMaker.java
@@ -44,10 +44,12 @@
         }
         byte[] nonce = new byte[8];
         new SecureRandom().nextBytes(nonce);
-        Member member = new Member(config, HexFormat.of().formatHex(nonce), data.disk(), config.asks(), host, kit.clock(),
-            kit.wheel(), kit.counters(), kit.log());
-        RatisLog log = new RatisLog(config, data, member, loop::accept, kit.log());
-        member.on(log);
+        Trials trials = Trials.of(config.self().name(), kit.log());
+        Member member = new Member(config, HexFormat.of().formatHex(nonce), data.disk(), config.asks(),
+            trials == null ? host : trials.host(host), kit.clock(), kit.wheel(), kit.counters(), kit.log());
+        RatisLog log = new RatisLog(config, data, trials == null ? member : trials.ear(member), loop::accept, kit.log(),
+            trials);
+        member.on(trials == null ? log : trials.log(log));
         log.start();
         return member;
     }
--- a/src/main/java/plumpost/fleet/engine/RatisLog.java
+++ b/src/main/java/plumpost/fleet/engine/RatisLog.java
@@ -19,8 +19,6 @@
 import org.apache.ratis.protocol.RaftGroup;
 import org.apache.ratis.protocol.RaftGroupId;
 import org.apache.ratis.protocol.RaftPeer;
-import org.apache.ratis.protocol.SetConfigurationRequest;
-import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
 import org.apache.ratis.server.RaftConfiguration;
 import org.apache.ratis.server.RaftServer;
 import org.apache.ratis.server.storage.RaftStorage;
@@ -35,12 +33,7 @@
 import plumpost.fleet.Outcome;
 import plumpost.fleet.Sessions;
 
-/**
- * The replicated log on Apache Ratis. Joins a fleet by itself: the file's first voter founds it, alone, once every other
- * voter of the file was reached and is in none; whoever else has an empty directory, also a voter whose disk was wiped,
- * asks a member that is in it and joins under its directory's new identity, in place of the old one of its name. What was
- * forgotten is therefore never voted with.
- */
+/** The replicated log on Apache Ratis: proposals, beats, and the leader's part; it becomes a member by {@link Membership}. */
 final class RatisLog implements FleetLog, BookMachine.Listener {
     private static final long LOOK_MS = 100;
     private static final long TRY_MS = 300;
@@ -65,15 +58,19 @@
     private final BookMachine machine;
     private final Beats beats;
     private RaftServer server;
+    private Membership membership;
     private volatile RaftClient client;
     private volatile boolean closed;
     private volatile boolean halted;
     private volatile int beating;
     private double madeAt;
+    /** The oldest word of the leader on how far the log is applied that has not come true here, and since when. */
+    private long behind;
+    private double behindSince;
     private boolean settled;
     private String said = "";
 
-    RatisLog(PeersConfig config, DataDirectory data, Ear ear, Executor loop, Consumer<String> log) {
+    RatisLog(PeersConfig config, DataDirectory data, Ear ear, Executor loop, Consumer<String> log, Trials trials) {
         this.config = config;
         this.data = data;
         this.ear = ear;
@@ -82,7 +79,7 @@
         this.id = Engine.group(config.group());
         this.self = PeerNames.peer(config.self(), data.disk());
         this.beats = new Beats(config.lostMs() * 2 / 3, config.lostMs(), 5 * LOOK_MS);
-        this.machine = new BookMachine(this, this::answer);
+        this.machine = new BookMachine(this, this::answer, trials);
         PeerNames.know(config);
     }
 
@@ -104,6 +101,7 @@
                 server = RaftServer.newBuilder().setServerId(self.getId()).setProperties(Engine.server(config, data))
                     .setStateMachineRegistry(g -> machine).setOption(RaftStorage.StartupOption.RECOVER).build();
                 server.start();
+                membership = new Membership(config, data, id, self, server, this::say);
                 loop.execute(ear::started);
                 own.schedule(this::settle, 0, TimeUnit.MILLISECONDS);
                 own.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
@@ -128,113 +126,22 @@
         }
     }
 
-    // ---- becoming a member ----
-
     private void settle() {
         if (closed) {
             return;
         }
         try {
-            if (isMember()) {
-                settled = true;
-                say("member " + self.getId() + " of " + config.group());
+            String lost = membership.lost();
+            if (lost != null) {
+                halted(lost);
                 return;
             }
-            RaftGroup group = null;
-            int empty = 0;
-            for (PeersConfig.Member m : config.members()) {
-                if (group == null && m.vote() && !m.name().equals(config.self().name())) {
-                    try {
-                        group = Engine.ask(id, m);
-                        empty += group == null ? 1 : 0;
-                    } catch (IOException | RuntimeException e) {
-                        say("waiting for members: " + m.name() + " is not reached");
-                    }
-                }
-            }
-            if (group != null && !group.getPeers().isEmpty()) {
-                join(group);
-            } else if (config.voters().get(0).name().equals(config.self().name())
-                && empty == config.voters().size() - 1) {
-                say("founding " + config.group());
-                try (RaftClient c = Engine.client(RaftGroup.valueOf(id, self), 3)) {
-                    c.getGroupManagementApi(self.getId()).add(RaftGroup.valueOf(id, self));
-                }
-            }
+            settled = membership.step();
         } catch (IOException | RuntimeException e) {
             say("joining: " + cause(e));
         }
-        own.schedule(this::settle, TRY_MS, TimeUnit.MILLISECONDS);
-    }
-
-    private boolean has() {
-        for (RaftGroupId g : server.getGroupIds()) {
-            if (g.equals(id)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Whether the log's configuration, as far as it is known here, names this very directory, and no change is under way. */
-    private boolean isMember() throws IOException {
-        if (!has()) {
-            return false;
-        }
-        RaftConfiguration c = server.getDivision(id).getRaftConf();
-        return c.getPeer(self.getId(), RaftPeerRole.FOLLOWER, RaftPeerRole.LISTENER) != null
-            && c.getPreviousPeers().isEmpty();
-    }
-
-    private void join(RaftGroup group) throws IOException {
-        List<RaftPeer> others = new ArrayList<>();
-        boolean named = false;
-        for (RaftPeer p : group.getPeers()) {
-            named |= p.getId().equals(self.getId());
-            if (!PeerNames.name(p.getId()).equals(config.self().name())) {
-                others.add(p);
-            }
-        }
-        if (others.isEmpty()) {
-            say("joining: the fleet knows only this scheduler's lost directory; restore it, or found the fleet anew");
-            return;
-        }
-        if (others.size() + (named ? 1 : 0) < group.getPeers().size()) {
-            // The leader still feeds the old directory of this name, at this very address: two streams into one log spoil
-            // it. So the old one leaves first, while this process is in no group and takes nothing in.
-            say("taking the place of this name's former directory in " + config.group());
-            List<RaftPeer> without = group.getPeers().stream().filter(p -> p.getId().equals(self.getId())
-                || !PeerNames.name(p.getId()).equals(config.self().name())).toList();
-            configure(RaftGroup.valueOf(id, without), group.getPeers(), without);
-            return;
-        }
-        if (!has()) {
-            try (RaftClient c = Engine.client(RaftGroup.valueOf(id, self), 3)) {
-                // Without itself in it: until the log names it, it neither votes nor stands for election.
-                c.getGroupManagementApi(self.getId()).add(RaftGroup.valueOf(id, others));
-            }
-        }
-        if (!named) {
-            say("joining " + config.group() + " through " + others);
-            List<RaftPeer> next = new ArrayList<>(others);
-            next.add(self);
-            configure(RaftGroup.valueOf(id, others), group.getPeers(), next);
-        }
-    }
-
-    private static List<RaftPeer> role(Collection<RaftPeer> peers, boolean voters) {
-        return peers.stream().filter(p -> (p.getStartupRole() != RaftPeerRole.LISTENER) == voters).toList();
-    }
-
-    private static void configure(RaftGroup through, Collection<RaftPeer> now, Collection<RaftPeer> next) throws IOException {
-        try (RaftClient c = Engine.client(through, 5)) {
-            RaftClientReply r = c.admin().setConfiguration(SetConfigurationRequest.Arguments.newBuilder()
-                .setServersInNewConf(role(next, true)).setListenersInNewConf(role(next, false))
-                .setServersInCurrentConf(role(now, true)).setListenersInCurrentConf(role(now, false))
-                .setMode(SetConfigurationRequest.Mode.COMPARE_AND_SET).build());
-            if (!r.isSuccess()) {
-                throw new IOException(String.valueOf(r.getException()));
-            }
+        if (!settled) {
+            own.schedule(this::settle, TRY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -282,8 +189,8 @@
             due.forEach(e -> propose(e, o -> { }));
             Collection<RaftPeer> now = server.getDivision(id).getGroup().getPeers();
             List<RaftPeer> next = now.stream().filter(p -> !gone.contains(p.getId().toString())).toList();
-            if (next.size() < now.size() && !role(next, true).isEmpty()) {
-                configure(RaftGroup.valueOf(id, now), now, next);
+            if (next.size() < now.size() && !Membership.role(next, true).isEmpty()) {
+                Membership.configure(RaftGroup.valueOf(id, now), now, next);
             }
         } catch (IOException | RuntimeException e) {
             say("as leader: " + cause(e));
@@ -296,9 +203,9 @@
         if (words[0].equals("beat")) {
             long incarnation = Long.parseLong(words[2]);
             if (Long.parseLong(words[3]) < config.lostMs() * 2 / 3) {
-                beats.beat(words[1], incarnation, nowMs());
+                beats.beat(words[1], incarnation, nowMs(), Double.parseDouble(words[4]));
             }
-            return machine.book().sessions().live(words[1], incarnation) ? "live" : "over";
+            return (machine.book().sessions().live(words[1], incarnation) ? "live " : "over ") + machine.at();
         }
         return FleetPage.json(machine.book(), leaderName());
     }
@@ -316,7 +223,7 @@
     private RaftClient client() throws IOException {
         RaftClient c = client;
         if (c == null) {
-            if (!has() || server.getDivision(id).getGroup().getPeers().isEmpty()) {
+            if (!membership.has() || server.getDivision(id).getGroup().getPeers().isEmpty()) {
                 throw new IOException("not a member yet");
             }
             c = Engine.client(server.getDivision(id).getGroup(), 5);
@@ -393,12 +300,22 @@
         }
         beating++; // on the loop only
         call(c -> c.async().sendReadOnlyUnordered(Message.valueOf("beat " + name + " " + incarnation
-            + " " + Math.round(deafMs))), Math.round(2 * config.lostMs()), reply -> {
+            + " " + Math.round(deafMs) + " " + Math.round(behindMs()))), Math.round(2 * config.lostMs()), reply -> {
             beating--;
-            then.accept(reply == null ? null : reply.getMessage().getContent().toStringUtf8().equals("live"));
+            String[] words = reply == null ? null : reply.getMessage().getContent().toStringUtf8().split(" ");
+            if (words != null && behindMs() == 0) {
+                behind = Long.parseLong(words[1]);
+                behindSince = nowMs();
+            }
+            then.accept(words == null ? null : words[0].equals("live"));
         });
     }
 
+    @Override
+    public double behindMs() {
+        return behind <= machine.at() ? 0 : nowMs() - behindSince;
+    }
+
     @Override
     public void close() {
         synchronized (own) {
@@ -432,7 +349,7 @@
             return;
         }
         try (RaftClient c = Engine.client(server.getDivision(id).getGroup(), 1)) {
-            for (RaftPeer p : role(server.getDivision(id).getGroup().getPeers(), true)) {
+            for (RaftPeer p : Membership.role(server.getDivision(id).getGroup().getPeers(), true)) {
                 boolean alive;
                 synchronized (machine) {
                     Sessions.Session s = machine.book().sessions().of(PeerNames.name(p.getId()));
@@ -467,6 +384,27 @@
         loop.execute(() -> ear.restored(image));
     }
 
+    /**
+     * Nothing is agreed on before all voters of the file are in: while the fleet grows from its founder, the loss of
+     * one of two voters would stand it still, with duties owned and jobs taken.
+     */
+    @Override
+    public String refuses(Entry e) {
+        synchronized (machine) {
+            if (!machine.book().sessions().all().isEmpty()) {
+                return null;
+            }
+        }
+        try {
+            RaftConfiguration c = server.getDivision(id).getRaftConf();
+            int in = c.getCurrentPeers().size();
+            return c.getPreviousPeers().isEmpty() && in >= config.voters().size() ? null
+                : "the fleet is being founded: " + in + " of " + config.voters().size() + " voters are in";
+        } catch (IOException x) {
+            return cause(x);
+        }
+    }
+
     @Override
     public void halted(String why) {
         halted = true;
--- a/src/main/java/plumpost/lab/fleet/FleetLab.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLab.java
@@ -31,8 +31,9 @@
  * them. Each process is ended by its id on every way out, that of this program's own end too.
  */
 public final class FleetLab implements Closeable {
-    private static final int LOWEST_PORT = 20_000;
-    private static final int HIGHEST_PORT = 32_000;
+    /** Ports of laboratories that run side by side: each has a range of its own. */
+    private static final int RANGE = 4_000;
+    private static final int LOWEST_PORT = 20_000 + Integer.getInteger("plumpost.lab.fork", 1) % 3 * RANGE;
 
     /** What a fleet is made of. */
     public record Plan(Path jar, Path like, Path folder, int voters, int followers, int sites, String peersMore,
@@ -110,7 +111,8 @@
         public void start(List<String> before) throws IOException {
             List<String> command = new ArrayList<>(before);
             command.addAll(List.of(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss256k", "-Djava.net.preferIPv4Stack=true", "-jar",
+                "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss256k", "-Djava.net.preferIPv4Stack=true",
+                "-Dplumpost.lab=" + plan.folder, "-jar",
                 plan.jar.toString(), "serve", "--config", file.toString()));
             ProcessBuilder b = new ProcessBuilder(command);
             b.environment().keySet().removeIf(n -> n.startsWith("NODE_"));
@@ -130,6 +132,29 @@
             reader.start();
         }
 
+        /** Has its loop stand still at a boundary, such as {@code before Begin}, or go on from there. */
+        public void halt(String boundary, boolean on) throws IOException {
+            history.add(name, on ? "halt" : "go on", boundary);
+            tell(".halt", on ? boundary : null);
+        }
+
+        /** Makes each sync of its log longer, 0 for as it is. */
+        public void slowDisk(int ms) throws IOException {
+            history.add(name, "disk", ms + " ms a sync");
+            tell(".disk", ms > 0 ? Integer.toString(ms) : null);
+        }
+
+        private void tell(String what, String words) throws IOException {
+            Path file = plan.folder.resolve(name + what);
+            if (words == null) {
+                Files.deleteIfExists(file);
+            } else {
+                Path whole = plan.folder.resolve(name + what + ".new");
+                Files.writeString(whole, words);
+                Files.move(whole, file, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+            }
+        }
+
         /** Sends its process a signal by name: KILL, STOP, CONT or TERM. */
         public void signal(String signal) throws IOException, InterruptedException {
             history.add(name, "signal", signal);
@@ -185,7 +210,7 @@
 
     private int port() {
         while (true) {
-            int p = LOWEST_PORT + random.nextInt(HIGHEST_PORT - LOWEST_PORT);
+            int p = LOWEST_PORT + random.nextInt(RANGE);
             if (!ports.add(p)) {
                 continue;
             }
--- a/src/test/java/plumpost/fleet/FleetBookTest.java
+++ b/src/test/java/plumpost/fleet/FleetBookTest.java
@@ -166,7 +166,7 @@
         for (double now = 50_100; now < 50_900; now += 100) {
             assertThat(beats.look(book.sessions().all(), 7, now)).isEmpty();
         }
-        beats.beat("a", a, 50_900);
+        beats.beat("a", a, 50_900, 0);
         assertThat(beats.look(book.sessions().all(), 7, 51_000)).isEmpty();
         assertThat(beats.look(book.sessions().all(), 7, 90_000)).as("stopped for 39 s").isEmpty();
         List<Entry> said = new ArrayList<>();
--- a/src/test/java/plumpost/fleet/FleetModel.java
+++ b/src/test/java/plumpost/fleet/FleetModel.java
@@ -43,6 +43,7 @@
         List<Proposed> under = new ArrayList<>();
         int losses;
         int crashes;
+        int doubts;
         int snapshots;
         String broken;
 
@@ -57,6 +58,7 @@
             w.under = new ArrayList<>(under);
             w.losses = losses;
             w.crashes = crashes;
+            w.doubts = doubts;
             w.snapshots = snapshots;
             return w;
         }
@@ -66,7 +68,7 @@
             under.forEach(p -> flying.add(p.toString()));
             flying.sort(null);
             return book.toString() + Arrays.toString(life) + Arrays.toString(fence) + Arrays.toString(sees)
-                + Arrays.toString(handed) + runs + flying + losses + crashes + snapshots;
+                + Arrays.toString(handed) + runs + flying + losses + crashes + doubts + snapshots;
         }
     }
 
@@ -74,14 +76,16 @@
     private final boolean again;
     private final int losses;
     private final int crashes;
+    private final int doubts;
     private final Set<String> seen = new HashSet<>();
     private final ArrayDeque<World> next = new ArrayDeque<>();
     int moves;
     String found;
     final Set<String> reached = new HashSet<>();
 
-    /** Explores with at most so many lives called lost and so many crashes. */
-    FleetModel(Broken how, boolean again, int losses, int crashes) {
+    /** Explores with at most so many lives called lost, so many crashes and so many called late. */
+    FleetModel(Broken how, boolean again, int losses, int crashes, int doubts) {
+        this.doubts = doubts;
         this.how = how;
         this.again = again;
         this.losses = losses;
@@ -137,6 +141,13 @@
                 apply(n, new Proposed(-1, new Entry.Judge(NAMES[i], w.life[i], Entry.Verdict.LOST, 1)));
                 add(n);
             }
+            // One that is late gets nothing new, and what it has not begun may be given to another.
+            if (w.doubts < doubts && book(w).sessions().live(NAMES[i], w.life[i])) {
+                World n = w.copy();
+                n.doubts++;
+                apply(n, new Proposed(-1, new Entry.Judge(NAMES[i], w.life[i], Entry.Verdict.SUSPECT, 1)));
+                add(n);
+            }
             if (w.crashes < crashes) {
                 World n = w.copy();
                 n.crashes++;
@@ -187,7 +198,7 @@
         n.fence[i] = !live ? -1 : d.owner().equals(NAMES[i]) && d.incarnation() == w.life[i] ? d.fence() : 0;
         Job job = b.plans().of(JOB);
         n.sees[i] = job != null && job.target().equals(NAMES[i]) && job.incarnation() == w.life[i] ? job.state()
-            : job != null && job.state() == State.WAITING ? State.WAITING : null;
+            : job != null && (job.state() == State.WAITING || Plans.stuck(job, b.sessions())) ? State.WAITING : null;
         add(n);
     }
 
@@ -245,7 +256,7 @@
         if (o.done() && p.entry instanceof Entry.Fire f) {
             check(n, d.fence() == f.fence() && d.owner().equals(NAMES[p.by]), "a deed under fence " + f.fence()
                 + " while " + d.fence() + " holds");
-            reached.add("fired");
+            reached.add(before.plans().of(JOB).state() == State.FIRED ? "fired anew" : "fired");
         } else if (!o.done() && p.entry instanceof Entry.Fire f && f.fence() != d.fence()) {
             reached.add("old fence refused");
         }
--- a/src/test/java/plumpost/fleet/FleetSim.java
+++ b/src/test/java/plumpost/fleet/FleetSim.java
@@ -1,6 +1,7 @@
 package plumpost.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -32,6 +33,9 @@
         boolean stopped;
         boolean cut;
         boolean dead;
+        /** What it sees of the log comes so much later: its disk is slow. */
+        double slowMs;
+        private final ArrayDeque<Double> unseen = new ArrayDeque<>();
         private double seenAt;
         private final List<Runnable> held = new ArrayList<>();
 
@@ -41,6 +45,7 @@
         }
 
         private void begin(int life) {
+            unseen.clear();
             wheel = new TimerWheel(now); // the former process has ended with its timers
             PeersConfig.Member self = config.members().get(index);
             member = new Member(new PeersConfig(config.group(), config.data(), self, config.members(), config.beatMs(),
@@ -55,8 +60,12 @@
         /** Something comes to this process: while it is stopped or cut off it waits, to a dead one it never comes. */
         void deliver(double afterMs, Runnable what) {
             Member mine = member;
-            seenAt = Math.max(seenAt, now + afterMs); // what one process sees comes in order
+            seenAt = Math.max(seenAt, now + afterMs + slowMs); // what one process sees comes in order
+            unseen.add(now);
             at(seenAt, () -> {
+                if (mine == member) {
+                    unseen.poll();
+                }
                 if (mine == member && !dead) {
                     if (stopped || cut) {
                         held.add(what);
@@ -110,13 +119,18 @@
                 propose(null, o -> then.accept(null));
             } else {
                 at(now + delay(), () -> {
-                    ear.beat(name, incarnation, now);
+                    ear.beat(name, incarnation, now, behindMs());
                     boolean live = book.sessions().live(name, incarnation);
                     deliver(delay(), () -> then.accept(live));
                 });
             }
         }
 
+        @Override
+        public double behindMs() {
+            return unseen.isEmpty() ? 0 : Math.max(0, now - unseen.peek() - 50);
+        }
+
         @Override
         public void close() { }
 
--- a/src/test/java/plumpost/fleet/FleetSimTest.java
+++ b/src/test/java/plumpost/fleet/FleetSimTest.java
@@ -27,19 +27,23 @@
             Duties.Duty before = sim.book.duties().of(FleetBook.SCHEDULE);
             FleetSim.One one = sim.random.nextInt(3) > 0 && !before.owner().isEmpty()
                 ? sim.all.get(Integer.parseInt(before.owner().substring(1))) : sim.all.get(sim.random.nextInt(members));
-            int kind = sim.random.nextInt(4);
+            int kind = sim.random.nextInt(5);
             if (kind == 0) {
                 one.stopped = true;
             } else if (kind == 1) {
                 one.cut = true;
             } else if (kind == 2) {
                 one.dead = true;
+            } else if (kind == 3) {
+                one.slowMs = 4000;
             } else {
                 one.member.stop();
             }
             sim.pass(500 + sim.random.nextInt(4000));
             if (kind == 0 || kind == 1) {
                 one.wake();
+            } else if (kind == 3) {
+                one.slowMs = 0;
             } else {
                 one.restart(round + 1);
             }
--- a/src/test/java/plumpost/lab/fleet/FleetFaultsIT.java
+++ b/src/test/java/plumpost/lab/fleet/FleetFaultsIT.java
@@ -117,6 +117,12 @@
         double again = lab.history().nowMs();
         one.start();
         joined(one, again);
+        one.signal("KILL");
+        assertThat(one.ended(PATIENCE_MS)).isTrue();
+        Files.move(one.data().resolve("log"), folder.resolve("log-that-was"));
+        again = lab.history().nowMs();
+        one.start();
+        said(one, again, "it must not vote with what it forgot");
     }
 
     private String refused(One one) throws Exception {
