Let the leader itself hear lives, by calls that turn away from a member that ends

Traced call by call. At fault: a linearizable read is answered by followers too (RatisLog.answer), so a beat that reached one was answered and counted there, and the leader never heard that life; and the engine's asynchronous calls try a member that has gone again and again, 17 times in 1.7 s, without turning to another. Ruled out: passing leadership on, which takes 150 to 260 ms and was done each time.

Change: a beat goes to the leader as this member's own log knows it; a follower that gets one says where the leader is. Calls is a class of its own, blocking calls on threads of their own, a try has a quarter of lostMs in place of a second.

--- a/src/main/java/plumpost/cli/FleetCommands.java
+++ b/src/main/java/plumpost/cli/FleetCommands.java
@@ -43,11 +43,9 @@
                 throw new ParseException("usage: " + USAGE);
             }
             NodeConfig config = NodeConfig.read(Serve.file(line.getOptionValue("config")), System.getenv());
-            if (config.peers() == null) {
-                throw new BadInput("configuration: field peers is missing: " + config.name() + " is in no fleet");
-            }
+            PeersConfig peers = PeersConfig.of(config);
             LinesProvider.begin("fleet", false);
-            String answer = Peers.maker().call(PeersConfig.read(config.peers(), config.name(), null, false), command,
+            String answer = Peers.maker().call(peers, command,
                 words.size() > 1 ? words.get(1) : "");
             out.println(command.equals("show") && !line.hasOption("json") ? page(answer) : answer);
             return 0;
--- a/src/main/java/plumpost/config/PeersConfig.java
+++ b/src/main/java/plumpost/config/PeersConfig.java
@@ -68,6 +68,14 @@
             f.whole("snapshotEvery", 10_000, 10, 10_000_000), asks);
     }
 
+    /** The section of a whole file, for a command to the fleet; bad input where there is none. */
+    public static PeersConfig of(NodeConfig c) {
+        if (c.peers() == null) {
+            throw new BadInput("configuration: field peers is missing: " + c.name() + " is in no fleet");
+        }
+        return read(c.peers(), c.name(), null, false);
+    }
+
     /** The members with a vote, in the file's order; the first of them founds the fleet. */
     public List<Member> voters() {
         return members.stream().filter(Member::vote).toList();
--- a/src/main/java/plumpost/fleet/FleetLog.java
+++ b/src/main/java/plumpost/fleet/FleetLog.java
@@ -35,6 +35,9 @@
     /** For how many milliseconds entries have been agreed on that have not been applied here yet; 0 where it keeps up. */
     double behindMs();
 
+    /** How often it has synced its log to the disk. */
+    long syncs();
+
     /** Leaves the log; nothing is called back after it. */
     void close();
 }
--- a/src/main/java/plumpost/fleet/Member.java
+++ b/src/main/java/plumpost/fleet/Member.java
@@ -35,21 +35,11 @@
     private final TimerWheel wheel;
     private final Counters counters;
     private final Consumer<String> say;
-    private final String nonce;
-    private final String disk;
-    private final List<Offer> offers = new ArrayList<>();
     private final FleetBook view = new FleetBook();
+    private final Life life;
     private final ScheduleRunner schedule;
     private final DiscoveryRunner discovery;
     private FleetLog log;
-    private long incarnation;
-    private boolean joining;
-    private double joinAt;
-    private double beatAt;
-    private double leaseEnd;
-    private double heardAt;
-    private List<String> served = List.of();
-    private double servesAt;
     private final Map<Object, Double> asked = new HashMap<>();
     private boolean dirty;
     private boolean halted;
@@ -59,6 +49,7 @@
     private double leaveBy;
     private boolean left;
     private boolean hadLease;
+    private long syncs;
 
     /**
      * A member that has not begun.
@@ -70,17 +61,16 @@
     public Member(PeersConfig config, String nonce, String disk, boolean asks, Host host, Clock clock, TimerWheel wheel,
                   Counters counters, Consumer<String> say) {
         this.config = config;
-        this.nonce = nonce;
-        this.disk = disk;
         this.host = host;
         this.clock = clock;
         this.wheel = wheel;
         this.counters = counters;
         this.say = say;
-        offers.add(new Offer(FleetBook.SCHEDULE, ""));
+        List<Offer> offers = new ArrayList<>(List.of(new Offer(FleetBook.SCHEDULE, "")));
         if (asks) {
             offers.add(new Offer(FleetBook.DISCOVERY + config.self().site(), config.self().site()));
         }
+        life = new Life(this, host, config, nonce, disk, offers);
         schedule = new ScheduleRunner(this, host);
         discovery = new DiscoveryRunner(this, host, asks ? FleetBook.DISCOVERY + config.self().site() : null,
             config.discoveryAgeMs());
@@ -111,7 +101,7 @@
     }
 
     long incarnation() {
-        return incarnation;
+        return life.incarnation();
     }
 
     /** Whether this process may act for the fleet now: asked anew before every deed, since it may have been stopped. */
@@ -121,7 +111,7 @@
 
     /** Whether its life goes on as far as it knows: what it has begun it may hand out and record, leaving or not. */
     boolean lives() {
-        return incarnation > 0 && !halted && nowMs() < leaseEnd;
+        return life.holds(nowMs()) && !halted;
     }
 
     boolean stopping() {
@@ -131,7 +121,7 @@
     /** The fence under which a duty is this life's, or 0. */
     long fence(String duty) {
         Duty d = view.duties().of(duty);
-        return d != null && mayAct() && d.owner().equals(name()) && d.incarnation() == incarnation ? d.fence() : 0;
+        return d != null && mayAct() && d.owner().equals(name()) && d.incarnation() == incarnation() ? d.fence() : 0;
     }
 
     /**
@@ -177,18 +167,13 @@
             return;
         }
         double now = nowMs();
-        if (incarnation == 0) {
-            if (!joining && !stopping && now >= joinAt) {
-                join();
-            }
-        } else if (now >= beatAt) {
-            beatAt = now + config.beatMs();
-            long life = incarnation;
-            log.beat(name(), life, now - heardAt, heard -> heard(life, now, heard));
-        }
+        life.step(now);
         if (asked.size() > 1000) {
             asked.values().removeIf(at -> now - at >= AGAIN_MS);
         }
+        for (long done = log.syncs(); syncs < done; syncs++) {
+            count("synced");
+        }
         boolean lease = mayAct();
         if (hadLease && !lease && !stopping) {
             count("lease_ended");
@@ -196,14 +181,14 @@
                 + " ms: it does no fleet duty and serves on by itself");
         }
         if (lease && !hadLease) {
-            say("heard by the leader, incarnation " + incarnation + " takes part");
+            say("heard by the leader, incarnation " + incarnation() + " takes part");
         }
         hadLease = lease;
         if (stopping) {
             last();
         }
-        if (lease && now >= servesAt) {
-            serves();
+        if (lease) {
+            life.serves(now);
         }
         if (lease && log.behindMs() > config.lostMs() * 2 / 3) {
             passOn();
@@ -222,57 +207,18 @@
         }
     }
 
-    private void join() {
-        joining = true;
-        log.propose(new Entry.Join(name(), config.self().site(), disk, config.self().vote(), nonce, FleetCodec.FORMAT,
-            List.copyOf(offers)), o -> {
-                joining = false;
-                joinAt = nowMs() + AGAIN_MS / 2;
-                if (o != null && o.done()) {
-                    incarnation = o.number();
-                    heardAt = nowMs();
-                    served = List.of();
-                    count("joined");
-                    say.accept("fleet: joined as incarnation " + incarnation);
-                } else if (o != null) {
-                    halted(o.words());
-                }
-            });
-    }
-
-    private void heard(long life, double sent, Boolean heard) {
-        if (life != incarnation || heard == null) {
-            return;
-        }
-        if (heard) {
-            heardAt = nowMs();
-            leaseEnd = Math.max(leaseEnd, sent + config.lostMs() * 2 / 3);
-        } else {
-            over("the fleet took it for lost");
-        }
-    }
-
-    /** This life is over: nothing more is done in its name, and what nobody has seen of its work is called back. */
-    private void over(String why) {
+    /** Its life is over: nothing more is done in its name, and what nobody has seen of its work is called back. */
+    void over(String why) {
         count("lost");
-        say.accept("fleet: incarnation " + incarnation + " is over: " + why);
-        incarnation = 0;
-        leaseEnd = 0;
+        say.accept("fleet: incarnation " + incarnation() + " is over: " + why);
+        life.end();
         asked.clear();
         schedule.forget();
-        joinAt = nowMs();
     }
 
-    private void serves() {
-        List<String> now = host.functions().stream().sorted().limit(1024).toList();
-        if (!now.equals(served)) {
-            servesAt = nowMs() + AGAIN_MS / 4;
-            once("serves", new Entry.Serves(name(), incarnation, now), o -> {
-                if (o != null && o.done()) {
-                    served = now;
-                }
-            });
-        }
+    /** The log that it takes part in. */
+    FleetLog log() {
+        return log;
     }
 
     // ---- the log's words ----
@@ -347,8 +293,8 @@
             return;
         }
         Session s = view.sessions().of(name());
-        if (incarnation > 0 && s != null && s.incarnation() >= incarnation
-            && !leaving && !(s.incarnation() == incarnation && s.live())) {
+        if (incarnation() > 0 && s != null && s.incarnation() >= incarnation()
+            && !leaving && !(s.incarnation() == incarnation() && s.live())) {
             over("the log says " + s.state().name().toLowerCase(java.util.Locale.ROOT));
             if (s.state() == Sessions.State.REMOVED) {
                 halted("it was removed from the fleet by command");
@@ -449,21 +395,21 @@
         }
         stopping = true;
         leaveBy = nowMs() + LEAVE_MS;
-        if (incarnation == 0 || halted || log == null) {
+        if (incarnation() == 0 || halted || log == null) {
             leave();
         } else {
-            log.propose(new Entry.Leave(name(), incarnation, false), o -> { }); // others have its duties from now on
+            log.propose(new Entry.Leave(name(), incarnation(), false), o -> { }); // others have its duties from now on
         }
     }
 
     /** What it had is finished or has come back: now it is gone. Where that cannot be agreed on it goes all the same. */
     private void last() {
-        if (schedule.done() && !leaving && incarnation > 0) {
+        if (schedule.done() && !leaving && incarnation() > 0) {
             leaving = true;
             leaveBy = nowMs() + LEAVE_MS;
-            log.propose(new Entry.Leave(name(), incarnation, true), o -> leave());
+            log.propose(new Entry.Leave(name(), incarnation(), true), o -> leave());
         }
-        if (incarnation == 0 || leaving && nowMs() > leaveBy) {
+        if (incarnation() == 0 || leaving && nowMs() > leaveBy) {
             leave();
         }
     }
--- a/src/main/java/plumpost/fleet/engine/BookMachine.java
+++ b/src/main/java/plumpost/fleet/engine/BookMachine.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 import org.apache.ratis.io.MD5Hash;
 import org.apache.ratis.proto.RaftProtos.LogEntryProto;
@@ -55,27 +56,34 @@
     private final FleetBook book = new FleetBook();
     private final Listener listener;
     private final Function<String, String> questions;
-    private final Trials trials;
+    private final LongAdder syncs = new LongAdder();
+    private final DataApi data;
     private boolean halted;
 
     /** A machine whose questions (reads at the leader) are answered by the given function, under its lock; trials may be null. */
     BookMachine(Listener listener, Function<String, String> questions, Trials trials) {
         this.listener = listener;
         this.questions = questions;
-        this.trials = trials;
-    }
-
-    /** Each sync of the log waits for this one's too: the laboratory makes a disk slow here. */
-    @Override
-    public DataApi data() {
-        return trials == null ? super.data() : new DataApi() {
+        data = new DataApi() {
             @Override
             public CompletableFuture<Void> flush(long index) {
-                return trials.synced();
+                syncs.increment();
+                return trials == null ? CompletableFuture.completedFuture(null) : trials.synced();
             }
         };
     }
 
+    /** Hears of each sync of the log, which waits for the answer too: the laboratory makes a disk slow here. */
+    @Override
+    public DataApi data() {
+        return data;
+    }
+
+    /** How often the log was synced. */
+    long syncs() {
+        return syncs.sum();
+    }
+
     /** The book; touched only while this machine's lock is held. */
     FleetBook book() {
         return book;
--- a/src/main/java/plumpost/fleet/engine/Engine.java
+++ b/src/main/java/plumpost/fleet/engine/Engine.java
@@ -21,6 +21,9 @@
 
 /** The engine's settings, derived from the file's, and calls to members that are not in a group yet. */
 final class Engine {
+    /** Between two tries of a client. */
+    private static final double PAUSE_MS = 100;
+
     private Engine() { }
 
     /** The engine's id of a fleet's group: drawn from its name, so that two fleets never mix. */
@@ -68,12 +71,25 @@
 
     /** A client of a group, or of members that are not in it yet; each try has a second, and there are so many. */
     static RaftClient client(RaftGroup group, int tries) {
+        return client(group, tries, 1000);
+    }
+
+    /**
+     * A member's own client: a try has a quarter of {@code lostMs}, so that a leader that hangs or ends costs no lease,
+     * and there are as many as the longest call may take.
+     */
+    static RaftClient own(RaftGroup group, PeersConfig c, double longestMs) {
+        double tryMs = Math.max(100, c.lostMs() / 4);
+        return client(group, (int) Math.ceil(longestMs / (tryMs + PAUSE_MS)), tryMs);
+    }
+
+    private static RaftClient client(RaftGroup group, int tries, double tryMs) {
         RaftProperties p = new RaftProperties();
-        RaftClientConfigKeys.Rpc.setRequestTimeout(p, ms(1000));
+        RaftClientConfigKeys.Rpc.setRequestTimeout(p, ms(tryMs));
         RaftClientConfigKeys.Async.Experimental.setSendDummyRequest(p, false); // fails at a leader that is not ready
         GrpcConfigKeys.setMessageSizeMax(p, SizeInBytes.valueOf(4L * FleetCodec.MOST_BYTES));
         return RaftClient.newBuilder().setProperties(p).setRaftGroup(group).setRetryPolicy(
-            RetryPolicies.retryUpToMaximumCountWithFixedSleep(tries, ms(100))).build();
+            RetryPolicies.retryUpToMaximumCountWithFixedSleep(tries, ms(PAUSE_MS))).build();
     }
 
     /** What a member says of the group: the group with its members as that one knows them, or null: it is in none. */
--- a/src/main/java/plumpost/fleet/engine/RatisLog.java
+++ b/src/main/java/plumpost/fleet/engine/RatisLog.java
@@ -5,10 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +16,7 @@
 import org.apache.ratis.protocol.RaftGroup;
 import org.apache.ratis.protocol.RaftGroupId;
 import org.apache.ratis.protocol.RaftPeer;
+import org.apache.ratis.protocol.RaftPeerId;
 import org.apache.ratis.server.RaftConfiguration;
 import org.apache.ratis.server.RaftServer;
 import org.apache.ratis.server.storage.RaftStorage;
@@ -39,9 +37,9 @@
     private static final long TRY_MS = 300;
     private static final int MOST_BEATS = 2;
     private static final int WRITERS = 16;
+    private static final long HAND_OVER_MS = 500;
     /** What is not answered for so long is taken for not known. */
     private static final long LONGEST_MS = 8_000;
-    private static final double CLIENT_MS = 1_000;
 
     private final PeersConfig config;
     private final DataDirectory data;
@@ -52,18 +50,15 @@
     private final RaftPeer self;
     /** Becoming and staying a member may wait for others; what is proposed must not wait for that. */
     private final ScheduledExecutorService own = thread("fleet");
-    private final ScheduledExecutorService calls = thread("fleet-calls");
-    /** Each proposal is a call of its own: one that hangs on a leader that was stopped holds up no other. */
-    private final ExecutorService writers = Executors.newFixedThreadPool(WRITERS, r -> named(r, "fleet-writer"));
+    private final Calls proposals;
+    private final Calls beating;
     private final BookMachine machine;
-    private final Beats beats;
+    private final Beats ears;
     private RaftServer server;
     private Membership membership;
-    private volatile RaftClient client;
     private volatile boolean closed;
     private volatile boolean halted;
-    private volatile int beating;
-    private double madeAt;
+    private int beats;
     /** The oldest word of the leader on how far the log is applied that has not come true here, and since when. */
     private long behind;
     private double behindSince;
@@ -78,8 +73,12 @@
         this.log = log;
         this.id = Engine.group(config.group());
         this.self = PeerNames.peer(config.self(), data.disk());
-        this.beats = new Beats(config.lostMs() * 2 / 3, config.lostMs(), 5 * LOOK_MS);
+        this.ears = new Beats(config.lostMs() * 2 / 3, config.lostMs(), 5 * LOOK_MS);
         this.machine = new BookMachine(this, this::answer, trials);
+        this.proposals = new Calls(() -> Engine.own(members(), config, LONGEST_MS), WRITERS, LONGEST_MS,
+            r -> named(r, "fleet-proposal"), loop);
+        this.beating = new Calls(() -> Engine.own(members(), config, 0), MOST_BEATS, Math.round(2 * config.lostMs()),
+            r -> named(r, "fleet-beat"), loop);
         PeerNames.know(config);
     }
 
@@ -172,14 +171,14 @@
             }
             if (!leads()) {
                 synchronized (machine) {
-                    beats.lead(nowMs());
+                    ears.lead(nowMs());
                 }
                 return;
             }
             List<Entry> due;
             List<String> gone = new ArrayList<>();
             synchronized (machine) {
-                due = beats.look(machine.book().sessions().all(), server.getDivision(id).getInfo().getCurrentTerm(), nowMs());
+                due = ears.look(machine.book().sessions().all(), server.getDivision(id).getInfo().getCurrentTerm(), nowMs());
                 for (Sessions.Session s : machine.book().sessions().all()) {
                     if (s.state() == Sessions.State.REMOVED) {
                         gone.add(s.name() + "." + s.disk());
@@ -200,10 +199,14 @@
     /** Answers a question to the leader: called under the machine's lock. */
     private String answer(String question) {
         String[] words = question.split(" ");
-        if (words[0].equals("beat")) {
+        if (words[0].equals("beat") && !leads()) {
+            // A follower answers reads as surely as the leader, but it is the leader that has to hear a life.
+            RaftPeerId leader = leader();
+            return leader == null || leader.equals(self.getId()) ? "elsewhere" : "elsewhere " + leader;
+        } else if (words[0].equals("beat")) {
             long incarnation = Long.parseLong(words[2]);
             if (Long.parseLong(words[3]) < config.lostMs() * 2 / 3) {
-                beats.beat(words[1], incarnation, nowMs(), Double.parseDouble(words[4]));
+                ears.beat(words[1], incarnation, nowMs(), Double.parseDouble(words[4]));
             }
             return (machine.book().sessions().live(words[1], incarnation) ? "live " : "over ") + machine.at();
         }
@@ -211,78 +214,32 @@
     }
 
     private String leaderName() {
-        try {
-            return PeerNames.name(server.getDivision(id).getInfo().getLeaderId());
-        } catch (IOException | RuntimeException e) {
-            return "";
-        }
+        RaftPeerId leader = leader();
+        return leader == null ? "" : PeerNames.name(leader);
     }
 
     // ---- FleetLog ----
 
-    private RaftClient client() throws IOException {
-        RaftClient c = client;
-        if (c == null) {
-            if (!membership.has() || server.getDivision(id).getGroup().getPeers().isEmpty()) {
-                throw new IOException("not a member yet");
-            }
-            c = Engine.client(server.getDivision(id).getGroup(), 5);
-            client = c;
-            madeAt = nowMs();
+    private RaftGroup members() throws IOException {
+        if (!membership.has() || server.getDivision(id).getGroup().getPeers().isEmpty()) {
+            throw new IOException("not a member yet");
         }
-        return c;
-    }
-
-    /**
-     * A client that failed is made anew, with the members as they are known now, but not more often than once a second;
-     * it is closed only once what others have asked by it is over, since a closed one leaves that unanswered for good.
-     */
-    private void failed(RaftClient c) {
-        if (closed) {
-            return;
-        }
-        calls.execute(() -> {
-            if (client == c && c != null && nowMs() - madeAt > CLIENT_MS) {
-                client = null;
-                calls.schedule(() -> shut(c), LONGEST_MS, TimeUnit.MILLISECONDS);
-            }
-        });
+        return server.getDivision(id).getGroup();
     }
 
-    private void call(java.util.function.Function<RaftClient, CompletableFuture<RaftClientReply>> what,
-                      long longestMs, Consumer<RaftClientReply> then) {
+    /** The leader as this member knows it, or null. */
+    private RaftPeerId leader() {
         try {
-            calls.execute(() -> {
-                RaftClient c = null;
-                try {
-                    c = client();
-                    RaftClient used = c;
-                    what.apply(c).orTimeout(longestMs, TimeUnit.MILLISECONDS).whenComplete((reply, fault) -> {
-                        if (fault != null) {
-                            failed(used);
-                        }
-                        loop.execute(() -> then.accept(fault != null || !reply.isSuccess() ? null : reply));
-                    });
-                } catch (IOException | RuntimeException e) {
-                    failed(c);
-                    loop.execute(() -> then.accept(null));
-                }
-            });
-        } catch (java.util.concurrent.RejectedExecutionException e) {
-            loop.execute(() -> then.accept(null)); // closed meanwhile
+            return server.getDivision(id).getInfo().getLeaderId();
+        } catch (IOException | RuntimeException e) {
+            return null;
         }
     }
 
     @Override
     public void propose(Entry e, Consumer<Outcome> then) {
         Message m = Message.valueOf(ByteString.copyFrom(FleetCodec.bytes(e)));
-        call(c -> CompletableFuture.supplyAsync(() -> {
-            try {
-                return c.io().send(m);
-            } catch (IOException x) {
-                throw new CompletionException(x);
-            }
-        }, writers), LONGEST_MS, reply -> {
+        proposals.call(c -> c.io().send(m), reply -> {
             try {
                 then.accept(reply == null ? null : FleetCodec.outcome(reply.getMessage().getContent().toByteArray()));
             } catch (FleetCodec.Unreadable x) {
@@ -294,15 +251,22 @@
 
     @Override
     public void beat(String name, long incarnation, double deafMs, Consumer<Boolean> then) {
-        if (beating >= MOST_BEATS) {
+        if (beats >= MOST_BEATS) {
             loop.execute(() -> then.accept(null));
             return;
         }
-        beating++; // on the loop only
-        call(c -> c.async().sendReadOnlyUnordered(Message.valueOf("beat " + name + " " + incarnation
-            + " " + Math.round(deafMs) + " " + Math.round(behindMs()))), Math.round(2 * config.lostMs()), reply -> {
-            beating--;
-            String[] words = reply == null ? null : reply.getMessage().getContent().toStringUtf8().split(" ");
+        beats++; // on the loop only
+        Message m = Message.valueOf("beat " + name + " " + incarnation + " " + Math.round(deafMs) + " "
+            + Math.round(behindMs()));
+        beating.call(c -> {
+            RaftPeerId leader = leader();
+            RaftClientReply r = leader == null ? c.io().sendReadOnly(m) : c.io().sendReadOnly(m, leader);
+            String[] words = words(r);
+            return words[0].equals("elsewhere") && words.length > 1
+                ? c.io().sendReadOnly(m, RaftPeerId.valueOf(words[1])) : r;
+        }, reply -> {
+            beats--;
+            String[] words = reply == null || words(reply)[0].equals("elsewhere") ? null : words(reply);
             if (words != null && behindMs() == 0) {
                 behind = Long.parseLong(words[1]);
                 behindSince = nowMs();
@@ -311,11 +275,20 @@
         });
     }
 
+    private static String[] words(RaftClientReply r) {
+        return r.getMessage().getContent().toStringUtf8().split(" ");
+    }
+
     @Override
     public double behindMs() {
         return behind <= machine.at() ? 0 : nowMs() - behindSince;
     }
 
+    @Override
+    public long syncs() {
+        return machine.syncs();
+    }
+
     @Override
     public void close() {
         synchronized (own) {
@@ -324,13 +297,8 @@
             }
             closed = true;
         }
-        calls.execute(() -> {
-            if (client != null) {
-                shut(client);
-            }
-        });
-        calls.shutdown();
-        writers.shutdown();
+        proposals.close();
+        beating.close();
         own.execute(() -> {
             if (server != null) {
                 if (!halted) {
@@ -355,8 +323,13 @@
                     Sessions.Session s = machine.book().sessions().of(PeerNames.name(p.getId()));
                     alive = s != null && s.state() == Sessions.State.ALIVE;
                 }
-                if (alive && !p.getId().equals(self.getId()) && c.admin().transferLeadership(p.getId(), 500).isSuccess()) {
-                    return;
+                if (alive && !p.getId().equals(self.getId())) {
+                    RaftClientReply r = c.admin().transferLeadership(p.getId(), HAND_OVER_MS);
+                    say("leadership is passed on to " + PeerNames.name(p.getId())
+                        + (r.isSuccess() ? "" : ", but " + r.getException()));
+                    if (r.isSuccess()) {
+                        return;
+                    }
                 }
             }
         } catch (IOException | RuntimeException e) {
--- a/src/main/java/plumpost/fleet/engine/Trials.java
+++ b/src/main/java/plumpost/fleet/engine/Trials.java
@@ -86,6 +86,11 @@
                 return log.behindMs();
             }
 
+            @Override
+            public long syncs() {
+                return log.syncs();
+            }
+
             @Override
             public void close() {
                 log.close();
--- a/src/main/java/plumpost/lab/fleet/FleetLab.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLab.java
@@ -82,11 +82,21 @@
             return gearman;
         }
 
+        /** Where its front of the platform is. */
+        public int http() {
+            return http;
+        }
+
         /** Where its operators' listener is. */
         public int ops() {
             return ops;
         }
 
+        /** Whether it has a vote. */
+        public boolean vote() {
+            return vote;
+        }
+
         /** Its data directory. */
         public Path data() {
             return plan.folder.resolve(name);
@@ -260,18 +270,16 @@
     /** What the fleet says of itself, asked through one member's file, or null where nobody answers. */
     public Fields show(One through) {
         try {
-            NodeConfig c = NodeConfig.from(Json.object("configuration", Files.readAllBytes(through.file)), Map.of());
-            return Json.object("fleet", maker.call(PeersConfig.read(c.peers(), c.name(), null, false), "show", "")
-                .getBytes(StandardCharsets.UTF_8));
+            return Json.object("fleet", call(through, "show", "").getBytes(StandardCharsets.UTF_8));
         } catch (IOException | BadInput e) {
             return null;
         }
     }
 
-    /** Runs another command, yield or remove, through one member's file. */
+    /** Runs a command, show, yield or remove, through one member's file. */
     public String call(One through, String command, String argument) throws IOException {
-        NodeConfig c = NodeConfig.from(Json.object("configuration", Files.readAllBytes(through.file)), Map.of());
-        return maker.call(PeersConfig.read(c.peers(), c.name(), null, false), command, argument);
+        return maker.call(PeersConfig.of(NodeConfig.from(Json.object("configuration", Files.readAllBytes(through.file)),
+            Map.of())), command, argument);
     }
 
     /** The owner of a duty by what the fleet says, or an empty text. */
--- a/src/main/java/plumpost/lab/fleet/FleetLabMain.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLabMain.java
@@ -15,6 +15,9 @@
 
 /** The laboratory's command {@code fleet}: random faults on a fleet of real processes. */
 public final class FleetLabMain {
+    /** A fleet that has just come together is let alone for so long before it is measured. */
+    private static final int SETTLE_S = 20;
+
     private FleetLabMain() { }
 
     /** Runs it; 0 where no rule was broken, 1 where one was, 2 for bad arguments. */
@@ -26,6 +29,7 @@
         options.addOption(null, "seconds", true, "time after which it ends all the same (3600)");
         options.addOption(null, "seed", true, "for all draws (1)");
         options.addOption(null, "script", true, "file with a schedule of faults, played in place of a drawn one");
+        options.addOption(null, "rest", true, "measures for so many seconds what it costs at rest, without faults");
         options.addOption(null, "like", true, "configuration that the processes' files are made from (deploy/gearman.json)");
         options.addOption(null, "folder", true, "folder for files, data and the history (target/fleet-test)");
         options.addOption(null, "html", true, "file for the result as a page with a plot");
@@ -50,6 +54,10 @@
             Path jar = Path.of(FleetLabMain.class.getProtectionDomain().getCodeSource().getLocation().getPath());
             try (FleetLab lab = new FleetLab(new FleetLab.Plan(jar, Path.of(line.getOptionValue("like",
                 "deploy/gearman.json")).toAbsolutePath(), folder, voters, whole(line, "followers", 0, 0, 95), 3, "", ""))) {
+                if (line.hasOption("rest")) {
+                    new FleetRest(lab).run(SETTLE_S, whole(line, "rest", 20, 1, 3600), out);
+                    return 0;
+                }
                 FleetRun run = new FleetRun(lab, seed, out);
                 FleetRun.Result r = line.hasOption("script")
                     ? run.replay(Script.parse(line.getOptionValue("script"), Files.readString(Path.of(
--- a/src/test/java/plumpost/fleet/FleetSim.java
+++ b/src/test/java/plumpost/fleet/FleetSim.java
@@ -131,6 +131,11 @@
             return unseen.isEmpty() ? 0 : Math.max(0, now - unseen.peek() - 50);
         }
 
+        @Override
+        public long syncs() {
+            return 0;
+        }
+
         @Override
         public void close() { }
 
