Raise the record format only once each member reads it, and run two formats side by side

There was one format, and no test of two.

The directory's layout has a number of its own. A process of the laboratory takes itself for a program of another format. fleet show tells the fleet's format and what each member reads.

--- a/src/main/java/plumpost/fleet/Entry.java
+++ b/src/main/java/plumpost/fleet/Entry.java
@@ -32,6 +32,9 @@
     /** An operator takes a scheduler out for good: its data directory never joins again. */
     record Remove(String name) implements Entry { }
 
+    /** The fleet writes a newer record format from now on, since all members read it. */
+    record Raise(int format) implements Entry { }
+
     /** The functions that a scheduler has workers for now. */
     record Serves(String name, long incarnation, List<String> functions) implements Entry { }
 
--- a/src/main/java/plumpost/fleet/FleetBook.java
+++ b/src/main/java/plumpost/fleet/FleetBook.java
@@ -58,6 +58,8 @@
             return after(r.name(), sessions.remove(r, news), news);
         } else if (e instanceof Entry.Serves s) {
             return sessions.serves(s, news);
+        } else if (e instanceof Entry.Raise r) {
+            return sessions.raise(r);
         } else if (e instanceof Entry.Yield y) {
             return duties.yield(y, sessions, news);
         } else if (e instanceof Entry.Ban b) {
--- a/src/main/java/plumpost/fleet/FleetCodec.java
+++ b/src/main/java/plumpost/fleet/FleetCodec.java
@@ -25,8 +25,11 @@
  * the others.
  */
 public final class FleetCodec {
-    /** The newest record format that this program reads and, once all members read it, writes. */
-    public static final int FORMAT = 1;
+    /**
+     * The newest record format that this program reads and, once the fleet has agreed on it, writes. The laboratory has a
+     * process take itself for a program of another format, to run two side by side.
+     */
+    public static final int FORMAT = Integer.getInteger("plumpost.lab.format", 1);
     /** The longest entry: a node list of some thousand lines, or a job's data, with room. */
     public static final int MOST_BYTES = 1 << 20;
 
@@ -51,12 +54,12 @@
         }
     }
 
-    /** An entry's bytes. */
-    public static byte[] bytes(Entry e) {
+    /** An entry's bytes in a record format, from 1 to {@link #FORMAT}. */
+    public static byte[] bytes(Entry e, int format) {
         ByteArrayOutputStream all = new ByteArrayOutputStream(128);
         try (JsonGenerator out = CBOR.createGenerator(all)) {
             out.writeStartArray();
-            out.writeNumber(FORMAT);
+            out.writeNumber(format);
             out.writeString(e.getClass().getSimpleName());
             write(out, e);
             out.writeEndArray();
@@ -113,9 +116,9 @@
         }
     }
 
-    /** Writes a book's snapshot: the format's number, then its content. */
+    /** Writes a book's snapshot: the number of the format that the fleet has agreed on, then its content. */
     public static void write(FleetBook book, OutputStream to) {
-        snapshot(new Saved(FORMAT, book.image()), to);
+        snapshot(new Saved(book.sessions().format(), book.image()), to);
     }
 
     /** A snapshot with the format that it is written in. */
--- a/src/main/java/plumpost/fleet/Sessions.java
+++ b/src/main/java/plumpost/fleet/Sessions.java
@@ -51,6 +51,7 @@
     private final TreeMap<String, Session> byName = new TreeMap<>();
     private final LinkedHashSet<String> removed = new LinkedHashSet<>();
     private long incarnations;
+    private int format = 1;
 
     /** All, by name. */
     public Collection<Session> all() {
@@ -71,7 +72,20 @@
     /** The newest record format that every scheduler reads which may still read the log. */
     public int reads() {
         return byName.values().stream().filter(s -> s.state != State.REMOVED && s.state != State.LEFT)
-            .mapToInt(Session::reads).min().orElse(1);
+            .mapToInt(Session::reads).min().orElse(format);
+    }
+
+    /** The record format that the fleet writes: it is only ever raised. */
+    public int format() {
+        return format;
+    }
+
+    Outcome raise(Entry.Raise r) {
+        if (r.format() > reads()) {
+            return Outcome.refused("record format " + r.format() + " is not read by all, " + reads() + " is");
+        }
+        format = Math.max(format, r.format());
+        return Outcome.DONE;
     }
 
     Outcome join(Entry.Join j, Collection<News> news) {
@@ -80,6 +94,10 @@
             return Outcome.refused("the data directory of " + j.name() + " was removed from the fleet: it starts anew on an"
                 + " empty one");
         }
+        if (j.reads() < format) {
+            return Outcome.refused("the fleet writes record format " + format + ", the program of " + j.name()
+                + " reads 1 to " + j.reads() + ": it is too old");
+        }
         if (old != null && old.live() && old.nonce.equals(j.nonce())) {
             return Outcome.done(old.incarnation);
         }
@@ -157,10 +175,10 @@
     }
 
     /** What a snapshot keeps of it. */
-    public record Image(List<Session> sessions, List<String> removed, long incarnations) { }
+    public record Image(List<Session> sessions, List<String> removed, long incarnations, int format) { }
 
     Image image() {
-        return new Image(new ArrayList<>(byName.values()), new ArrayList<>(removed), incarnations);
+        return new Image(new ArrayList<>(byName.values()), new ArrayList<>(removed), incarnations, format);
     }
 
     static Sessions of(Image image) {
@@ -168,6 +186,7 @@
         image.sessions.forEach(x -> s.byName.put(x.name, x));
         s.removed.addAll(image.removed);
         s.incarnations = image.incarnations;
+        s.format = image.format;
         return s;
     }
 }
--- a/src/main/java/plumpost/fleet/engine/DataDirectory.java
+++ b/src/main/java/plumpost/fleet/engine/DataDirectory.java
@@ -18,7 +18,6 @@
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
-import plumpost.fleet.FleetCodec;
 
 /**
  * A scheduler's data directory: it belongs to one process at a time, one scheduler, one fleet and one range of record
@@ -28,6 +27,8 @@
 final class DataDirectory implements Closeable {
     private static final String IDENTITY = "member.json";
     private static final String MEMBER = "member";
+    /** How the directory is laid out; the log's records have a format of their own. */
+    private static final int LAYOUT = 1;
 
     private final Path path;
     private final FileChannel lockFile;
@@ -68,8 +69,8 @@
         same(file, "name", f.text("name"), name);
         same(file, "group", f.text("group"), group);
         int format = f.whole("format");
-        if (format < 1 || format > FleetCodec.FORMAT) {
-            throw new BadInput(file + ": field format is " + format + ", this program reads 1 to " + FleetCodec.FORMAT);
+        if (format < 1 || format > LAYOUT) {
+            throw new BadInput(file + ": field format is " + format + ", this program reads 1 to " + LAYOUT);
         }
         return f.text("disk");
     }
@@ -90,7 +91,7 @@
             j.writeStringField("name", name);
             j.writeStringField("group", group);
             j.writeStringField("disk", disk);
-            j.writeNumberField("format", FleetCodec.FORMAT);
+            j.writeNumberField("format", LAYOUT);
             j.writeEndObject();
         }
         Path half = file.resolveSibling(IDENTITY + ".new");
--- a/src/main/java/plumpost/fleet/engine/FleetMaker.java
+++ b/src/main/java/plumpost/fleet/engine/FleetMaker.java
@@ -1,6 +1,7 @@
 package plumpost.fleet.engine;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.List;
@@ -86,14 +87,15 @@
         }
         Entry e;
         if (command.equals("yield")) {
-            List<?> duties = Json.object("fleet", page.getBytes(java.nio.charset.StandardCharsets.UTF_8)).list("duties");
+            List<?> duties = Json.object("fleet", page.getBytes(StandardCharsets.UTF_8)).list("duties");
             Map<?, ?> duty = duties.stream().map(d -> (Map<?, ?>) d).filter(d -> argument.equals(d.get("name")))
                 .findFirst().orElseThrow(() -> new BadInput("fleet yield: no duty " + argument));
             e = new Entry.Yield(argument, ((Number) duty.get("fence")).longValue());
         } else {
             e = new Entry.Remove(argument);
         }
-        ByteString reply = answer(c.io().send(Message.valueOf(ByteString.copyFrom(FleetCodec.bytes(e)))));
+        int format = Json.object("fleet", page.getBytes(StandardCharsets.UTF_8)).whole("format");
+        ByteString reply = answer(c.io().send(Message.valueOf(ByteString.copyFrom(FleetCodec.bytes(e, format)))));
         Outcome o = FleetCodec.outcome(reply.toByteArray());
         if (!o.done()) {
             throw new BadInput("fleet " + command + ": " + o.words());
--- a/src/main/java/plumpost/fleet/engine/FleetPage.java
+++ b/src/main/java/plumpost/fleet/engine/FleetPage.java
@@ -19,7 +19,7 @@
         try (JsonGenerator j = new JsonFactory().createGenerator(text)) {
             j.writeStartObject();
             j.writeStringField("leader", leader);
-            j.writeNumberField("format", book.sessions().reads());
+            j.writeNumberField("format", book.sessions().format());
             j.writeArrayFieldStart("members");
             for (Session s : book.sessions().all()) {
                 j.writeStartObject();
@@ -27,6 +27,7 @@
                 j.writeStringField("state", s.state().name().toLowerCase(java.util.Locale.ROOT));
                 j.writeNumberField("incarnation", s.incarnation());
                 j.writeStringField("site", s.site());
+                j.writeNumberField("reads", s.reads());
                 j.writeBooleanField("vote", s.vote());
                 strings(j, "functions", s.functions());
                 j.writeEndObject();
--- a/src/main/java/plumpost/fleet/engine/RatisLog.java
+++ b/src/main/java/plumpost/fleet/engine/RatisLog.java
@@ -187,6 +187,7 @@
             }
             due.forEach(e -> propose(e, o -> { }));
             Collection<RaftPeer> now = server.getDivision(id).getGroup().getPeers();
+            raise(now);
             List<RaftPeer> next = now.stream().filter(p -> !gone.contains(p.getId().toString())).toList();
             if (next.size() < now.size() && !Membership.role(next, true).isEmpty()) {
                 Membership.configure(RaftGroup.valueOf(id, now), now, next);
@@ -196,6 +197,20 @@
         }
     }
 
+    /** Has the fleet write a newer record format once each member of the log lives and reads it. */
+    private void raise(Collection<RaftPeer> members) {
+        int newest;
+        synchronized (machine) {
+            Sessions all = machine.book().sessions();
+            newest = Math.min(FleetCodec.FORMAT, all.reads());
+            if (newest <= all.format() || !members.stream().map(p -> all.of(PeerNames.name(p.getId()))).allMatch(
+                s -> s != null && s.live())) {
+                return;
+            }
+        }
+        propose(new Entry.Raise(newest), o -> say("the fleet writes record format " + newest + " from now on"));
+    }
+
     /** Answers a question to the leader: called under the machine's lock. */
     private String answer(String question) {
         String[] words = question.split(" ");
@@ -238,7 +253,11 @@
 
     @Override
     public void propose(Entry e, Consumer<Outcome> then) {
-        Message m = Message.valueOf(ByteString.copyFrom(FleetCodec.bytes(e)));
+        int format;
+        synchronized (machine) {
+            format = machine.book().sessions().format();
+        }
+        Message m = Message.valueOf(ByteString.copyFrom(FleetCodec.bytes(e, format)));
         proposals.call(c -> c.io().send(m), reply -> {
             try {
                 then.accept(reply == null ? null : FleetCodec.outcome(reply.getMessage().getContent().toByteArray()));
--- a/src/main/java/plumpost/lab/fleet/FleetLab.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLab.java
@@ -59,6 +59,7 @@
         private final int ops = port();
         private final Path file;
         private Process process;
+        private int format = 1;
 
         private One(String name, String site, boolean vote) {
             this.name = name;
@@ -112,6 +113,11 @@
             return process.pid();
         }
 
+        /** From its next start on it takes itself for a program that reads so new a record format. */
+        public void format(int newest) {
+            format = newest;
+        }
+
         /** Starts its process. */
         public void start() throws IOException {
             start(List.of());
@@ -122,7 +128,7 @@
             List<String> command = new ArrayList<>(before);
             command.addAll(List.of(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss256k", "-Djava.net.preferIPv4Stack=true",
-                "-Dplumpost.lab=" + plan.folder, "-jar",
+                "-Dplumpost.lab=" + plan.folder, "-Dplumpost.lab.format=" + format, "-jar",
                 plan.jar.toString(), "serve", "--config", file.toString()));
             ProcessBuilder b = new ProcessBuilder(command);
             b.environment().keySet().removeIf(n -> n.startsWith("NODE_"));
--- a/src/test/java/plumpost/fleet/FleetBookTest.java
+++ b/src/test/java/plumpost/fleet/FleetBookTest.java
@@ -127,7 +127,7 @@
         other.apply(new Entry.Yield("schedule", fence), 7, news);
         other.apply(new Entry.Join("n", "north", "d", true, "1", 1, List.of(new Offer("new", ""))), 7, news);
         assertThat(other.duties().of("new").fence()).as("no fence is used again").isGreaterThan(fence);
-        byte[] e = FleetCodec.bytes(new Entry.Ban("n1", true));
+        byte[] e = FleetCodec.bytes(new Entry.Ban("n1", true), 1);
         assertThat(FleetCodec.entry(e)).isEqualTo(new Entry.Ban("n1", true));
         byte[] newer = e.clone();
         newer[1] = 2;
@@ -140,11 +140,29 @@
             FleetCodec.Unreadable.class);
     }
 
+    /** Guards the record format: it is raised once all read it, never lowered, and then an older program stays out. */
+    @Test
+    void theFormatIsRaisedOnceAllReadIt() {
+        join("a", "north", "1");
+        apply(new Entry.Join("b", "north", "disk-b", true, "1", 2, List.of()));
+        assertThat(apply(new Entry.Raise(2)).words()).contains("not read by all, 1 is");
+        long a = apply(new Entry.Join("a", "north", "disk-a", true, "2", 3, List.of())).number();
+        assertThat(apply(new Entry.Raise(2)).done()).isTrue();
+        apply(new Entry.Raise(1));
+        assertThat(book.sessions().format()).isEqualTo(2);
+        assertThat(apply(new Entry.Join("c", "north", "disk-c", true, "1", 1, List.of())).words()).contains(
+            "writes record format 2, the program of c reads 1 to 1");
+        assertThat(book.sessions().live("a", a)).isTrue();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        FleetCodec.write(book, out);
+        assertThat(out.toByteArray()[1]).as("the snapshot's format").isEqualTo((byte) 2);
+    }
+
     /** Guards the reader of the log: whatever bytes come, it gives an entry or says that they are none. */
     @Property(tries = 300)
     void hostileBytesAreNoEntries(@ForAll byte[] noise, @ForAll int seed) {
         Random random = new Random(seed);
-        byte[] spoilt = FleetCodec.bytes(new Entry.Plan("i", "f", "u", new byte[9], 1, true));
+        byte[] spoilt = FleetCodec.bytes(new Entry.Plan("i", "f", "u", new byte[9], 1, true), 1);
         for (int n = random.nextInt(4); n >= 0; n--) {
             spoilt[random.nextInt(spoilt.length)] = (byte) random.nextInt();
         }
