Begin the fleet's ledger: orders held, leased, awaited and taken over, with its model checker

This is its ground, without I/O and not joined to the fronts yet, so that it cannot be switched on.

Change: Orders, a part of the fleet's book: taken by a life, leased once for each number and only to the holder whose life goes on, heard from any scheduler under that number, free when its holder is lost before a lease or leaves, awaited after one, given up or free again (where it may run twice, six leases in all) by the owner of the duty "ledger" under its fence, claimed by one survivor, kept and forgotten. What becomes of an order is OrderLife's word: one description in the program.

--- a/src/main/java/plumpost/fleet/Entry.java
+++ b/src/main/java/plumpost/fleet/Entry.java
@@ -1,6 +1,7 @@
 package plumpost.fleet;
 
 import java.util.List;
+import plumpost.durable.OrderLife;
 
 /**
  * One record of the fleet's log. Every entry may come twice, since who proposed it may not hear of its success and
@@ -65,4 +66,26 @@
 
     /** A job that has not been given to anyone is called off. */
     record CallOff(String id) implements Entry { }
+
+    /** A life that speaks. */
+    record By(String name, long incarnation) { }
+
+    /** A life takes a covered order, and holds it; the id is the handle that its client is given. */
+    record Take(By by, String id, String function, String unique, byte[] body, int priority, boolean again)
+        implements Entry { }
+
+    /**
+     * What a life says of an order: that it is about to hand it out (LEASE; {@code lease} is then the latest before it),
+     * or what came of it under a lease, with what its worker made or said.
+     */
+    record Told(By by, String id, OrderLife.Event event, int lease, byte[] result) implements Entry { }
+
+    /** A life takes free orders over. */
+    record Claim(By by, List<String> ids) implements Entry { }
+
+    /** A life gives orders back that it holds and has not handed out. */
+    record Release(By by, List<String> ids) implements Entry { }
+
+    /** The ledger's owner: whose worker was waited for long enough, and whose outcome was kept long enough. */
+    record Settle(long fence, List<String> given, List<String> forgotten) implements Entry { }
 }
--- a/src/main/java/plumpost/fleet/FleetBook.java
+++ b/src/main/java/plumpost/fleet/FleetBook.java
@@ -15,6 +15,8 @@
 public final class FleetBook {
     /** The duty under which planned jobs are started. */
     public static final String SCHEDULE = "schedule";
+    /** The duty under which orders are given up and forgotten. */
+    public static final String LEDGER = "ledger";
     /** Begins the names of the duties under which discovery is asked; the site follows. */
     public static final String DISCOVERY = "discovery/";
     /** Route nodes out by hand at once. */
@@ -25,6 +27,7 @@
     private Sessions sessions = new Sessions();
     private Duties duties = new Duties();
     private Plans plans = new Plans();
+    private Orders orders = new Orders();
     private final TreeSet<String> bans = new TreeSet<>();
     /** Discovery's latest whole list and what was told since, by duty. */
     private final TreeMap<String, List<Entry.Word>> words = new TreeMap<>();
@@ -46,6 +49,7 @@
                 duties.offered(j.offers());
                 if (before != null && before.incarnation() != o.number()) {
                     plans.lost(before.name(), before.incarnation(), news);
+                    orders.lost(before.name(), before.incarnation(), news);
                 }
                 duties.settle(sessions, news);
             }
@@ -74,8 +78,20 @@
             return plans.begin(b, sessions, news);
         } else if (e instanceof Entry.End x) {
             return plans.end(x, news);
+        } else if (e instanceof Entry.CallOff c) {
+            return plans.callOff(c, news);
+        } else if (e instanceof Entry.Take t) {
+            return orders.take(t, sessions, news);
+        } else if (e instanceof Entry.Told t) {
+            return orders.event(t, sessions, news);
+        } else if (e instanceof Entry.Claim c) {
+            return orders.claim(c, sessions, news);
+        } else if (e instanceof Entry.Release r) {
+            return orders.release(r, news);
         } else {
-            return plans.callOff((Entry.CallOff) e, news);
+            Entry.Settle s = (Entry.Settle) e;
+            String why = duties.wrong(LEDGER, s.fence());
+            return why == null ? orders.settle(s, news) : Outcome.refused(why);
         }
     }
 
@@ -84,6 +100,9 @@
         if (o.done() && s != null) {
             if (!s.live()) {
                 plans.lost(name, s.incarnation(), news);
+                orders.lost(name, s.incarnation(), news);
+            } else if (s.state() == Sessions.State.LEAVING) {
+                orders.leaving(name, s.incarnation(), news);
             }
             duties.settle(sessions, news);
         }
@@ -133,6 +152,11 @@
         return plans;
     }
 
+    /** Covered orders. */
+    public Orders orders() {
+        return orders;
+    }
+
     /** Route nodes out by hand. */
     public Collection<String> bans() {
         return bans;
@@ -145,13 +169,14 @@
 
     /** All of it, for a snapshot. */
     public record Image(Sessions.Image sessions, Duties.Image duties, Plans.Image plans, List<String> bans,
-                        List<Entry.Word> words) { }
+                        List<Entry.Word> words, Orders.Image orders) { }
 
     /** What a snapshot keeps. */
     public Image image() {
         List<Entry.Word> all = new ArrayList<>();
         words.values().forEach(all::addAll);
-        return new Image(sessions.image(), duties.image(), plans.image(), new ArrayList<>(bans), all);
+        return new Image(sessions.image(), duties.image(), plans.image(), new ArrayList<>(bans), all,
+            orders.image());
     }
 
     /** Puts a snapshot's content in place of what is here. */
@@ -159,6 +184,7 @@
         sessions = Sessions.of(image.sessions);
         duties = Duties.of(image.duties);
         plans = Plans.of(image.plans);
+        orders = Orders.of(image.orders);
         bans.clear();
         bans.addAll(image.bans);
         words.clear();
--- a/src/main/java/plumpost/fleet/News.java
+++ b/src/main/java/plumpost/fleet/News.java
@@ -17,6 +17,9 @@
     /** Discovery's word for a site. */
     record Told(Entry.Word word) implements News { }
 
+    /** An order changed; {@code former} is null for a new one. */
+    record Ordered(Orders.Order now, Orders.Order former) implements News { }
+
     /** A planned job changed; the state {@code ENDED} is its last word. */
     record Planned(Plans.Job job) implements News { }
 }
--- a/src/test/java/plumpost/fleet/FleetModel.java
+++ b/src/test/java/plumpost/fleet/FleetModel.java
@@ -177,7 +177,7 @@
             if (how == Broken.FENCE_REUSED_AFTER_A_SNAPSHOT) {
                 long highest = n.book.duties().duties().stream().mapToLong(Duties.Duty::fence).max().orElse(0);
                 n.book = new FleetBook.Image(n.book.sessions(), new Duties.Image(n.book.duties().duties(), highest - 1),
-                    n.book.plans(), n.book.bans(), n.book.words());
+                    n.book.plans(), n.book.bans(), n.book.words(), n.book.orders());
             }
             add(n);
         }
@@ -265,11 +265,11 @@
         }
         if (how == Broken.BEGUN_ORDERS_FIRED_AGAIN && e instanceof Entry.Judge) {
             n.book = new FleetBook.Image(n.book.sessions(), n.book.duties(), again(before, after), n.book.bans(),
-                n.book.words());
+                n.book.words(), n.book.orders());
         }
         if (how == Broken.LOST_LIFE_NOT_SETTLED && e instanceof Entry.Judge) {
             n.book = new FleetBook.Image(n.book.sessions(), before.image().duties(), n.book.plans(), n.book.bans(),
-                n.book.words());
+                n.book.words(), n.book.orders());
             after = book(n);
         }
         rules(n, before, after);
