Hand covered orders out under leases of the fleet's log, and take over what was held

Need, as measured before: a background order that one of three schedulers had acknowledged and held was lost for good when it was killed; one that ran at a worker then ran again under its key.

Change, off unless peers.covers names classes: a covered job is in the fleet's ledger before its client hears JOB_CREATED. Its holder tries it in its own core (Logic decides as always), where an attempt is held back at its node's link until the lease was seen applied (dispatch.Rights, null for all other jobs). Whoever waits, at any scheduler, is answered by the ledger; a worker that reports elsewhere is heard.

--- a/src/main/java/plumpost/cli/FleetHost.java
+++ b/src/main/java/plumpost/cli/FleetHost.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import plumpost.config.Json.BadInput;
 import plumpost.config.NodeConfig;
 import plumpost.config.PeersConfig;
 import plumpost.control.Console;
@@ -31,6 +32,15 @@
     static Fleet begin(NodeConfig config, String data, DispatchRoom room, Platform platform, GearmanDoor gearman,
                        Console console, Kit kit, SelectorLoop loop) {
         PeersConfig peers = PeersConfig.read(config.peers(), config.name(), data, config.discovery() != null);
+        List<String> classes = config.settings().classes().stream().map(c -> c.name()).toList();
+        peers.covered().classes().forEach(c -> {
+            if (!classes.contains(c)) {
+                throw new BadInput("configuration: peers: field covers names " + c + ", not one of the classes " + classes);
+            }
+        });
+        if (gearman == null && !peers.covered().classes().isEmpty()) {
+            throw new BadInput("configuration: peers: field covers needs the section gearman");
+        }
         Fleet made = Peers.maker().make(peers, new FleetHost(room, platform, gearman), kit, loop::onLoop);
         console.in(made);
         if (gearman != null) {
--- a/src/main/java/plumpost/config/PeersConfig.java
+++ b/src/main/java/plumpost/config/PeersConfig.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import plumpost.config.Json.BadInput;
@@ -21,9 +22,22 @@
  * @param discoveryAgeMs how old the owner's word on discovery may be before each asks itself
  * @param snapshotEvery log entries between snapshots
  * @param asks whether this scheduler can ask discovery
+ * @param covered what of work in hand the fleet's ledger covers
  */
 public record PeersConfig(String group, Path data, Member self, List<Member> members, double beatMs, double lostMs,
-                          double discoveryAgeMs, long snapshotEvery, boolean asks) {
+                          double discoveryAgeMs, long snapshotEvery, boolean asks, Covered covered) {
+
+    /**
+     * Work in hand that survives its scheduler.
+     *
+     * @param classes names of the classes; none where it is off
+     * @param awaitMs how long a worker is waited for whose scheduler was lost, before its order is given up
+     * @param keepMs how long an order's outcome is kept for who comes again
+     */
+    public record Covered(Set<String> classes, double awaitMs, double keepMs) {
+        /** Nothing is covered. */
+        public static final Covered NONE = new Covered(Set.of(), 10_000, 300_000);
+    }
 
     /** One scheduler: three or five of all have a vote. */
     public record Member(String name, InetSocketAddress address, String site, boolean vote) { }
@@ -33,7 +47,8 @@
 
     /** Reads the section for the scheduler of that name; {@code dataBefore}, where not null, goes before its {@code data}. */
     public static PeersConfig read(Fields f, String name, String dataBefore, boolean asks) {
-        f.only("group", "data", "members", "beatMs", "lostMs", "discoveryAgeMs", "snapshotEvery");
+        f.only("group", "data", "members", "beatMs", "lostMs", "discoveryAgeMs", "snapshotEvery", "covers", "awaitMs",
+            "keepMs");
         List<Member> members = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Object o : f.list("members")) {
@@ -65,7 +80,20 @@
         double lost = f.between("lostMs", 1500, 200, 600_000);
         return new PeersConfig(f.text("group", "plumpost"), Path.of(data), self, List.copyOf(members),
             f.between("beatMs", 250, 10, lost / 3), lost, f.between("discoveryAgeMs", 5000, 100, 600_000),
-            f.whole("snapshotEvery", 10_000, 10, 10_000_000), asks);
+            f.whole("snapshotEvery", 10_000, 10, 10_000_000), asks, covered(f));
+    }
+
+    private static Covered covered(Fields f) {
+        Set<String> classes = new LinkedHashSet<>();
+        if (f.has("covers")) {
+            for (Object o : f.list("covers")) {
+                if (!(o instanceof String name) || !classes.add(name)) {
+                    throw new BadInput(f.where() + ": field covers holds " + o + ", not names of classes, each once");
+                }
+            }
+        }
+        return new Covered(Set.copyOf(classes), f.between("awaitMs", Covered.NONE.awaitMs, 100, 3_600_000),
+            f.between("keepMs", Covered.NONE.keepMs, 1000, 86_400_000));
     }
 
     /** The section of a whole file, for a command to the fleet; bad input where there is none. */
--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -13,6 +13,8 @@
     final NodeLink link;
     final double sentAt;
     Ending ending;
+    /** Whether it waits for the right to be sent: until then no node has seen it. */
+    boolean held;
     private final DispatchRoom room;
 
     Attempt(DispatchRoom room, LedgerEntry job, String node, NodeLink link, double sentAt) {
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -232,6 +232,11 @@
      * gets the kept outcome. Returns the entry that answers it, or null if it was answered at once.
      */
     public LedgerEntry take(JobSheet sheet, ReplyTo replyTo) {
+        return take(sheet, replyTo, null);
+    }
+
+    /** The same for a job that is handed out only under a right, where {@code rights} is not null. */
+    public LedgerEntry take(JobSheet sheet, ReplyTo replyTo, Rights rights) {
         Dispatcher.JobClass cls = set.classes().get(sheet.cls());
         counters.count("jobs.in." + cls.name());
         if (sheet.unique() != null) {
@@ -271,7 +276,7 @@
             replyTo.refused(full ? 1000 : 0);
             return null;
         }
-        LedgerEntry e = new LedgerEntry(sheet, cls, nowMs() + sheet.patienceMs());
+        LedgerEntry e = new LedgerEntry(sheet, cls, nowMs() + sheet.patienceMs(), rights);
         e.waiting.add(replyTo);
         ledger.put(sheet.id(), e);
         heldBytes += bytes(sheet);
@@ -308,12 +313,13 @@
 
     /** Calls a job off that no node has: who waits is told that it failed. False where a node has it. */
     public boolean callOff(LedgerEntry e) {
-        if (e.answered || e.running()) {
+        if (e.answered || e.running() && !e.out().held) {
             return false;
         }
         counters.count("jobs.called_off");
         fail(e);
         event(() -> logic.clientGone(nowMs(), e.sheet.id()));
+        drawBack(e, Ending.CANCELLED);
         return true;
     }
 
@@ -353,12 +359,27 @@
 
     private void drawBack(LedgerEntry e, Ending how) {
         Attempt a = e.out();
-        if (a != null) {
+        if (a != null && a.held) {
+            ended(a, Ending.MOOT, null, null);
+        } else if (a != null) {
             a.link.giveUp(a);
             ended(a, how, null, null);
         }
     }
 
+    /** The agreed ledger's word on an attempt that waits for it. */
+    private void granted(Attempt a, boolean yes) {
+        if (yes && a.wanted()) {
+            a.held = false;
+            a.link.send(a);
+            return;
+        }
+        if (yes) {
+            a.job.rights.unused(a);
+        }
+        ended(a, Ending.MOOT, null, null);
+    }
+
     // ---- what links report ----
 
     void whole(Attempt a) {
@@ -443,6 +464,9 @@
         if (n != null) {
             n.out = Math.max(0, n.out - 1); // a node dropped and listed anew began at 0
         }
+        if (a.job.rights != null && !a.held && how != Ending.OK && !a.job.answered) {
+            a.job.rights.ended(a, how.neverRan());
+        }
         if (how == Ending.OK && !a.job.answered) {
             answer(a.job, "served", whole, r -> r.served(whole.duplicate()));
         }
@@ -557,7 +581,12 @@
         counters.count("attempts.out");
         n.out++;
         tallies.moved(e, true);
-        a.link.send(a);
+        if (e.rights == null) {
+            a.link.send(a);
+        } else {
+            a.held = true;
+            e.rights.ask(a, yes -> granted(a, yes));
+        }
     }
 
     private boolean cold(Roster.Node n) {
--- a/src/main/java/plumpost/dispatch/LedgerEntry.java
+++ b/src/main/java/plumpost/dispatch/LedgerEntry.java
@@ -20,8 +20,11 @@
     ResultStream stream;
     Attempt teller;
     ByteBuffer words;
+    /** Null where nothing but this scheduler decides on handing it out. */
+    final Rights rights;
 
-    LedgerEntry(JobSheet sheet, JobClass cls, double deadline) {
+    LedgerEntry(JobSheet sheet, JobClass cls, double deadline, Rights rights) {
+        this.rights = rights;
         this.sheet = sheet;
         this.cls = cls;
         this.deadline = deadline;
@@ -35,7 +38,7 @@
 
     boolean mayHaveRun() {
         for (Attempt a : attempts) {
-            if (a.ending == null || !a.ending.neverRan()) {
+            if (a.ending == null ? !a.held : !a.ending.neverRan()) {
                 return true;
             }
         }
--- a/src/main/java/plumpost/fleet/Entry.java
+++ b/src/main/java/plumpost/fleet/Entry.java
@@ -71,8 +71,8 @@
     record By(String name, long incarnation) { }
 
     /** A life takes a covered order, and holds it; the id is the handle that its client is given. */
-    record Take(By by, String id, String function, String unique, byte[] body, int priority, boolean again)
-        implements Entry { }
+    record Take(By by, String id, String function, String unique, byte[] body, int priority, double patienceMs,
+                boolean again, boolean background) implements Entry { }
 
     /**
      * What a life says of an order: that it is about to hand it out (LEASE; {@code lease} is then the latest before it),
--- a/src/main/java/plumpost/fleet/Member.java
+++ b/src/main/java/plumpost/fleet/Member.java
@@ -39,6 +39,8 @@
     private final Life life;
     private final ScheduleRunner schedule;
     private final DiscoveryRunner discovery;
+    /** Null where the file covers nothing. */
+    private final OrderRunner orders;
     private FleetLog log;
     private final Map<Object, Double> asked = new HashMap<>();
     private boolean dirty;
@@ -70,8 +72,12 @@
         if (asks) {
             offers.add(new Offer(FleetBook.DISCOVERY + config.self().site(), config.self().site()));
         }
+        if (!config.covered().classes().isEmpty()) {
+            offers.add(new Offer(FleetBook.LEDGER, ""));
+        }
         life = new Life(this, host, config, nonce, disk, offers);
         schedule = new ScheduleRunner(this, host);
+        orders = config.covered().classes().isEmpty() ? null : new OrderRunner(this, host, config.covered());
         discovery = new DiscoveryRunner(this, host, asks ? FleetBook.DISCOVERY + config.self().site() : null,
             config.discoveryAgeMs());
     }
@@ -214,6 +220,9 @@
         life.end();
         asked.clear();
         schedule.forget();
+        if (orders != null) {
+            orders.forget();
+        }
     }
 
     /** The log that it takes part in. */
@@ -243,6 +252,9 @@
         view.restore(image);
         count("restored");
         schedule.rebuild();
+        if (orders != null) {
+            orders.rebuild();
+        }
         for (String node : view.bans()) {
             if (!before.remove(node)) {
                 host.banned(node, true);
@@ -266,6 +278,10 @@
     private void news(News n) {
         if (n instanceof News.Planned p) {
             schedule.changed(p.job());
+        } else if (n instanceof News.Ordered o) {
+            if (orders != null) {
+                orders.changed(o.now(), o.former());
+            }
         } else if (n instanceof News.Banned b) {
             host.banned(b.node(), b.out());
         } else if (n instanceof News.Told t) {
@@ -301,12 +317,21 @@
             }
         }
         schedule.look();
+        if (orders != null) {
+            orders.look();
+        }
         discovery.look();
     }
 
     // ---- Fleet ----
 
-    private void wish(Entry e, Consumer<Said> then) {
+    @Override
+    public plumpost.peers.Ledger ledger() {
+        return orders;
+    }
+
+    /** Proposes what somebody waits for the answer of; it is told in time, or that it is not known. */
+    void wish(Entry e, Consumer<Said> then) {
         if (halted || log == null) {
             then.accept(new Said(false, false, "this scheduler takes part in the fleet no longer"));
             return;
@@ -404,7 +429,7 @@
 
     /** What it had is finished or has come back: now it is gone. Where that cannot be agreed on it goes all the same. */
     private void last() {
-        if (schedule.done() && !leaving && incarnation() > 0) {
+        if (schedule.done() && (orders == null || orders.done()) && !leaving && incarnation() > 0) {
             leaving = true;
             leaveBy = nowMs() + LEAVE_MS;
             log.propose(new Entry.Leave(name(), incarnation(), true), o -> leave());
--- a/src/main/java/plumpost/fleet/Orders.java
+++ b/src/main/java/plumpost/fleet/Orders.java
@@ -29,19 +29,24 @@
      * An order.
      *
      * @param id the handle that its client was given
+     * @param patienceMs for how long whoever holds it tries
      * @param again whether it may run twice
+     * @param background whether nobody waits for its answer
      * @param holder who holds it, empty for nobody; {@code incarnation} is the life that does
      * @param lease the number of its latest lease, 0 before the first
      * @param result what its worker made, or said of its failure; empty before its end
      */
-    public record Order(String id, String function, String unique, byte[] body, int priority, boolean again, State state,
-                        String holder, long incarnation, int lease, byte[] result) {
+    public record Order(String id, String function, String unique, byte[] body, int priority, double patienceMs,
+                        boolean again, boolean background, State state, String holder, long incarnation, int lease,
+                        byte[] result) {
         Order in(State next, int latest, byte[] made) {
-            return new Order(id, function, unique, body, priority, again, next, holder, incarnation, latest, made);
+            return new Order(id, function, unique, body, priority, patienceMs, again, background, next, holder, incarnation,
+                latest, made);
         }
 
         Order heldBy(String who, long life) {
-            return new Order(id, function, unique, body, priority, again, state, who, life, lease, result);
+            return new Order(id, function, unique, body, priority, patienceMs, again, background, state, who, life, lease,
+                result);
         }
 
         boolean heldBy(Entry.By by) {
@@ -91,8 +96,8 @@
         if (byId.size() >= MOST || bytes + t.body().length > MOST_BYTES) {
             return Outcome.refused("the fleet's ledger is full: " + byId.size() + " orders, " + bytes + " bytes");
         }
-        Order o = new Order(t.id(), t.function(), t.unique(), t.body(), t.priority(), t.again(), State.TAKEN,
-            t.by().name(), t.by().incarnation(), 0, NOTHING);
+        Order o = new Order(t.id(), t.function(), t.unique(), t.body(), t.priority(), t.patienceMs(), t.again(),
+            t.background(), State.TAKEN, t.by().name(), t.by().incarnation(), 0, NOTHING);
         put(o, news);
         return new Outcome(true, 0, o.id);
     }
@@ -116,6 +121,11 @@
             return Outcome.refused("order " + o.id + " is " + o.state + " under lease " + o.lease + ": " + t.event()
                 + " under " + t.lease() + " means nothing");
         }
+        if (t.event() == Event.GIVE_UP) { // it never ran: nothing is kept, and it may be handed in anew
+            remove(o);
+            news.add(new News.Ordered(o.in(State.FAILED, o.lease, NOTHING), o));
+            return Outcome.DONE;
+        }
         Order next = o.in(step.state(), (int) step.fence(), step.state() == State.SERVED || step.state() == State.FAILED
             ? t.result() : o.result);
         if (t.event() == Event.STALL && o.again && o.lease < MOST_LEASES) {
@@ -173,9 +183,7 @@
         for (String id : s.forgotten()) {
             Order o = byId.get(id);
             if (o != null && o.state.ended()) {
-                byId.remove(id);
-                byKey.remove(key(o.function, o.unique), id);
-                bytes -= o.bytes();
+                remove(o);
             }
         }
         return Outcome.DONE;
@@ -204,6 +212,12 @@
         }
     }
 
+    private void remove(Order o) {
+        byId.remove(o.id);
+        byKey.remove(key(o.function, o.unique), o.id);
+        bytes -= o.bytes();
+    }
+
     private void put(Order o, Collection<News> news) {
         Order old = byId.put(o.id, o);
         bytes += o.bytes() - (old == null ? 0 : old.bytes());
--- a/src/main/java/plumpost/gearman/ClientSide.java
+++ b/src/main/java/plumpost/gearman/ClientSide.java
@@ -15,6 +15,7 @@
 import plumpost.gearman.FunctionTable.Function;
 import plumpost.gearman.Packet.Type;
 import plumpost.peers.Fleet;
+import plumpost.peers.Ledger;
 
 /** A client's side of a connection: what it submits, asks and is told. */
 final class ClientSide {
@@ -77,6 +78,12 @@
     }
 
     private void status(Packet p) {
+        Ledger.Known k = door.orders == null ? null : door.orders.known(p.text(0));
+        if (k != null) {
+            caller.write(Type.STATUS_RES, p.parts().get(0), k.ended() ? 0 : 1, k.stage() == Ledger.Stage.OUT ? 1 : 0,
+                Math.round(door.orders.share(k.id()) * 100), 100);
+            return;
+        }
         String id = door.id(p.text(0));
         LedgerEntry e = door.room.entry(id);
         if (e == null && door.schedule.of(id) != null) {
@@ -101,6 +108,14 @@
             later |= door.schedule.ofUnique(key) != null
                 || door.fleet != null && door.fleet.fleet().planned(f.name, p.text(0)) != null;
         }
+        for (Function f : door.orders == null ? List.<Function>of() : door.functions.all()) {
+            Ledger.Known k = door.orders.known(f.name, p.text(0));
+            if (k != null) {
+                caller.write(Type.STATUS_RES_UNIQUE, p.parts().get(0), k.ended() ? 0 : 1,
+                    k.stage() == Ledger.Stage.OUT ? 1 : 0, Math.round(door.orders.share(k.id()) * 100), 100, 0);
+                return;
+            }
+        }
         boolean running = e != null && e.running();
         caller.write(Type.STATUS_RES_UNIQUE, p.parts().get(0), e == null && !later ? 0 : 1, running ? 1 : 0,
             e == null ? 0 : Math.round(e.share() * 100), e == null ? 0 : 100, e == null ? 0 : e.clients());
@@ -152,6 +167,10 @@
         if (sheet == null) {
             return;
         }
+        if (door.orders != null && door.orders.covers(sheet)) {
+            order(sheet, inBackground);
+            return;
+        }
         Schedule.Entry later = sheet.unique() == null ? null : door.schedule.ofUnique(sheet.unique());
         if (later != null && !inBackground) {
             // It is the same job, and neither must it run twice nor before the time that its first client named.
@@ -191,6 +210,41 @@
         }
     }
 
+    /** A covered order: the fleet's first, then its client is told; who comes again joins it, or gets its outcome. */
+    private void order(JobSheet sheet, boolean inBackground) {
+        Ledger.Known same = door.orders.known(sheet.work().name(), sheet.work().unique());
+        if (same != null) {
+            created(same.id(), sheet, inBackground);
+        } else if (!full(sheet)) {
+            asking = true;
+            door.orders.take(sheet, inBackground, said -> {
+                asking = false;
+                if (said.agreed()) {
+                    created(said.words(), sheet, inBackground);
+                } else {
+                    not(said.known() && said.words().contains("full") ? "full" : "fleet", said.words());
+                }
+                goOn();
+            });
+        }
+    }
+
+    private void created(String handle, JobSheet sheet, boolean inBackground) {
+        Submission s = new Submission(inBackground ? null : this, handle);
+        s.announce(caller);
+        if (!inBackground) {
+            waiting.add(s);
+            door.orders.waits(s, sheet.patienceMs());
+        }
+    }
+
+    /** Takes what came while the fleet was asked. */
+    private void goOn() {
+        while (!asking && !held.isEmpty()) {
+            take(held.poll());
+        }
+    }
+
     /** Whether a limit is reached; says which. */
     private boolean full(JobSheet sheet) {
         Function f = door.functions.of(sheet.work().kind());
@@ -259,9 +313,7 @@
                 } else {
                     not(said.known() ? "schedule_full" : "fleet", said.words());
                 }
-                while (!asking && !held.isEmpty()) {
-                    take(held.poll());
-                }
+                goOn();
             });
         } else if (lack != null) {
             not("schedule_full", lack + " is used up");
@@ -297,6 +349,8 @@
         for (Submission s : new ArrayList<>(List.copyOf(waiting))) {
             if (s.entry != null) {
                 door.room.gone(s.entry, s);
+            } else if (door.orders != null) {
+                door.orders.gone(s);
             }
         }
     }
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanDoor.java
@@ -53,6 +53,8 @@
     private boolean stopping;
     /** Scheduled jobs are the fleet's where there is one; else null. */
     FleetJobs fleet;
+    /** Covered orders, or null where the fleet covers none. */
+    FleetOrders orders;
 
     /** A front whose handles carry the scheduler's name, and whose job ids start anew with each seed. */
     public GearmanDoor(NodeConfig node, String version, DispatchRoom room, Kit kit, Runnable shutdown) {
@@ -98,7 +100,8 @@
         if (fleet != null) {
             fleet.callBackAll();
         }
-        long lost = schedule.all().size() + room.drop(e -> e.sheet().work().name() != null && e.background());
+        long lost = schedule.all().size() + room.drop(e -> e.sheet().work().name() != null && e.background()
+            && (orders == null || !orders.has(e.sheet().id())));
         kit.counters().add("gearman.lost_at_stop", lost);
         if (lost > 0) {
             kit.log().accept("stopping: " + lost + " background and scheduled jobs that no worker has are lost");
@@ -127,7 +130,7 @@
     }
 
     String handle(String id) {
-        return handles + id;
+        return orders != null && orders.has(id) ? id : handles + id;
     }
 
     /** The job id in a handle; handles of another scheduler name no job here. */
@@ -148,6 +151,7 @@
     /** From now on scheduled jobs are planned with a fleet. */
     public void in(Fleet whole) {
         fleet = new FleetJobs(this, whole);
+        orders = whole.ledger() == null ? null : new FleetOrders(this, whole.ledger());
     }
 
     /** The functions that have workers here. */
--- a/src/main/java/plumpost/gearman/WorkerSeat.java
+++ b/src/main/java/plumpost/gearman/WorkerSeat.java
@@ -127,6 +127,8 @@
             case WORK_COMPLETE -> {
                 if (mine(p, true)) {
                     end().served(p.parts().get(1), null);
+                } else if (door.orders != null) {
+                    door.orders.late(p.text(0), p.parts().get(1));
                 }
             }
             case WORK_EXCEPTION -> {
--- a/src/main/java/plumpost/lab/fleet/Hands.java
+++ b/src/main/java/plumpost/lab/fleet/Hands.java
@@ -91,6 +91,36 @@
         }
     }
 
+    /** Hands a background job in; its handle, or null where it was not taken. */
+    public static String leave(FleetLab.One at, History history, String function, String key) {
+        try (Peer p = new Peer(at.gearman(), 5000)) {
+            p.send(Type.SUBMIT_JOB_BG, function, key, key);
+            Packet got = p.next();
+            history.add(at.name(), got.type() == Type.JOB_CREATED ? "taken" : "not taken", key + " " + got.text(0));
+            return got.type() == Type.JOB_CREATED ? got.text(0) : null;
+        } catch (IOException e) {
+            history.add(at.name(), "unanswered", key);
+            return null;
+        }
+    }
+
+    /** Hands a job in and waits for its end: the final packet's type, or that of the first answer, or null for neither. */
+    public static String call(FleetLab.One at, History history, String function, String key, int patienceMs) {
+        try (Peer p = new Peer(at.gearman(), patienceMs)) {
+            p.send(Type.SUBMIT_JOB, function, key, key);
+            Packet got = p.next();
+            String first = got.type().name();
+            while (got.type() == Type.JOB_CREATED || got.type() == Type.WORK_STATUS || got.type() == Type.WORK_WARNING) {
+                got = p.next();
+            }
+            history.add(at.name(), "answered", key + " " + got.type() + (first.equals("ERROR") ? " " + got.text(1) : ""));
+            return got.type().name();
+        } catch (IOException e) {
+            history.add(at.name(), "unanswered", key);
+            return null;
+        }
+    }
+
     @Override
     public void close() {
         over = true;
--- a/src/main/java/plumpost/peers/Fleet.java
+++ b/src/main/java/plumpost/peers/Fleet.java
@@ -44,6 +44,9 @@
     /** Plans a job; agreed, the words are the id that it is known by, another's where its key is planned already. */
     void plan(Job job, Consumer<Said> then);
 
+    /** The ledger of covered orders, or null where the file covers none. */
+    Ledger ledger();
+
     /** Calls a planned job off that nobody was told to run. */
     void callOff(String id, Consumer<Said> then);
 
--- a/src/test/java/plumpost/fleet/FleetSim.java
+++ b/src/test/java/plumpost/fleet/FleetSim.java
@@ -49,7 +49,7 @@
             wheel = new TimerWheel(now); // the former process has ended with its timers
             PeersConfig.Member self = config.members().get(index);
             member = new Member(new PeersConfig(config.group(), config.data(), self, config.members(), config.beatMs(),
-                config.lostMs(), config.discoveryAgeMs(), config.snapshotEvery(), false), "n" + life, "disk" + index, false,
+                config.lostMs(), config.discoveryAgeMs(), config.snapshotEvery(), false, config.covered()), "n" + life, "disk" + index, false,
                 this, () -> now, wheel, counters, w -> { });
             member.on(this);
             member.started();
@@ -195,7 +195,7 @@
         for (int i = 0; i < n; i++) {
             members.add(new PeersConfig.Member("s" + i, new InetSocketAddress("127.0.0.1", 1), "site" + i % 3, i < 3));
         }
-        config = new PeersConfig("sim", null, members.get(0), members, 250, 1500, 5000, 1000, false);
+        config = new PeersConfig("sim", null, members.get(0), members, 250, 1500, 5000, 1000, false, PeersConfig.Covered.NONE);
         ear.lead(now);
         for (int i = 0; i < n; i++) {
             all.add(new One(i));
--- a/src/test/java/plumpost/fleet/OrdersModel.java
+++ b/src/test/java/plumpost/fleet/OrdersModel.java
@@ -116,7 +116,7 @@
             w.lives.add(new ArrayList<>(List.of(b.apply(join(i, 0), 1, new ArrayList<>()).number())));
         }
         for (int o = 0; o < orders; o++) {
-            b.apply(new Entry.Take(new By(NAMES[o], w.lives.get(o).get(0)), id(o), "f", "k" + o, NOTHING, 0, again), 1,
+            b.apply(new Entry.Take(new By(NAMES[o], w.lives.get(o).get(0)), id(o), "f", "k" + o, NOTHING, 0, 1000, again, true), 1,
                 new ArrayList<>());
         }
         w.runs = new int[orders];
--- a/src/test/java/plumpost/fleet/OrdersTest.java
+++ b/src/test/java/plumpost/fleet/OrdersTest.java
@@ -28,7 +28,7 @@
     }
 
     private Outcome take(By by, String id, String key, boolean again) {
-        return apply(new Entry.Take(by, id, "f", key, new byte[3], 0, again));
+        return apply(new Entry.Take(by, id, "f", key, new byte[3], 0, 1000, again, true));
     }
 
     private Outcome told(By by, String id, Event event, int lease) {
@@ -117,7 +117,7 @@
         FleetBook other = new FleetBook();
         other.restore(FleetCodec.snapshot(new ByteArrayInputStream(out.toByteArray())));
         assertThat(other.orders().under("f", "k").lease()).isEqualTo(1);
-        assertThat(other.apply(new Entry.Take(a, "big", "f", "", new byte[(int) Orders.MOST_BYTES], 0, false), 1,
+        assertThat(other.apply(new Entry.Take(a, "big", "f", "", new byte[(int) Orders.MOST_BYTES], 0, 1000, false, true), 1,
             new ArrayList<>()).words()).contains("the fleet's ledger is full: 1 orders, 3 bytes");
     }
 }
--- a/src/test/java/plumpost/lab/fleet/FleetRig.java
+++ b/src/test/java/plumpost/lab/fleet/FleetRig.java
@@ -26,6 +26,8 @@
 
     FleetLab lab;
     Path folder;
+    /** Further settings of the peers. */
+    String peersMore = "";
     final List<Hands> hands = new ArrayList<>();
 
     @BeforeEach
@@ -55,7 +57,7 @@
     /** A fleet at so many sites whose processes are not started. */
     void unstarted(int voters, int followers, int sites, String more) throws IOException {
         lab = new FleetLab(new FleetLab.Plan(Path.of("target/plumpost.jar").toAbsolutePath(),
-            Path.of("deploy/gearman.json").toAbsolutePath(), folder, voters, followers, sites, "\"snapshotEvery\": 20, ",
+            Path.of("deploy/gearman.json").toAbsolutePath(), folder, voters, followers, sites, "\"snapshotEvery\": 20, " + peersMore,
             more));
     }
 
