--- a/src/test/java/plumpost/config/PeersConfigTest.java
+++ b/src/test/java/plumpost/config/PeersConfigTest.java
@@ -23,6 +23,7 @@
     void theUsualValuesHold() {
         PeersConfig c = read(GOOD);
         assertThat(c.lostMs()).isEqualTo(1500);
+        assertThat(c.covered().classes()).as("nothing is covered unless the file says so").isEmpty();
         assertThat(c.self().vote()).isTrue();
         assertThat(c.voters()).extracting(PeersConfig.Member::name).containsExactly("a");
         assertThat(PeersConfig.read(Json.object("peers", GOOD.getBytes(StandardCharsets.UTF_8)), "b", "/x", true).data())
@@ -39,6 +40,9 @@
         "\"data\":\"d\"|\"data\":\"\"|field data is empty",
         "\"group\"|\"lostMs\":9,\"group\"|field lostMs is 9, not from 200 to 600000",
         "\"group\"|\"beatMs\":900,\"group\"|field beatMs is 900, not from 10 to 500",
+        "\"group\"|\"covers\":[\"x\",7],\"group\"|field covers holds 7, not names of classes",
+        "\"group\"|\"covers\":[\"x\",\"x\"],\"group\"|field covers holds x, not names of classes, each once",
+        "\"group\"|\"awaitMs\":9,\"group\"|field awaitMs is 9, not from 100 to 3600000",
         "\"group\"|\"gruop\"|field gruop is not a setting"})
     void whatIsWrongIsTold(String from, String to, String words) {
         assertThatThrownBy(() -> read(GOOD.replace(from, to))).isInstanceOf(BadInput.class).hasMessageContaining(words);
--- a/src/test/java/plumpost/dispatch/GuardsTest.java
+++ b/src/test/java/plumpost/dispatch/GuardsTest.java
@@ -63,6 +63,10 @@
     }
 
     private void take(String id, int cls, String unique) {
+        take(id, cls, unique, null);
+    }
+
+    private void take(String id, int cls, String unique, Rights rights) {
         room.take(new JobSheet(id, cls, null, ByteBuffer.allocate(1), 1000, Double.NaN, 1, Double.NaN, 0, null, false,
             unique), new ReplyTo() {
                 @Override
@@ -79,7 +83,7 @@
                 public void failed() {
                     answers.add(id + " failed");
                 }
-            });
+            }, rights);
     }
 
     /** What was asked for is carried out with the next event. */
@@ -111,6 +115,49 @@
         assertThat(counters.of("guard.drain")).isEqualTo(3);
     }
 
+    /** Guards the right to hand out: nothing is sent before it is granted, nor to a node that drained meanwhile. */
+    @Test
+    void aJobUnderARightIsHeldBackUntilItIsGranted() {
+        List<java.util.function.Consumer<Boolean>> asked = new ArrayList<>();
+        List<String> said = new ArrayList<>();
+        Rights rights = new Rights() {
+            @Override
+            public void ask(Attempt a, java.util.function.Consumer<Boolean> then) {
+                asked.add(then);
+            }
+
+            @Override
+            public void unused(Attempt a) {
+                said.add(a.sheet().id() + " unused");
+            }
+
+            @Override
+            public void ended(Attempt a, boolean neverRan) {
+                said.add(a.sheet().id() + (neverRan ? " never ran" : " may have run"));
+            }
+        };
+        node(Phase.SERVING, 0);
+        for (String id : List.of("a", "b", "c", "d")) {
+            take(id, ORDER, null, rights);
+            assign(id);
+        }
+        assertThat(sent).isEmpty();
+        asked.get(0).accept(true);
+        assertThat(sent).hasSize(1);
+        sent.get(0).ended(Ending.FULL, null);
+        assertThat(said).containsExactly("a never ran");
+        asked.get(1).accept(false);
+        refuse("b"); // it never ran: refusing it is harmless
+        refuse("c");
+        asked.get(2).accept(true);
+        node(Phase.DRAINING, 0);
+        asked.get(3).accept(true);
+        assertThat(sent).as("neither what was answered nor what would go to a drained node").hasSize(1);
+        assertThat(said).containsExactly("a never ran", "c unused", "d unused");
+        assertThat(answers).containsExactly("b refused", "c refused");
+        assertThat(counters.of("guard.refusal")).isZero();
+    }
+
     /** Guards: one attempt out at a time, six at the most, none after the answer. */
     @Test
     void attemptsAreLimited() {
--- a/src/test/java/plumpost/lab/fleet/OrdersIT.java
+++ b/src/test/java/plumpost/lab/fleet/OrdersIT.java
@@ -59,6 +59,25 @@
         assertThat(keys).allSatisfy(k -> assertThat(runs(k)).as(k).isEqualTo(1));
     }
 
+    /** Guards one scheduler alone with a disk: what it held when it was killed runs once when it is back. */
+    @Test
+    void oneAloneOutlivesItsProcess() throws Exception {
+        peersMore = COVERS;
+        fleet(1, 0, 1, "");
+        One one = lab.all().get(0);
+        List<String> keys = leave(one, 20, "d");
+        assertThat(keys).hasSize(20);
+        one.signal("KILL");
+        assertThat(one.ended(PATIENCE_MS)).isTrue();
+        double again = lab.history().nowMs();
+        one.start();
+        joined(one, again);
+        hands(one, 1, 1);
+        eachOnce(keys);
+        assertThat(Hands.call(one, lab.history(), "order-it", "d3", ANSWER_MS)).isEqualTo("WORK_COMPLETE");
+        assertThat(runs("d3")).isEqualTo(1);
+    }
+
     /** Guards an order that a worker had when its scheduler was killed: it never runs again, and is answered once. */
     @Test
     void whatWasOutIsNotRunAgainAndIsGivenUp() throws Exception {
