Kill, stop, cut and end processes at random while covered orders run, and judge every order

Judged: each acknowledged order keeps its one handle and has a final answer, none ran twice, what is answered as done did run.

--- a/src/main/java/plumpost/lab/fleet/FleetLabMain.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLabMain.java
@@ -17,6 +17,7 @@
 public final class FleetLabMain {
     /** A fleet that has just come together is let alone for so long before it is measured. */
     private static final int SETTLE_S = 20;
+    private static final String COVERS = "\"covers\": [\"pickup-order\"], \"awaitMs\": 3000, \"keepMs\": 120000, ";
 
     private FleetLabMain() { }
 
@@ -29,6 +30,7 @@
         options.addOption(null, "seconds", true, "time after which it ends all the same (3600)");
         options.addOption(null, "seed", true, "for all draws (1)");
         options.addOption(null, "script", true, "file with a schedule of faults, played in place of a drawn one");
+        options.addOption(null, "kills", true, "faults on any process whose orders are covered, in place of changes of owner");
         options.addOption(null, "rest", true, "measures for so many seconds what it costs at rest, without faults");
         options.addOption(null, "like", true, "configuration that the processes' files are made from (deploy/gearman.json)");
         options.addOption(null, "folder", true, "folder for files, data and the history (target/fleet-test)");
@@ -53,21 +55,28 @@
                 + System.currentTimeMillis()).toAbsolutePath();
             Path jar = Path.of(FleetLabMain.class.getProtectionDomain().getCodeSource().getLocation().getPath());
             try (FleetLab lab = new FleetLab(new FleetLab.Plan(jar, Path.of(line.getOptionValue("like",
-                "deploy/gearman.json")).toAbsolutePath(), folder, voters, whole(line, "followers", 0, 0, 95), 3, "", ""))) {
+                "deploy/gearman.json")).toAbsolutePath(), folder, voters, whole(line, "followers", 0, 0, 95), 3,
+                line.hasOption("kills") ? COVERS : "", ""))) {
                 if (line.hasOption("rest")) {
                     new FleetRest(lab).run(SETTLE_S, whole(line, "rest", 20, 1, 3600), out);
                     return 0;
                 }
+                if (line.hasOption("kills")) {
+                    KillRun kills = new KillRun(lab, seed, out);
+                    KillRun.Result k = kills.run(whole(line, "kills", 100, 1, 100_000), whole(line, "seconds", 3600, 1,
+                        86_400));
+                    Files.writeString(folder.resolve("schedule.txt"), kills.schedule());
+                    write(lab, folder);
+                    out.print(k.table());
+                    return k.broken().isEmpty() ? 0 : 1;
+                }
                 FleetRun run = new FleetRun(lab, seed, out);
                 FleetRun.Result r = line.hasOption("script")
                     ? run.replay(Script.parse(line.getOptionValue("script"), Files.readString(Path.of(
                         line.getOptionValue("script")))))
                     : run.run(whole(line, "changes", 100, 1, 100_000), whole(line, "seconds", 3600, 1, 86_400));
                 Files.writeString(folder.resolve("schedule.txt"), run.schedule());
-                StringBuilder seen = new StringBuilder();
-                lab.history().all().forEach(s -> seen.append(String.format("%9.0f %s %s %s%n", s.atMs(), s.who(), s.what(),
-                    s.words())));
-                Files.writeString(folder.resolve("history.txt"), seen);
+                write(lab, folder);
                 if (line.hasOption("html")) {
                     Files.writeString(Path.of(line.getOptionValue("html")), FleetReport.html(r));
                 }
@@ -83,6 +92,13 @@
         }
     }
 
+    private static void write(FleetLab lab, Path folder) throws IOException {
+        StringBuilder seen = new StringBuilder();
+        lab.history().all().forEach(s -> seen.append(String.format("%9.0f %s %s %s%n", s.atMs(), s.who(), s.what(),
+            s.words())));
+        Files.writeString(folder.resolve("history.txt"), seen);
+    }
+
     private static int whole(CommandLine line, String option, int otherwise, int least, int most) throws ParseException {
         String given = line.getOptionValue(option);
         try {
--- a/src/main/java/plumpost/lab/fleet/Hands.java
+++ b/src/main/java/plumpost/lab/fleet/Hands.java
@@ -110,6 +110,9 @@
             p.send(Type.SUBMIT_JOB, function, key, key);
             Packet got = p.next();
             String first = got.type().name();
+            if (got.type() == Type.JOB_CREATED) {
+                history.add(at.name(), "joined", key + " " + got.text(0));
+            }
             while (got.type() == Type.JOB_CREATED || got.type() == Type.WORK_STATUS || got.type() == Type.WORK_WARNING) {
                 got = p.next();
             }
