Keep a late worker's word until the copy here knows its lease, and retry a refused give-up

Seen in OrdersIT on four crowded cores: a worker reported at another scheduler in the millisecond in which its own was killed, and its client was told WORK_FAIL 12 s later. That scheduler's copy of the book did not know the lease yet, and OrderRunner.told dropped a word without one. It is kept until the copy catches up. By reading, beside it: a give-up that the log refuses left the order held and tried by nobody; such an order is taken up again.

--- a/src/main/java/plumpost/fleet/OrderRunner.java
+++ b/src/main/java/plumpost/fleet/OrderRunner.java
@@ -94,8 +94,12 @@
             releases.remove(id);
         }
         Saying w = words.get(id);
-        if (w != null && (!known || now.lease() > w.lease || now.state() == State.TAKEN && w.lease > 0
-            || over && !(now.state() == State.UNKNOWN && w.event != Event.STALL))) {
+        if (w != null && w.event == Event.DONE && w.lease == 0 && now.lease() > 0) {
+            w = new Saying(w.event, now.lease(), w.result); // it was heard before the copy here knew of its lease
+            words.put(id, w);
+        }
+        if (w != null && (!known || over && !(now.state() == State.UNKNOWN && w.event != Event.STALL)
+            || (w.event == Event.GIVE_UP ? !own : w.lease > 0 && (now.lease() > w.lease || now.state() == State.TAKEN)))) {
             words.remove(id);
         }
         if (!known || over || now.state() == State.TAKEN || now.lease() != rights.getOrDefault(id, now.lease())) {
@@ -187,12 +191,8 @@
         }
         By me = new By(member.name(), member.incarnation());
         if (me.incarnation() > 0) {
-            words.forEach((id, w) -> member.once("order " + id + w.event + w.lease,
-                new Entry.Told(me, id, w.event, w.lease, w.result), o -> {
-                    if (o != null && !o.done()) {
-                        words.remove(id, w); // it counts no more: the order is over, or under another lease
-                    }
-                }));
+            words.entrySet().stream().filter(e -> e.getValue().lease > 0 || e.getValue().event == Event.GIVE_UP).toList()
+                .forEach(e -> say(me, e.getKey(), e.getValue()));
         }
         if (!member.mayAct()) {
             return;
@@ -216,6 +216,14 @@
         claim(me);
     }
 
+    private void say(By me, String id, Saying w) {
+        member.once("order " + id + w.event + w.lease, new Entry.Told(me, id, w.event, w.lease, w.result), o -> {
+            if (o != null && !o.done()) {
+                words.remove(id, w); // it counts no more: the order is over, or under another lease
+            }
+        });
+    }
+
     /** What it holds and has no workers for goes to those who have. */
     private void strays() {
         Collection<String> functions = host.functions();
@@ -224,6 +232,10 @@
             && !s.name().equals(member.name())).forEach(s -> elsewhere.addAll(s.functions()));
         int n = 0;
         for (Orders.Order o : mine.values()) {
+            if (o.state() == State.TAKEN && !held.contains(o.id()) && !words.containsKey(o.id())
+                && !releases.contains(o.id())) {
+                toHold.add(o.id()); // what was given up here was refused by the log: it is still to be tried
+            }
             if (o.state() == State.TAKEN && !functions.contains(o.function()) && elsewhere.contains(o.function())
                 && !words.containsKey(o.id()) && n++ < MOST_SETTLED) {
                 releases.add(o.id());
@@ -385,7 +397,7 @@
             paused.put(id, member.nowMs() + PAUSE_MS);
         } else if (lease == null && (word == Word.STALLED || word == Word.GIVEN_UP || word == Word.FAILED)) {
             words.put(id, new Saying(Event.GIVE_UP, 0, NOTHING));
-        } else if (lease != null || word == Word.DONE && o.lease() > 0) { // a worker that reports elsewhere has the latest
+        } else if (lease != null || word == Word.DONE) { // a worker that reports elsewhere has the latest lease
             words.put(id, new Saying(switch (word) {
                 case HANDED_BACK -> Event.HANDED_BACK;
                 case DONE -> Event.DONE;
