Pass all of a request's own header fields on to the route node

Ruled out: path, body and X-Txn were equal. Without that key a node cannot know a repeat, so a retry within the window would have run twice.

Head.passedOn gives the fields as they came but those of the connection and the framing; X-Txn, X-Lane and X-Remaining-Ms stay worded by the link. Their length counts towards what open jobs may hold.

--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -292,7 +292,7 @@
     }
 
     private static long bytes(JobSheet sheet) {
-        return ENTRY_BYTES + sheet.body().remaining();
+        return ENTRY_BYTES + sheet.fields().length() + sheet.body().remaining();
     }
 
     /**
--- a/src/main/java/plumpost/dispatch/JobSheet.java
+++ b/src/main/java/plumpost/dispatch/JobSheet.java
@@ -8,6 +8,7 @@
  * @param id the job's id, told to the route node unchanged
  * @param cls index of its class
  * @param target path and query in which the front desk asked, or null where its protocol has none
+ * @param fields header fields that go with it to the route node, whole lines
  * @param body what the job works on; neither front nor core changes it while the job is open
  * @param patienceMs how long the client still waits
  * @param costMs rough hint of its cost, or NaN
@@ -19,8 +20,9 @@
  * @param unique key under which a resubmit is the same job, with all that its front tells keys apart by, or null
  * @param work what the job is beside its class
  */
-public record JobSheet(String id, int cls, ByteBuffer target, ByteBuffer body, double patienceMs, double costMs,
-                       double slots, double memory, int tenant, String key, boolean retry, String unique, Work work) {
+public record JobSheet(String id, int cls, ByteBuffer target, String fields, ByteBuffer body, double patienceMs,
+                       double costMs, double slots, double memory, int tenant, String key, boolean retry,
+                       String unique, Work work) {
 
     /**
      * What a job is beside its class.
@@ -34,6 +36,12 @@
      */
     public record Work(int kind, String name, String unique, String reducer, int priority, double aimMs) { }
 
+    /** A job that comes without fields. */
+    public JobSheet(String id, int cls, ByteBuffer target, ByteBuffer body, double patienceMs, double costMs,
+                    double slots, double memory, int tenant, String key, boolean retry, String unique, Work work) {
+        this(id, cls, target, "", body, patienceMs, costMs, slots, memory, tenant, key, retry, unique, work);
+    }
+
     /** A job of its class's own work. */
     public JobSheet(String id, int cls, ByteBuffer target, ByteBuffer body, double patienceMs, double costMs,
                     double slots, double memory, int tenant, String key, boolean retry, String unique) {
--- a/src/main/java/plumpost/http/Head.java
+++ b/src/main/java/plumpost/http/Head.java
@@ -3,11 +3,15 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Locale;
+import java.util.Set;
 
 /** The head of a message, parsed in place: the bytes as they came, and where its parts lie in them. */
 public final class Head {
     private static final int LIMIT = 16 * 1024;
     private static final int MOST_FIELDS = 96;
+    private static final Set<String> OF_THE_CONNECTION = Set.of("connection", "keep-alive", "proxy-connection", "te",
+        "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "host");
     private static final boolean[] TOKEN = new boolean[128];
 
     static {
@@ -202,6 +206,21 @@
         return version.equals("HTTP/1.0") || lists("Connection", "close");
     }
 
+    /**
+     * The fields that go with the message to whoever serves it, as they came: not those of this connection or of the
+     * body's framing, nor those of the given names, which the sender of the next message words itself.
+     */
+    public String passedOn(Set<String> reworded) {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < fields; i++) {
+            String name = text(spots[4 * i], spots[4 * i + 1]).toLowerCase(Locale.ROOT);
+            if (!OF_THE_CONNECTION.contains(name) && !reworded.contains(name) && !lists("Connection", name)) {
+                all.append(text(spots[4 * i], spots[4 * i + 3])).append("\r\n");
+            }
+        }
+        return all.toString();
+    }
+
     /** The length of the body as the framing fields say it: -1 without such a field, -2 in chunks. */
     long framing() throws BadMessage {
         int length = index("Content-Length", 0);
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -24,6 +24,8 @@
 
 /** The thin front for the platform's protocol: front desks hand jobs in by HTTP and wait for the answer. */
 final class FrontDoor {
+    /** Fields that a link to a route node words itself; all others pass on, such as the key under which it drops repeats. */
+    private static final Set<String> REWORDED = Set.of("x-txn", "x-lane", "x-remaining-ms");
     private static final int BODY_LIMIT = 64 * 1024;
     private static final double MOST_SLOTS = 64;
     /** A whole request is due so long after its first byte, and a first byte so long after connecting. */
@@ -326,11 +328,11 @@
             if (!(slots > 0 && slots <= MOST_SLOTS)) {
                 throw new BadInput("X-Labels");
             }
-            return new JobSheet(id, cls, reader.target(), reader.body(),
+            return new JobSheet(id, cls, reader.target(), head.passedOn(REWORDED), reader.body(),
                 unread > TimerWheel.TICK_MS ? patience - unread : patience,
                 estimate == null ? Double.NaN : Math.min(Long.parseLong(estimate) / 1000.0, c.deadlineMs()), slots,
                 more.number("memory", Double.NaN), 0, key(),
-                "1".equals(head.field("X-Resent")), null);
+                "1".equals(head.field("X-Resent")), null, new JobSheet.Work(cls, null, null, null, 0, Double.NaN));
         }
 
         private String key() {
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -204,8 +204,8 @@
                 ? Answers.ascii('/' + attempt.jobClass().name()) : job.target().duplicate();
             ByteBuffer fields = Answers.ascii(" HTTP/1.1\r\nHost: " + host() + "\r\nX-Txn: "
                 + job.id() + "\r\nX-Lane: " + attempt.jobClass().name() + "\r\nX-Remaining-Ms: "
-                + (long) Math.max(1, attempt.leftMs()) + "\r\nContent-Length: " + job.body().remaining()
-                + "\r\n\r\n");
+                + (long) Math.max(1, attempt.leftMs()) + "\r\n" + job.fields() + "Content-Length: "
+                + job.body().remaining() + "\r\n\r\n");
             if (repeatable(attempt)) {
                 given = true;
                 wire.write(Answers.ascii("POST "), target, fields, job.body());
