Open a silent watch anew within 6 s, read indented lists, and watch pushed lists from the start

- NodeListWatch.begin: pushed lists are heard before anything is served or ready is said, for up to 5 s.
- Logic: a pushed list that fails is asked for again within a quarter of stopSendingWithinMs.
- A watch that told and fell silent is opened anew by itself, at the latest 2.5 s after its last byte and a spread of 1 s over the fleet (before: 3.5 s, then the module's wait of up to 1.5 s, then the dial: 6 s were used up).
- ObjectStream (Jackson's non-blocking parser): an object counts once its last brace has come, wherever lines break.

PlatformTest.theWatchIsAskedForAgain asks for the new watch a second earlier than before and leaves it half the time. ListWatchTest, on real connections.

--- a/src/main/java/plumpost/config/Json.java
+++ b/src/main/java/plumpost/config/Json.java
@@ -14,7 +14,7 @@
 /** Reads JSON with the streaming parser into named fields, with the checks that every reader needs. */
 public final class Json {
     /** No peer's bytes may nest so deep that reading them runs out of stack. */
-    private static final JsonFactory FACTORY = JsonFactory.builder().streamReadConstraints(
+    static final JsonFactory FACTORY = JsonFactory.builder().streamReadConstraints(
         StreamReadConstraints.builder().maxNestingDepth(32).build()).build();
 
     private Json() { }
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -28,6 +28,7 @@
     static final int COLD_LOOKS = 16; // at a seat that is still cold, while it warms
     static final double PRIORITY_STEPS = 20; // halvings of an estimate that a step of priority is worth: 2 s
     static final double RECHECK_MS = 80; // look again at held jobs while no event brings room
+    static final double LIST_AGAIN_MS = 50; // at the least, between list calls that fail: whatever is set
     static final double TIMER_SLACK_MS = 0.01; // a host may round a timer down: waiting on stalled them all
 
     private static final Comparator<Request> ORDER =
@@ -127,7 +128,9 @@
         now = t;
         if (mode == ListMode.FAILED) {
             // No herd on the list service: first calls are spread, later ones come after a backoff.
-            listBackoff = Math.min(listBackoff * 2, set.rules().mustAskInMs() / 4);
+            // What is pushed counts as told while nobody listens: a drain leaves no more than its own time.
+            double most = (set.listOnRequest() ? set.rules().mustAskInMs() : set.rules().stopSendingWithinMs()) / 4;
+            listBackoff = Math.max(LIST_AGAIN_MS, Math.min(listBackoff * 2, most));
             at(now + listBackoff * (0.5 + random.nextDouble()), out::subscribe, null);
         } else {
             boolean first = mode == ListMode.SAVED && set.listOnRequest();
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -334,11 +334,15 @@
         return kept.of(unique) != null;
     }
 
-    /** The scheduler ends before the job's time is up: it fails now, while its client can still be told. */
+    /** The scheduler ends before the job's time is up: it is given up now, while its client can still be told. */
     public void cutShort(LedgerEntry e) {
         if (!e.answered) {
             counters.count("jobs.cut_short");
-            fail(e);
+            if (e.mayHaveRun() && e.cls.effect() != Effect.FREE) {
+                fail(e);
+            } else {
+                answer(e, "refused", null, r -> r.refused(0)); // another scheduler may still serve it in time
+            }
             event(() -> logic.clientGone(nowMs(), e.sheet.id()));
             drawBack(e, Ending.CANCELLED);
         }
--- a/src/main/java/plumpost/http/AnswerReader.java
+++ b/src/main/java/plumpost/http/AnswerReader.java
@@ -77,6 +77,12 @@
         return body.whole() && in.hasRemaining() ? cut(in.remaining(), in.remaining()) : null;
     }
 
+    /** What has come of the body since it was last taken. */
+    public byte[] take() {
+        int n = body.taken().remaining();
+        return cut(n, n);
+    }
+
     private byte[] cut(int end, int forget) {
         byte[] line = new byte[end];
         body.taken().get(line);
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -9,6 +9,8 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -24,6 +26,8 @@
     private static final double RETRY_MS = 50;
     private static final int BUFFER = 64 * 1024;
     private static final int MOST_UNREAD = 2 << 20;
+    /** Reads of a whole buffer at a close: more is a flood, whose sender may be reset. */
+    private static final int MOST_AWAY = 16;
 
     private final Selector selector;
     private final Clock clock;
@@ -34,6 +38,8 @@
     private final ByteBuffer together = ByteBuffer.allocateDirect(BUFFER);
     private final ArrayDeque<Socket> toWrite = new ArrayDeque<>();
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
+    /** Those of listeners that end in order, until they are closed. */
+    private final Set<Socket> ending = new LinkedHashSet<>();
     private final ConcurrentLinkedQueue<Runnable> fromOutside = new ConcurrentLinkedQueue<>();
     private double lookedAt;
 
@@ -47,10 +53,20 @@
         this.lookedAt = clock.nowMs();
     }
 
-    /** Runs until told to stop, then ends all connections. */
+    /**
+     * Runs until told to stop, then ends all connections. One that was ended in order is waited for until its last
+     * bytes are written and its peer has had time to read them; whoever comes meanwhile is served first.
+     */
     public void run(BooleanSupplier until) throws IOException {
-        while (!until.getAsBoolean()) {
-            turn(LONGEST_SLEEP_MS);
+        double over = Double.NaN;
+        for (boolean still = false; !still;) {
+            while (!until.getAsBoolean()) {
+                over = Double.NaN;
+                turn(LONGEST_SLEEP_MS);
+            }
+            over = Double.isNaN(over) ? clock.nowMs() + LINGER_MS : over;
+            turn(ending.isEmpty() || clock.nowMs() >= over ? 0 : over - clock.nowMs()); // who is at the door already
+            still = until.getAsBoolean() && (ending.isEmpty() || clock.nowMs() >= over);
         }
         for (SelectionKey key : selector.keys()) {
             key.channel().close();
@@ -443,6 +459,20 @@
             }
         }
 
+        /** A close over unread bytes resets the peer, which then may not read what it was sent. */
+        private void readAway() {
+            ByteBuffer in = buffers.isEmpty() ? ByteBuffer.allocateDirect(BUFFER) : buffers.pop().clear();
+            try {
+                for (int i = 0; i < MOST_AWAY && channel.read(in) > 0; i++) {
+                    in.clear();
+                }
+            } catch (IOException e) {
+                counters.count("net.reset"); // the peer was first
+            } finally {
+                buffers.push(in);
+            }
+        }
+
         @Override
         public boolean flushed() {
             return connected && out.isEmpty();
@@ -459,6 +489,9 @@
                 return;
             }
             finishing = true;
+            if (door != null) {
+                ending.add(this);
+            }
             if (!connected) {
                 shut();
             } else if (out.isEmpty()) {
@@ -487,8 +520,12 @@
             }
             gone = true;
             out.clear();
+            ending.remove(this);
             try {
                 if (channel != null) {
+                    if (door != null) {
+                        readAway();
+                    }
                     channel.close();
                 }
             } catch (IOException e) {
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
 import plumpost.config.LoadReports;
@@ -36,27 +37,33 @@
     /** A request follows its connection at once: while places run short, one without is a stranger's after this. */
     private static final double NEWCOMER_MS = 100;
     private static final double HALF_MS = 300;
-    /** Clients go on using the connections they have after SIGTERM, and the next scheduler may not be back yet. */
-    private static final double STAY_MS = 2_300;
     /** After SIGTERM new connections keep coming for less than this; what is taken later may be asked for an answer. */
     private static final double GOING_MS = 700;
-    /** SIGKILL may come 3.7 s after SIGTERM, or 0.7 s after the longest deadline where that is shorter. */
-    private static final double LAST_CALL_MS = 3_400;
+    /** SIGKILL comes no sooner than that after the longest deadline, which is counted as this where it is longer. */
+    private static final double LONGEST_MS = 3_000;
+    /** So long before it the connections that idle are closed: jobs of the last ones still run to their end. */
+    private static final double LEAVE_MS = 1_400;
+    /** So long before it all that was taken late is answered, and nothing more is taken: the answers go out and are read. */
+    private static final double LAST_CALL_MS = 300;
 
     private final DispatchRoom room;
     private final Kit kit;
     private final Lag lag;
     private final Set<Desk> desks = new LinkedHashSet<>();
+    /** Whether a node list has come, where one is to be waited for. */
+    private final BooleanSupplier listed;
     private boolean ready;
     private boolean stopping;
     private boolean leaving;
+    private boolean called;
 
     /** How long bytes that are read now may have lain unread. */
     interface Lag {
         double ms();
     }
 
-    FrontDoor(DispatchRoom room, Kit kit, Lag lag) {
+    FrontDoor(DispatchRoom room, Kit kit, Lag lag, BooleanSupplier listed) {
+        this.listed = listed;
         this.room = room;
         this.kit = kit;
         this.lag = lag;
@@ -77,13 +84,15 @@
     void stop() {
         stopping = true;
         double at = kit.clock().nowMs();
-        kit.wheel().at(at + STAY_MS, this::leave);
         double longest = room.settings().classes().stream().mapToDouble(JobClass::deadlineMs).max().orElse(0);
-        kit.wheel().at(at + Math.min(longest, LAST_CALL_MS), () -> lastCall(at + GOING_MS));
+        double kill = at + Math.min(longest, LONGEST_MS) + GOING_MS;
+        kit.wheel().at(Math.max(at + GOING_MS, kill - LEAVE_MS), this::leave);
+        kit.wheel().at(Math.max(at + GOING_MS, kill - LAST_CALL_MS), () -> lastCall(at + GOING_MS));
     }
 
     /** The end may come any moment: a job that was taken when that was known already gets its answer before it. */
     private void lastCall(double since) {
+        called = true;
         for (Desk d : List.copyOf(desks)) {
             if (d.entry != null && d.takenAt > since) {
                 room.cutShort(d.entry);
@@ -111,7 +120,7 @@
     private void sweep() {
         double now = kit.clock().nowMs();
         for (Desk d : List.copyOf(desks)) {
-            if (now - d.since > SLOW_MS && d.owesBytes()) {
+            if (now - d.since > (d.owesBytes() ? SLOW_MS : IDLE_MS)) {
                 d.wire.look(); // bytes that have come already are read first
             }
             double since = now - d.since;
@@ -126,7 +135,7 @@
                 d.refuseBytes(408, "");
             } else if (d.silent() && since > SLOW_MS) {
                 kit.counters().count("front.silent");
-                d.drop();
+                d.finish();
             } else if (d.idle() && since > IDLE_MS) {
                 d.finish();
             }
@@ -143,7 +152,7 @@
             }
             if (d == least()) {
                 kit.counters().count("front.shed." + d.rank(kit.clock().nowMs()));
-                d.drop();
+                d.finish();
                 return true;
             }
         }
@@ -169,6 +178,8 @@
         private final RequestReader reader = new RequestReader(BODY_LIMIT);
         private LedgerEntry entry;
         private ByteBuffer ahead = ByteBuffer.allocate(0);
+        /** What is being read. */
+        private ByteBuffer from = ahead;
         private double since = kit.clock().nowMs();
         private boolean working;
         private boolean reading;
@@ -230,12 +241,13 @@
 
         private void read(ByteBuffer in) {
             reading = true;
+            from = in;
             try {
-                while (!over && !working && in.hasRemaining()) {
+                while (!over && !working && hasMore()) {
                     if (!reader.midway() && answered) {
                         since = kit.clock().nowMs(); // a first request's time runs from the connection's start
                     }
-                    if (reader.feed(in)) {
+                    if (reader.feed(from)) {
                         working = true;
                         request();
                     } else if (!continued && reader.awaitsContinue()) {
@@ -248,9 +260,32 @@
             } finally {
                 reading = false;
             }
-            if (!over && working && in.hasRemaining()) {
-                stash(in);
+            if (!over && working && from.hasRemaining()) {
+                stash(from);
+            }
+        }
+
+        /** Whether there is more to read: what came with the request before, then what came while that was looked at. */
+        private boolean hasMore() {
+            if (!from.hasRemaining() && ahead.hasRemaining()) {
+                from = ahead;
+                ahead = ByteBuffer.allocate(0);
+            }
+            return from.hasRemaining();
+        }
+
+        /**
+         * Whether the client has gone already: its end may have come with its request, to a connection that was
+         * accepted late or not read for a while. Its job would be dispatched before that is read otherwise.
+         */
+        private boolean left() {
+            if (from.hasRemaining()) {
+                stash(from); // before what the look brings
+            }
+            if (!over) {
+                wire.look();
             }
+            return over;
         }
 
         private void refuseBytes(int status, String why) {
@@ -263,7 +298,7 @@
             kit.counters().count("front.requests");
             String path = reader.path();
             switch (path) {
-                case "/health/ready" -> get(() -> answer(ready && !stopping ? 200 : 503, Answers.ascii(""), "", false));
+                case "/health/ready" -> get(() -> answer(ready && !stopping && listed.getAsBoolean() ? 200 : 503, Answers.ascii(""), "", false));
                 case "/health/live" -> get(() -> answer(200, Answers.ascii(""), "", false));
                 case "/counters" -> get(() -> answer(200, Answers.ascii(kit.counters().toString()), "", false));
                 default -> job(path);
@@ -300,6 +335,15 @@
                     refuseBytes(409, "a job of this id is open");
                     return;
                 }
+                if (left()) {
+                    kit.counters().count("front.gone_before");
+                    return;
+                }
+                if (called) {
+                    kit.counters().count("front.too_late");
+                    refused(0);
+                    return;
+                }
                 knownDesk = true;
                 takenAt = kit.clock().nowMs();
                 entry = room.take(sheet, this);
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -4,9 +4,11 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeListReader;
+import plumpost.config.ObjectStream;
 import plumpost.decision.Dispatcher.ListMode;
 import plumpost.decision.Dispatcher.Phase;
 import plumpost.dispatch.DispatchRoom;
@@ -19,21 +21,31 @@
 import plumpost.net.Kit;
 import plumpost.net.Wire;
 import plumpost.net.WireUser;
+import plumpost.time.TimerWheel;
 
 /**
  * The watch on discovery's node list. When it ends or falls silent the core hears of a failed call and asks again.
  * When discovery moves, the old watch goes on telling until the new service has told its list.
  */
 public final class NodeListWatch implements NodeList {
-    /** Hears what discovery tells this process, line by line. */
+    /** Hears what discovery tells this process, object by object. */
     public interface Listener {
-        /** A line of the list. */
+        /** An object of the list. */
         void heard(String line, long seq, boolean whole);
     }
 
-    private static final int LINE_LIMIT = 1024 * 1024;
-    /** An empty line comes every 2 s: without any for this long the watch is dead. */
-    private static final double SILENCE_MS = 3_500;
+    private static final int LIST_LIMIT = 1024 * 1024;
+    /**
+     * An empty line comes every 2 s: without a byte for this long the watch is dead. What it misses counts as told 6 s
+     * after it fell silent: until then it is opened anew, after a spread, and a service that takes calls in turn answers.
+     */
+    private static final double SILENCE_MS = 2_500;
+    /** The same before an answer has begun: the service answers calls in turn. */
+    private static final double ANSWER_MS = 3_500;
+    /** All watches of a fleet may fall silent at once: their new calls are spread over this. */
+    private static final double SPREAD_MS = 1_000;
+    /** So long a new process waits for the list that is pushed to it, before it serves by the one it had. */
+    private static final double FIRST_MS = 5_000;
     /** A service that has not taken the connection by now will not: it answers calls in turn, but accepts at once. */
     private static final double DIAL_MS = 1_000;
 
@@ -42,14 +54,19 @@
     private final RouteNodes nodes;
     private final DispatchRoom room;
     private InetSocketAddress discovery;
+    private final SplittableRandom random;
     private long seq = -1;
+    /** The list as last had is kept back: what is pushed may know better. */
+    private boolean waits;
     private Call call;
     private Call former;
     /** In a fleet: who hears of each line, and whether this process is the one to ask. */
     private Listener fleet;
     private boolean asks = true;
 
-    NodeListWatch(Kit kit, InetSocketAddress discovery, NodeListReader reader, RouteNodes nodes, DispatchRoom room) {
+    NodeListWatch(Kit kit, InetSocketAddress discovery, long seed, NodeListReader reader, RouteNodes nodes,
+                  DispatchRoom room) {
+        this.random = new SplittableRandom(seed);
         this.kit = kit;
         this.discovery = discovery;
         this.reader = reader;
@@ -57,10 +74,32 @@
         this.room = room;
     }
 
-    /** Tells the core of the list as last had. */
-    void saved(NodeListReader.Listing listing) {
-        seq = listing.seq();
-        tell(ListMode.SAVED, listing);
+    /**
+     * Begins with the list as last had, or null. Where lists are asked for, that is told and the module asks in its
+     * time; where they are pushed, a change counts as told from a process's first moment, so the list of now is heard
+     * first, and the old one serves only where none comes.
+     */
+    void begin(NodeListReader.Listing saved) {
+        if (discovery == null || saved == null) {
+            watch();
+        } else if (room.settings().listOnRequest()) {
+            seq = saved.seq();
+            tell(ListMode.SAVED, saved);
+        } else {
+            waits = true;
+            watch();
+            kit.wheel().at(kit.clock().nowMs() + FIRST_MS, () -> {
+                if (waits) {
+                    kit.counters().count("list.none_pushed");
+                    tell(ListMode.SAVED, saved);
+                }
+            });
+        }
+    }
+
+    /** Whether there is a list to serve by, as far as one is to be had. */
+    boolean primed() {
+        return !waits;
     }
 
     /** Asks for the list, unless a call for it is under way or no service is known. */
@@ -128,6 +167,7 @@
     }
 
     private void tell(ListMode mode, NodeListReader.Listing listing) {
+        waits = false;
         List<ListedNode> lines = new ArrayList<>();
         for (NodeListReader.Line l : listing.lines()) {
             NodeLink link = l.dial() == null ? Gone.LINK : nodes.at(l.dial());
@@ -139,9 +179,11 @@
     }
 
     private final class Call implements WireUser {
-        private final AnswerReader answer = new AnswerReader(LINE_LIMIT);
+        private final AnswerReader answer = new AnswerReader(LIST_LIMIT);
+        private final ObjectStream objects = new ObjectStream("a list", LIST_LIMIT);
         private final Wire wire;
         private double heardAt = kit.clock().nowMs();
+        private TimerWheel.Timer silence;
         private boolean up;
         private boolean told;
         private boolean answered;
@@ -158,15 +200,29 @@
         }
 
         private void watchSilence() {
-            kit.wheel().at(heardAt + SILENCE_MS, () -> {
-                if (!over && kit.clock().nowMs() - heardAt >= SILENCE_MS) {
-                    fail("silent");
-                } else if (!over) {
+            double most = answered ? SILENCE_MS : ANSWER_MS;
+            silence = kit.wheel().at(heardAt + most, () -> {
+                if (kit.clock().nowMs() - heardAt >= most) {
+                    silent();
+                } else {
                     watchSilence();
                 }
             });
         }
 
+        /** A watch that told and fell silent is opened anew by itself: the module's waits for a failed call are too long. */
+        private void silent() {
+            if (!answered || this != call) {
+                fail("silent");
+                return;
+            }
+            drop();
+            kit.counters().count("list.silent");
+            kit.log().accept("node list watch: silent, opened anew");
+            kit.wheel().at(kit.clock().nowMs() + (room.settings().listOnRequest() ? random.nextDouble() * SPREAD_MS : 0),
+                NodeListWatch.this::watch);
+        }
+
         @Override
         public void opened() {
             up = true;
@@ -182,10 +238,15 @@
                     fail("status " + answer.status());
                     return;
                 }
-                for (byte[] l = answer.hasHead() ? answer.line() : null; l != null && !over; l = answer.line()) {
+                byte[] fresh = answer.hasHead() ? answer.take() : new byte[0];
+                if (fresh.length > 0) {
                     heardAt = kit.clock().nowMs();
-                    answered = true;
-                    line(l);
+                    if (!answered) {
+                        answered = true;
+                        silence.cancel(); // from here on by the shorter time
+                        watchSilence();
+                    }
+                    objects.feed(fresh, this::object);
                 }
                 if (whole && !over) {
                     fail("ended");
@@ -196,11 +257,11 @@
             }
         }
 
-        private void line(byte[] line) {
-            if (line.length == 0 || line.length == 1 && line[0] == '\r') {
+        private void object(Json.Fields fields, byte[] text) {
+            if (over) {
                 return;
             }
-            NodeListReader.Listing listing = reader.read(Json.object("a list line", line));
+            NodeListReader.Listing listing = reader.read(fields);
             told = true;
             if (this == call) {
                 seq = listing.seq();
@@ -211,7 +272,7 @@
             }
             tell(listing.whole() ? ListMode.FULL : ListMode.INCREMENTAL, listing);
             if (fleet != null && this == call) {
-                fleet.heard(new String(line, java.nio.charset.StandardCharsets.UTF_8), listing.seq(), listing.whole());
+                fleet.heard(new String(text, java.nio.charset.StandardCharsets.UTF_8).strip(), listing.seq(), listing.whole());
             }
         }
 
@@ -232,6 +293,7 @@
 
         private void drop() {
             over = true;
+            silence.cancel();
             wire.cut();
         }
     }
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -34,8 +34,8 @@
             kit.log().accept("malformed node list line: " + why);
         });
         RouteNodes nodes = new RouteNodes(kit, room::settings, nodeConnections);
-        watch = new NodeListWatch(kit, config.discovery(), reader, nodes, room);
-        door = new FrontDoor(room, kit, lag::getAsDouble);
+        watch = new NodeListWatch(kit, config.discovery(), config.seed(), reader, nodes, room);
+        door = new FrontDoor(room, kit, lag::getAsDouble, watch::primed);
     }
 
     /** Connections that front desks may hold open together. */
@@ -67,14 +67,10 @@
         }
     }
 
-    /** Tells the core the list as last had; the module then asks for the watch. */
+    /** Tells the core the list as last had, where none that is newer is pushed. */
     public void begin() {
         room.add(watch);
-        if (config.discovery() != null && config.known().has("seq")) {
-            watch.saved(reader.read(config.known()));
-        } else {
-            watch.watch();
-        }
+        watch.begin(config.known().has("seq") ? reader.read(config.known()) : null);
     }
 
     /**
--- a/src/main/java/plumpost/platform/Rehearsal.java
+++ b/src/main/java/plumpost/platform/Rehearsal.java
@@ -69,7 +69,7 @@
         return m;
     }
 
-    /** A connection whose other end answers requests as a route node does, and as a list that has nothing to tell. */
+    /** A connection whose other end answers requests as a route node does, and as discovery does. */
     private final class Mouth implements Wire {
         private final RequestReader reader = new RequestReader(1024);
         private WireUser user;
@@ -92,7 +92,7 @@
             user.flushed();
             soon.add(() -> user.bytes(Answers.ascii(id != null ? lines(id) : path.equals("/stats")
                 ? "HTTP/1.1 200 OK\r\nContent-Length: 36\r\n\r\ninflight=1,queue=0,x0=2,latency_ms=3"
-                : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")));
+                : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(LIST.length()) + "\r\n" + LIST + "\r\n")));
         }
 
         private static String lines(String id) {
--- a/src/test/java/plumpost/SocketRig.java
+++ b/src/test/java/plumpost/SocketRig.java
@@ -69,6 +69,12 @@
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     }
 
+    /** The configuration read anew, with discovery at another address. */
+    public NodeConfig config(InetSocketAddress elsewhere) {
+        return new NodeConfig(config.name(), config.listen(), elsewhere, config.seed(), config.sockets(),
+            config.settings(), config.raw(), config.known(), null, null, null);
+    }
+
     /** A line of the node list on a node of this rig. */
     public String host(int node, String health) {
         return "{\"host\":\"node" + node + "\",\"dial\":\"127.0.0.1:" + nodes.get(node).address().getPort()
@@ -140,7 +146,10 @@
         for (Peer p : peers) {
             p.channel.close();
         }
-        loop.run(() -> true);
+        loop.run(() -> {
+            now += 2; // time goes on for what ends in order
+            return true;
+        });
         discovery.channel.close();
         for (Listener l : nodes) {
             l.channel.close();
@@ -156,7 +165,8 @@
             channel.configureBlocking(false);
         }
 
-        InetSocketAddress address() {
+        /** Where it listens. */
+        public InetSocketAddress address() {
             return (InetSocketAddress) channel.socket().getLocalSocketAddress();
         }
 
--- /dev/null
+++ b/src/test/java/plumpost/platform/ListWatchTest.java
@@ -0,0 +1,174 @@
+package plumpost.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import plumpost.Scenario;
+import plumpost.SocketRig;
+import plumpost.SocketRig.Peer;
+
+/** The node list's watch on real connections: lists however they are written, and watches that end or fall silent. */
+class ListWatchTest {
+    private static final String PUSHED = Scenario.SETTINGS.replace("on_request", "pushed");
+    /** What a silent watch misses counts as told so long after it fell silent. */
+    private static final double TOLD_MS = 6_000;
+
+    private static String list(SocketRig rig, int seq, String health) {
+        return "{\"seq\":" + seq + ",\"whole\":true,\"hosts\":[" + rig.host(0, health) + "]}";
+    }
+
+    private static String indented(String list) {
+        return list.replace("{", "\r\n{\n\t").replace(",", " ,\n\n  ").replace("[", "[\n \r\n").replace("}", "\n}");
+    }
+
+    /** The watch as the scheduler opens it. */
+    private static Peer watch(SocketRig rig) {
+        Peer[] watch = new Peer[1];
+        rig.passUntil("a watch", 20_000, () -> (watch[0] = rig.discovery.poll()) != null);
+        return watch[0];
+    }
+
+    private static boolean serves(SocketRig rig) {
+        return rig.room.avoided() == 0 && rig.room.listedNodes() == 1;
+    }
+
+    /** Guards lists that come indented, with blank lines, cut at any byte: each counts once it is whole, none before. */
+    @Test
+    void anIndentedListIsReadWhereverItIsCut() throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer watch = watch(rig);
+            watch.send(SocketRig.CHUNKED);
+            String list = indented(list(rig, 2, "up"));
+            for (int cut = 1; cut < list.length(); cut++) {
+                int before = cut;
+                watch.send(SocketRig.chunk(list.substring(0, cut)));
+                rig.turn();
+                watch.send(SocketRig.chunk(list.substring(cut) + "\n"));
+                rig.until("list " + cut, () -> rig.counters.of("list.full") == before);
+            }
+            watch.send(SocketRig.chunk(list(rig, 3, "up") + list(rig, 4, "up") + "\n\n"));
+            rig.until("two on one line", () -> rig.counters.of("list.full") == list.length() + 1);
+            assertThat(rig.counters.of("list.malformed")).isZero();
+            watch.send(SocketRig.chunk(list.substring(0, list.length() - 1)));
+            watch.close();
+            rig.until("its end", () -> rig.counters.of("list.failed") == 1);
+            assertThat(rig.counters.of("list.full")).as("half an object never counts").isEqualTo(list.length() + 1);
+        }
+    }
+
+    /** Guards against what is no list: the old one stays, the watch is opened anew, nothing open is lost. */
+    @ParameterizedTest
+    @ValueSource(strings = {"7\n", "[1]\n", "{\"seq\":1,}\n", "{\"hosts\":[]}\n", "x\n", "{\"seq\":\"a\",\"hosts\":[]}\n"})
+    void aMalformedListLeavesTheOldOne(String bad) throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer watch = watch(rig);
+            watch.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 2, "up")));
+            rig.until("the list", () -> rig.counters.of("list.full") == 1);
+            watch.send(SocketRig.chunk(bad));
+            rig.until("its end", () -> rig.counters.of("list.malformed") == 1);
+            assertThat(serves(rig)).isTrue();
+            watch(rig).expect("since=2");
+        }
+    }
+
+    /** Guards drains told to a watch that fell silent: a new one hears of them well before they count as told. */
+    @Test
+    void aSilentWatchIsOpenedAnewInTime() throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer watch = watch(rig);
+            watch.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 2, "up")));
+            rig.until("the list", () -> rig.counters.of("list.full") == 1);
+            for (int i = 0; i < 3; i++) {
+                rig.pass(2_000);
+                watch.send(SocketRig.chunk("\n"));
+            }
+            rig.turn();
+            double silent = rig.now;
+            Peer anew = watch(rig);
+            anew.expect("since=2");
+            // The call stands in the service's line for a second, as long as calls there may take.
+            rig.pass(1_000);
+            anew.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 3, "draining")));
+            rig.until("the drain", () -> rig.counters.of("list.full") == 2);
+            assertThat(rig.now - silent).isLessThan(TOLD_MS - 1_000);
+            assertThat(rig.counters.of("list.silent")).isEqualTo(1);
+        }
+    }
+
+    /** Guards a move of discovery while the former watch is the silent one: the new one is asked all the same. */
+    @Test
+    void aMoveWhileTheFormerWatchIsSilent() throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer former = watch(rig);
+            former.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 2, "up")));
+            rig.until("the list", () -> rig.counters.of("list.full") == 1);
+            rig.pass(1_500);
+            rig.platform.reload(rig.config(rig.nodes.get(0).address()));
+            Peer anew = rig.nodes.get(0).accept();
+            anew.expect("GET /registry/instances?follow=1 ");
+            rig.pass(1_500);
+            assertThat(former.over()).as("the silent one is let go").isTrue();
+            anew.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 1, "draining")));
+            rig.until("the new list", () -> rig.counters.of("list.full") == 2);
+            rig.pass(2_000);
+            assertThat(rig.discovery.poll()).as("the former service is asked no more").isNull();
+        }
+    }
+
+    /** Guards a start where lists are pushed: what drained while nobody listened gets nothing of the first jobs. */
+    @Test
+    void aNewProcessServesByWhatIsPushedAndNotByItsFile() throws IOException {
+        try (SocketRig rig = new SocketRig(PUSHED, 1)) {
+            rig.platform.ready();
+            Peer early = rig.client();
+            early.send(SocketRig.job("route-plan", "a", "", "x"));
+            Peer health = rig.client();
+            health.send("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+            health.expect("HTTP/1.1 503 ");
+            Peer watch = watch(rig);
+            watch.expect("follow=1 HTTP");
+            rig.pass(300);
+            watch.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 9, "draining")));
+            rig.until("the list", () -> rig.counters.of("list.full") == 1);
+            rig.pass(500);
+            assertThat(rig.nodes.get(0).poll()).as("a connection to the drained node").isNull();
+            health.send("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+            health.expect("HTTP/1.1 200 ");
+        }
+    }
+
+    /** Guards a start while nothing is pushed: after a while the list of the file serves, and the process is ready. */
+    @Test
+    void aNewProcessServesByItsFileWhereNothingIsPushed() throws IOException {
+        try (SocketRig rig = new SocketRig(PUSHED, 1)) {
+            rig.platform.ready();
+            Peer client = rig.client();
+            client.send(SocketRig.job("route-plan", "a", "", "x"));
+            rig.pass(5_200);
+            rig.nodes.get(0).accept().expect("POST /route-plan");
+            Peer health = rig.client();
+            health.send("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+            health.expect("HTTP/1.1 200 ");
+        }
+    }
+
+    /** Guards drains where lists are pushed: a watch that ends is open again within the time that a drain leaves. */
+    @Test
+    void aPushedListIsWatchedAgainAtOnce() throws IOException {
+        try (SocketRig rig = new SocketRig(PUSHED, 1)) {
+            Peer watch = watch(rig);
+            watch.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 2, "up")));
+            rig.until("the list", () -> rig.counters.of("list.full") == 1);
+            for (int i = 0; i < 5; i++) {
+                watch.reset();
+                double from = rig.now;
+                watch = watch(rig);
+                assertThat(rig.now - from).as("nobody listens").isLessThan(200);
+                rig.turn();
+            }
+        }
+    }
+}
--- a/src/test/java/plumpost/platform/PlatformTest.java
+++ b/src/test/java/plumpost/platform/PlatformTest.java
@@ -179,7 +179,7 @@
         Scenario s = new Scenario(1).play("wait 4000\nlist expect GET /registry/instances?follow=1&since=1");
         s.play("list send {\"seq\":5,\"whole\":false,\"hosts\":[{\"host\":7}," + Scenario.host(2, "up", 0) + "]}");
         assertThat(s.counters.of("list.malformed_line")).isEqualTo(1);
-        s.play("wait 3490\nlist expect nothing\nwait 2000\nlist expect GET /registry/instances?follow=1&since=5");
+        s.play("wait 2490\nlist expect nothing\nwait 1020\nlist expect GET /registry/instances?follow=1&since=5");
         s.play("list send {rubbish\nwait 4000\nlist expect GET /registry/instances?follow=1&since=5");
         s.play("list close\nwait 7000\nlist expect GET /registry/instances?follow=1&since=5");
         s.play("list send \"HTTP/1.1 503 E\\r\\nContent-Length: 0\\r\\n\\r\\n\"\nwait 8000\nlist expect GET /*since=5");
