--- a/src/test/java/plumpost/SocketRig.java
+++ b/src/test/java/plumpost/SocketRig.java
@@ -42,6 +42,7 @@
     private final List<Peer> peers = new ArrayList<>();
     private final NodeConfig config;
     private InetSocketAddress front;
+    private boolean over;
 
     /** A scheduler that knows so many nodes from its file. */
     public SocketRig(String settings, int nodes) throws IOException {
@@ -97,15 +98,30 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
+    /** A node's last line of a job. */
+    public static String line(String id, String result) {
+        return "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"" + result + "\"}\n";
+    }
+
     /** What a node says of a job, from the head of its answer to its end. */
     public static String done(String id) {
-        return CHUNKED + chunk("{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"r-" + id + "\"}\n")
-            + "0\r\n\r\n";
+        return CHUNKED + chunk(line(id, "r-" + id)) + "0\r\n\r\n";
     }
 
     /** The head of an answer in chunks. */
     public static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+    /** Has something happen on the wire at a time, between what the loop reads and what its timers do. */
+    public void after(double ms, Runnable what) {
+        wheel.at(now + ms, what);
+    }
+
+    /** Much time passes in a single turn. */
+    public void jump(double ms) {
+        now += ms;
+        turn();
+    }
+
     /** One turn of the loop, without any time passing. */
     public void turn() {
         try {
@@ -141,15 +157,23 @@
         return now - from;
     }
 
+    /** Runs the loop as the process does until it is over; between its turns the test looks on and time passes. */
+    public void end(BooleanSupplier until) throws IOException {
+        over = true;
+        loop.run(() -> {
+            now += 10;
+            return until.getAsBoolean();
+        });
+    }
+
     @Override
     public void close() throws IOException {
         for (Peer p : peers) {
             p.channel.close();
         }
-        loop.run(() -> {
-            now += 2; // time goes on for what ends in order
-            return true;
-        });
+        if (!over) {
+            end(() -> true);
+        }
         discovery.channel.close();
         for (Listener l : nodes) {
             l.channel.close();
@@ -204,6 +228,11 @@
             peers.add(this);
         }
 
+        /** Takes only a little at a time. */
+        public void narrow() throws IOException {
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, 2048);
+        }
+
         /** Sends bytes; they lie at the scheduler when this returns. */
         public void send(String bytes) {
             try {
--- /dev/null
+++ b/src/test/java/plumpost/platform/ClientsThatLeftTest.java
@@ -0,0 +1,145 @@
+package plumpost.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import plumpost.Scenario;
+import plumpost.SocketRig;
+import plumpost.SocketRig.Peer;
+
+/**
+ * Clients that leave while their request waits for its first attempt, on real connections: in each case, by each kind of
+ * end and for each class, nothing of the request is sent on after that.
+ */
+class ClientsThatLeftTest {
+    private static final List<String> CLASSES = List.of("route-plan", "pickup-order");
+
+    /** How a client leaves. */
+    enum End {
+        CLOSE, HALF_CLOSE, RESET;
+
+        void of(Peer p) throws IOException {
+            switch (this) {
+                case CLOSE -> p.close();
+                case HALF_CLOSE -> p.halfClose();
+                default -> p.reset();
+            }
+        }
+    }
+
+    private static String job(String cls, String id) {
+        return SocketRig.job(cls, id, "X-Remaining-Ms: 6000\r\n", "towels");
+    }
+
+    /** Whether a whole request for the job has come to the only node, within so long. */
+    private static boolean sentOn(SocketRig rig, double ms) {
+        rig.pass(ms);
+        boolean sent = false;
+        for (Peer p = rig.nodes.get(0).poll(); p != null; p = rig.nodes.get(0).poll()) {
+            sent |= p.text().endsWith("\r\n\r\ntowels");
+        }
+        return sent;
+    }
+
+    /** Guards requests read only after their client left: accepted late, read after a pause, with more bytes ahead. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void whoLeftBeforeItsRequestWasRead(End end) throws IOException {
+        for (String cls : CLASSES) {
+            for (String ahead : List.of("", job(cls, "b"), "POST /pick", "x".repeat(5_000))) {
+                for (boolean accepted : new boolean[] {false, true}) {
+                    try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+                        Peer client = rig.client();
+                        if (accepted) {
+                            rig.until("accepted", () -> rig.counters.of("net.accepted") == 1);
+                        }
+                        client.send(job(cls, "a") + ahead);
+                        end.of(client);
+                        assertThat(sentOn(rig, 1_000)).as("%s with %s ahead", cls, ahead).isFalse();
+                        assertThat(rig.counters.of("attempts.out")).isZero();
+                        assertThat(rig.room.open()).isZero();
+                    }
+                }
+            }
+        }
+    }
+
+    /** Guards the wait for a node: none is listed yet when the client leaves, and one comes a moment later. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void whoLeftWhileNoNodeHadRoom(End end) throws IOException {
+        for (String cls : CLASSES) {
+            try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+                rig.platform.told("{\"seq\":2,\"whole\":true,\"hosts\":[]}");
+                Peer client = rig.client();
+                client.send(job(cls, "a"));
+                rig.until("held", () -> rig.room.open() == 1);
+                end.of(client);
+                rig.until("noticed", () -> rig.room.open() == 0);
+                rig.platform.told("{\"seq\":3,\"whole\":true,\"hosts\":[" + rig.host(0, "up") + "]}");
+                assertThat(sentOn(rig, 1_000)).isFalse();
+                assertThat(rig.counters.of("jobs.client_gone")).isEqualTo(1);
+            }
+        }
+    }
+
+    /** Guards the time in which a node's connection comes up, and the proof before an order's last byte. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void whoLeftBeforeTheLastByteWasWritten(End end) throws IOException {
+        for (boolean up : new boolean[] {false, true}) {
+            try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+                Peer client = rig.client();
+                client.send(job("pickup-order", "a"));
+                rig.until("an attempt", () -> rig.counters.of("attempts.out") == 1);
+                Peer node = up ? rig.nodes.get(0).accept() : null;
+                if (up) {
+                    node.expect("towel");
+                }
+                end.of(client);
+                rig.until("noticed", () -> rig.room.open() == 0);
+                assertThat(sentOn(rig, 1_000)).isFalse();
+                if (up) {
+                    rig.until("the node's connection ends", node::over);
+                    assertThat(node.text()).doesNotContain("s");
+                }
+            }
+        }
+    }
+
+    /** Guards the wait between attempts, and an answer's write side that is blocked while the client leaves. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void whoLeftBetweenAttempts(End end) throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer client = rig.client();
+            client.send(job("pickup-order", "a"));
+            Peer node = rig.nodes.get(0).accept();
+            rig.passUntil("the order", 50, () -> node.text().endsWith("towels"));
+            node.send("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+            rig.until("turned away", () -> rig.counters.of("attempts.full") == 1);
+            end.of(client);
+            rig.until("noticed", () -> rig.room.open() == 0);
+            assertThat(sentOn(rig, 3_000)).isFalse();
+        }
+    }
+
+    /** Guards requests behind one that is answered: their client left meanwhile, and they are never begun. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void whoLeftWithASecondRequestAhead(End end) throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer client = rig.client();
+            client.send(job("route-plan", "a") + job("pickup-order", "b"));
+            Peer node = rig.nodes.get(0).accept();
+            node.expect("towels");
+            node.send(SocketRig.done("a"));
+            end.of(client); // the answer and the client's end cross
+            assertThat(sentOn(rig, 1_000)).isFalse();
+            assertThat(rig.counters.of("attempts.out")).isEqualTo(1);
+        }
+    }
+}
