Let guarded jobs go again in their window only, and keep stray answers from later jobs

- DispatchRoom.assign held back every second attempt of a class that may be repeated for a while ("guard repeat"): the module chose it, the guard ended it as never sent, six times, and the job failed.
The guard knows windows and groups now (LedgerEntry.mayRepeat), and so does Attempt.wanted, which links ask before an order's last byte: a window that ends while a repeat's connection comes up or proves itself leaves that byte unwritten.
- Logic.hold: a job whose window ends while it waits for a node is given up then; it was held until its deadline.
- An answer whose last line came but whose end never did kept its connection, and its place, for good.
- A 503 on a kept connection names no job: taken for the running one, it left that running on a connection back in the pool, and the job went out a second time beside it.
Such a connection is ended.
- Lines about the last job on a kept connection counted as an error of the node, which ejected it.
- An answer before the order was whole was taken; it is none, and the order has not run.
- RouteNodes.retireMs was taken once; it follows the settings in force.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -295,6 +295,11 @@
 
     private void hold(Request r) {
         r.isHeld = true;
+        Attempt first = mayHaveRun(r);
+        if (first != null && r.cls.effect() == Effect.GUARDED) {
+            // A repeat is harmless until then: what found no worker by that time is given up at once.
+            at(first.sentAt + r.cls.windowMs(), () -> { if (r.isHeld) finish(r); }, r);
+        }
         // While nobody gives hints, guesses at jobs differ only by when they were made.
         boolean blind = hintCount == 0 && Double.isNaN(r.job.costMs());
         r.key = (blind ? 0 : Math.log(r.cost) / Math.log(2)) + now / AGING_MS;
--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -4,6 +4,7 @@
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.LoadReport;
+import plumpost.decision.Dispatcher.WorkerEntry;
 
 /** One try of a job on one route node. A link reports through it; once it has ended, further reports are dropped. */
 public final class Attempt {
@@ -12,12 +13,15 @@
     final String node;
     final NodeLink link;
     final double sentAt;
+    /** The node's line when it was sent, for those that may follow it. */
+    final WorkerEntry on;
     Ending ending;
     /** Whether it waits for the right to be sent: until then no node has seen it. */
     boolean held;
     private final DispatchRoom room;
 
-    Attempt(DispatchRoom room, LedgerEntry job, String node, NodeLink link, double sentAt) {
+    Attempt(DispatchRoom room, LedgerEntry job, String node, NodeLink link, WorkerEntry on, double sentAt) {
+        this.on = on;
         this.room = room;
         this.job = job;
         this.number = job.attempts.size();
@@ -41,9 +45,12 @@
         return job.deadline - room.nowMs();
     }
 
-    /** False once the node was told to drain or be gone: what is not yet written must not be. */
+    /**
+     * False once the node was told to drain or be gone, or the time in which a repeat is harmless is over: what is not
+     * yet written must not be.
+     */
     public boolean wanted() {
-        return ending == null && room.serving(node);
+        return ending == null && room.serving(node) && job.mayRepeat(this, on, room.nowMs());
     }
 
     /** The attempt's last byte has been written: from here on it counts as sent. A link tells this once. */
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -569,10 +569,11 @@
             ? "drain"
             : e.out() != null ? "second_copy"
             : e.attempts.size() >= set.limits().maxAttempts() ? "attempts"
-            : e.mayHaveRun() && e.cls.effect() != Effect.FREE ? "repeat"
+            : !e.mayRepeat(null, n.line.entry(), nowMs()) ? "repeat"
             : nowMs() >= e.deadline ? "late"
             : cold(n) && n.out >= COLD_OUT ? "cold" : null;
-        Attempt a = new Attempt(this, e, node, n == null ? null : n.line.link(), nowMs());
+        Attempt a = new Attempt(this, e, node, n == null ? null : n.line.link(),
+            n == null ? null : n.line.entry(), nowMs());
         e.attempts.add(a);
         if (broken != null) {
             counters.count("guard." + broken);
--- a/src/main/java/plumpost/dispatch/LedgerEntry.java
+++ b/src/main/java/plumpost/dispatch/LedgerEntry.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import plumpost.decision.Dispatcher.JobClass;
+import plumpost.decision.Dispatcher.WorkerEntry;
 
 /** A job in the ledger, from its taking to its final answer. */
 public final class LedgerEntry {
@@ -37,12 +38,34 @@
     }
 
     boolean mayHaveRun() {
+        return first() != null;
+    }
+
+    /** The first attempt that may have run, or null. */
+    private Attempt first() {
         for (Attempt a : attempts) {
             if (a.ending == null ? !a.held : !a.ending.neverRan()) {
-                return true;
+                return a;
             }
         }
-        return false;
+        return null;
+    }
+
+    /**
+     * Whether an attempt may go to a node: none before it may have run, or a repeat is harmless, always or within a time
+     * from the first on the nodes that drop it.
+     */
+    boolean mayRepeat(Attempt attempt, WorkerEntry to, double now) {
+        Attempt first = first();
+        return first == null || first == attempt || switch (cls.effect()) {
+            case FREE -> true;
+            case SINGLE_SHOT -> false;
+            case GUARDED -> now < first.sentAt + cls.windowMs() && switch (cls.scope()) {
+                case ALL -> true;
+                case ZONE -> first.on.zone() == to.zone();
+                case CELL -> first.on.cell() == to.cell();
+            };
+        };
     }
 
     /** The job as it was handed in. */
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -41,7 +41,6 @@
     private final Kit kit;
     private final Supplier<Dispatcher.Settings> settings;
     private final int mostConnections;
-    private final double retireMs;
     private final Map<InetSocketAddress, Node> nodes = new HashMap<>();
     private int connections;
 
@@ -50,8 +49,12 @@
         this.kit = kit;
         this.settings = settings;
         this.mostConnections = mostConnections;
+    }
+
+    /** How long a connection may idle: the node closes it after the time in the settings in force. */
+    private double retireMs() {
         double keep = settings.get().limits().keepaliveMs();
-        this.retireMs = keep > 0 ? keep * RETIRE_AT : 1000;
+        return keep > 0 ? keep * RETIRE_AT : 1000;
     }
 
     /** The link to the node at an address; the same one as long as the node is listed there. */
@@ -136,6 +139,7 @@
         private boolean up;
         private boolean given;
         private boolean written;
+        /** It has carried something before: what comes now may still be about that. */
         private boolean kept;
         private boolean gone;
         private boolean running;
@@ -271,8 +275,9 @@
 
         @Override
         public void bytes(ByteBuffer in) {
-            if (attempt == null && probe == null && !given) {
-                drop(); // bytes on an idle connection belong to nothing
+            if (!given) {
+                // On an idle connection they belong to nothing; before an order is whole they are no answer to it.
+                end(Ending.CONNECT_FAILED);
                 return;
             }
             heardAt = kit.clock().nowMs();
@@ -292,12 +297,19 @@
                 if (news != null) {
                     node.out.remove(was);
                     attempt = null;
+                    if (!whole && !gone) {
+                        // Its last line has come and its end has not: one that never comes must not hold the place.
+                        limit = kit.wheel().at(kit.clock().nowMs() + settings.get().limits().dialTimeoutMs(), () -> {
+                            kit.counters().count("nodes.unended");
+                            drop();
+                        });
+                    }
                     news.run();
                 }
             } catch (BadMessage | BadInput e) {
                 kit.counters().count("nodes.malformed");
                 kit.log().accept("malformed answer from " + host() + ": " + e.getMessage());
-                end(Ending.ERROR);
+                end(kept ? Ending.RESET : Ending.ERROR); // a late second answer to what went before is no fault of this
             }
         }
 
@@ -367,16 +379,18 @@
             }
             probe = null;
             given = false;
-            kept = true;
             if (gone) {
                 return;
             }
-            if (!reader.keeps() || !written) {
+            // One that names no job may be a late second answer to the one before: the true one may be yet to come.
+            boolean whose = kept && reader.status() != 200;
+            kept = true;
+            if (!reader.keeps() || !written || whose) {
                 drop();
                 return;
             }
             node.idle.push(this);
-            retire = kit.wheel().at(kit.clock().nowMs() + retireMs, this::drop);
+            retire = kit.wheel().at(kit.clock().nowMs() + retireMs(), this::drop);
         }
 
         @Override
--- a/src/test/java/plumpost/platform/ClosingTest.java
+++ b/src/test/java/plumpost/platform/ClosingTest.java
@@ -66,6 +66,7 @@
             rig.jump(600); // the connection is shut in the same turn, after the bytes have come
             rig.until("its end", client::over);
             assertThat(client.text()).contains("404 Not Found");
+            client.send("y"); // fails where a reset has come
             assertThat(client.reset).isFalse();
         }
     }
@@ -77,20 +78,24 @@
             Peer silent = rig.client();
             rig.until("accepted", () -> rig.counters.of("net.accepted") == 1);
             rig.pass(2_300);
-            silent.send(LIVE); // crosses the close: the client sees an end, and may send it again
-            rig.until("its end", silent::over);
-            assertThat(silent.reset).isFalse();
+            inOrder(rig, silent);
             Peer idle = rig.client();
             idle.send(LIVE);
             idle.expect("200 OK");
             rig.pass(200);
             assertThat(rig.platform.shed()).isTrue();
-            idle.send(LIVE);
-            rig.until("its end", idle::over);
-            assertThat(idle.reset).isFalse();
+            inOrder(rig, idle);
         }
     }
 
+    /** What the client sends meets no reset: it sees an end, and may send it again elsewhere. */
+    private static void inOrder(SocketRig rig, Peer client) {
+        client.send(LIVE);
+        rig.until("its end", client::over);
+        client.send(LIVE); // fails where the one before was answered by a reset
+        assertThat(client.reset).isFalse();
+    }
+
     /** Guards answers at the end of the process: more than the system takes at once is written before it is over. */
     @Test
     void theProcessEndsOnlyOnceItsAnswersAreRead() throws IOException {
