Say not ready to operators as well while the pushed list is waited for; sharpen two closing tests

The ready call of the operators' listener said 200 while /health/ready still said 503. The tests of the shed connection and of bytes at the very close passed without their fixes: a registered channel is closed by the selector's next look, which the tests now let it have before they ask for a reset. SocketRig.end has a bound in real time.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -88,7 +88,7 @@
         }
         // In a fleet the log keeps the bans, and the data directory belongs to one process.
         sharedBans = config.ops() == null || config.peers() != null ? null : new SharedBans(sharedDirectory(), room, kit);
-        Console console = new Console(room, counters, sharedBans, () -> serving && Double.isNaN(stopAt));
+        Console console = new Console(room, counters, sharedBans, () -> serving && Double.isNaN(stopAt) && platform.listed());
         if (config.ops() != null) {
             fronts.add(new ControlDoor(config.ops(), controlPlaces(config.sockets()), kit, console));
         }
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -107,6 +107,11 @@
         return door.accept(wire);
     }
 
+    /** Whether there is a node list to serve by, where one is to be waited for. */
+    public boolean listed() {
+        return watch.primed();
+    }
+
     /** From here on the front says that it is ready. */
     @Override
     public void ready() {
--- a/src/test/java/plumpost/SocketRig.java
+++ b/src/test/java/plumpost/SocketRig.java
@@ -160,10 +160,12 @@
     /** Runs the loop as the process does until it is over; between its turns the test looks on and time passes. */
     public void end(BooleanSupplier until) throws IOException {
         over = true;
+        long end = System.nanoTime() + PATIENCE_MS * 1_000_000;
         loop.run(() -> {
             now += 10;
-            return until.getAsBoolean();
+            return until.getAsBoolean() || System.nanoTime() > end;
         });
+        assertThat(System.nanoTime()).as("the end; log " + log).isLessThan(end);
     }
 
     @Override
--- a/src/test/java/plumpost/platform/ClosingTest.java
+++ b/src/test/java/plumpost/platform/ClosingTest.java
@@ -66,6 +66,7 @@
             rig.jump(600); // the connection is shut in the same turn, after the bytes have come
             rig.until("its end", client::over);
             assertThat(client.text()).contains("404 Not Found");
+            rig.turn(); // a registered channel is closed by the selector's next look
             client.send("y"); // fails where a reset has come
             assertThat(client.reset).isFalse();
         }
@@ -90,6 +91,7 @@
 
     /** What the client sends meets no reset: it sees an end, and may send it again elsewhere. */
     private static void inOrder(SocketRig rig, Peer client) {
+        rig.turn();
         client.send(LIVE);
         rig.until("its end", client::over);
         client.send(LIVE); // fails where the one before was answered by a reset
