Have the warm-up's node answer an order only once it is whole

Seen in MainTest.theOperatorsFileIsInOrder on the whole test run: the warm-up served 1 of 20 jobs. Its node in memory answered at the first write, which holds all of an order but its last byte; since such an answer is none, so every order of the warm-up was tried until its time was up and the paths behind it were never warmed. Rehearsal.Mouth.write answers when the request is whole now: 20 of 20.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -129,7 +129,8 @@
         if (mode == ListMode.FAILED) {
             // No herd on the list service: first calls are spread, later ones come after a backoff.
             // What is pushed counts as told while nobody listens: a drain leaves no more than its own time.
-            double most = (set.listOnRequest() ? set.rules().mustAskInMs() : set.rules().stopSendingWithinMs()) / 4;
+            Rules rule = set.rules();
+            double most = (set.listOnRequest() ? rule.mustAskInMs() : rule.stopSendingWithinMs()) / 4;
             listBackoff = Math.max(LIST_AGAIN_MS, Math.min(listBackoff * 2, most));
             at(now + listBackoff * (0.5 + random.nextDouble()), out::subscribe, null);
         } else {
--- a/src/main/java/plumpost/platform/Rehearsal.java
+++ b/src/main/java/plumpost/platform/Rehearsal.java
@@ -79,20 +79,26 @@
             if (user == null) {
                 return; // the front desk's end
             }
+            boolean whole = false;
             try {
                 for (ByteBuffer p : parts) {
-                    reader.feed(p.duplicate());
+                    whole = reader.feed(p.duplicate());
                 }
             } catch (BadMessage e) {
                 throw new IllegalStateException(e);
             }
+            if (!whole) {
+                user.flushed(); // an order's last byte follows by itself; an answer before it would be none
+                return;
+            }
             String id = reader.head().field("X-Txn");
             String path = reader.path();
             reader.next();
             user.flushed();
             soon.add(() -> user.bytes(Answers.ascii(id != null ? lines(id) : path.equals("/stats")
                 ? "HTTP/1.1 200 OK\r\nContent-Length: 36\r\n\r\ninflight=1,queue=0,x0=2,latency_ms=3"
-                : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(LIST.length()) + "\r\n" + LIST + "\r\n")));
+                : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(LIST.length()) + "\r\n"
+                    + LIST + "\r\n")));
         }
 
         private static String lines(String id) {
