Ask whether a client is still there before each attempt, and keep tries of a job apart

Found by reading; each is forced on real connections by timers that fall into one turn of the loop, and fails without it:

- A pause of the process (a busy core, a collection) leaves a client's close unread while a timer or a list sends its job on: attempts went out, and an order's last byte was written, 0.4 s after the close.
DispatchRoom.left reads who waits before each attempt, and Attempt.wanted before what is kept back (ClientsThatLeftTest: 9 more cases, none is sent on).
FrontDoor.job: an end that is read while the job is being taken gives it up too.
- RouteNodes.free gave a job's second try the connection of its first: a late second 'returned' counted as the second try's word, and a third went out beside it.
Such a connection is not used for the same job again.
- An error answer that never ends held a job that may be repeated until its deadline; it is given up after 0.6 s like one that was not taken.

--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -46,11 +46,11 @@
     }
 
     /**
-     * False once the node was told to drain or be gone, or the time in which a repeat is harmless is over: what is not
-     * yet written must not be.
+     * False once the node was told to drain or be gone, or the time in which a repeat is harmless is over, or nobody
+     * waits for the job any more: what is not yet written must not be.
      */
     public boolean wanted() {
-        return ending == null && room.serving(node) && job.mayRepeat(this, on, room.nowMs());
+        return !room.left(job) && ending == null && room.serving(node) && job.mayRepeat(this, on, room.nowMs());
     }
 
     /** The attempt's last byte has been written: from here on it counts as sent. A link tells this once. */
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -564,6 +564,10 @@
             counters.count("guard.over");
             return;
         }
+        if (left(e)) {
+            moot(new Attempt(this, e, node, null, null, nowMs()));
+            return;
+        }
         Roster.Node n = roster.get(node);
         String broken = n == null || !n.serving() || roster.banned(node) || !n.line.entry().does(e.sheet.work().kind(), set.classes().size())
             ? "drain"
@@ -578,9 +582,7 @@
         if (broken != null) {
             counters.count("guard." + broken);
             log.accept("guard " + broken + ": attempt " + a.number + " of " + id + " on " + node + " not sent");
-            a.ending = Ending.MOOT;
-            event(() -> logic.ended(nowMs(), new Dispatcher.Outcome(id, a.number, node, Ending.MOOT, 0, e.answered,
-                null)));
+            moot(a);
             return;
         }
         counters.count("attempts.out");
@@ -594,6 +596,22 @@
         }
     }
 
+    /**
+     * Whether nobody waits for a job any more: their end may have come since connections were last read, while the loop
+     * was busy or the process was given no time.
+     */
+    boolean left(LedgerEntry e) {
+        List.copyOf(e.waiting).forEach(ReplyTo::look);
+        return e.answered;
+    }
+
+    /** Tells the module of an attempt that was not sent. */
+    private void moot(Attempt a) {
+        a.ending = Ending.MOOT;
+        event(() -> logic.ended(nowMs(), new Dispatcher.Outcome(a.job.sheet.id(), a.number, a.node, Ending.MOOT, 0,
+            a.job.answered, null)));
+    }
+
     private boolean cold(Roster.Node n) {
         double up = n.line.entry().cameUpMs();
         return up > 0 && nowMs() - up < set.rules().coldMs();
--- a/src/main/java/plumpost/dispatch/ReplyTo.java
+++ b/src/main/java/plumpost/dispatch/ReplyTo.java
@@ -23,6 +23,9 @@
         return true;
     }
 
+    /** Reads what has come from it: one that has left is not to be found out only after its job was sent on. */
+    default void look() { }
+
     /** News on the way: a part of the result. The final answer holds the whole result all the same. */
     default void part(ByteBuffer more) { }
 
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -347,6 +347,9 @@
                 knownDesk = true;
                 takenAt = kit.clock().nowMs();
                 entry = room.take(sheet, this);
+                if (over && entry != null) {
+                    room.gone(entry, this); // it left while its job was being taken, before there was an entry to tell of
+                }
             }
         }
 
@@ -408,6 +411,11 @@
             answer(500, Answers.ascii(""), "", false);
         }
 
+        @Override
+        public void look() {
+            wire.look();
+        }
+
         private void answer(int status, ByteBuffer body, String fields, boolean close) {
             if (over) {
                 return;
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -89,7 +89,7 @@
         @Override
         public void send(Attempt attempt) {
             // A kept connection may be reset by what is written next, and an order may then not go again.
-            Call c = repeatable(attempt) ? free() : new Call(this);
+            Call c = repeatable(attempt) ? free(attempt.sheet().id()) : new Call(this);
             out.put(attempt, c);
             c.begin(attempt, null);
         }
@@ -104,7 +104,7 @@
 
         @Override
         public void probe(Probe probe) {
-            free().begin(null, probe);
+            free(null).begin(null, probe);
         }
 
         @Override
@@ -115,15 +115,23 @@
             }
         }
 
-        /** The connection that idled last, if it is sure to be open still; else a new one. */
-        private Call free() {
+        /**
+         * The connection that idled last, if it is sure to be open still; else a new one. Not one that carried the same
+         * job before: a late second answer to that try would be taken for this one's.
+         */
+        private Call free(String job) {
             for (Call c = idle.peek(); c != null; c = idle.peek()) {
                 c.wire.look();
-                if (c == idle.peek()) {
-                    idle.poll();
-                    c.retire.cancel();
-                    return c;
+                if (c != idle.peek()) {
+                    continue;
+                }
+                if (job != null && job.equals(c.carried)) {
+                    c.drop();
+                    continue;
                 }
+                idle.poll();
+                c.retire.cancel();
+                return c;
             }
             return new Call(this);
         }
@@ -141,6 +149,8 @@
         private boolean written;
         /** It has carried something before: what comes now may still be about that. */
         private boolean kept;
+        /** The job that it carried last. */
+        private String carried;
         private boolean gone;
         private boolean running;
         private double heardAt;
@@ -155,6 +165,7 @@
         void begin(Attempt a, Probe p) {
             attempt = a;
             probe = p;
+            carried = a == null ? carried : a.sheet().id();
             given = false;
             written = false;
             reader.next();
@@ -250,7 +261,7 @@
                 if (attempt != a) {
                     return;
                 }
-                double most = !reader.hasHead() ? TAKEN_MS
+                double most = !reader.hasHead() || reader.status() != 200 ? TAKEN_MS
                     : running && settings.get().progressMs() > 0 ? INTERVALS * settings.get().progressMs() : Double.POSITIVE_INFINITY;
                 if (kit.clock().nowMs() - heardAt >= most) {
                     kit.counters().count("nodes.silent");
--- a/src/test/java/plumpost/platform/ClientsThatLeftTest.java
+++ b/src/test/java/plumpost/platform/ClientsThatLeftTest.java
@@ -142,4 +142,59 @@
             assertThat(rig.counters.of("attempts.out")).isEqualTo(1);
         }
     }
+
+    /** Guards a pause of the process: a node comes free in the turn in which the client left, which is not yet read. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void whoLeftWhileTheLoopWasBusy(End end) throws IOException {
+        for (String cls : CLASSES) {
+            try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+                Peer before = rig.client();
+                before.send(job("route-plan", "w"));
+                Peer node = rig.nodes.get(0).accept();
+                node.expect("towels");
+                node.send(SocketRig.done("w"));
+                before.expect("r-w"); // from here on a connection to the node is kept, and a job would go out at once
+                rig.platform.told("{\"seq\":2,\"whole\":true,\"hosts\":[" + rig.host(0, "draining") + "]}");
+                Peer client = rig.client();
+                client.send(job(cls, "a"));
+                rig.until("held", () -> rig.room.open() == 1);
+                rig.after(10, () -> leave(end, client));
+                rig.after(390, () -> rig.platform.told("{\"seq\":3,\"whole\":true,\"hosts\":[" + rig.host(0, "up") + "]}"));
+                rig.jump(400);
+                assertThat(rig.counters.of("attempts.out")).as("only the one before").isEqualTo(1);
+                assertThat(sentOn(rig, 1_000)).isFalse();
+                assertThat(node.text()).isEmpty();
+                assertThat(rig.counters.of("jobs.client_gone")).isEqualTo(1);
+                Peer after = rig.client(); // and the module does not wait for what was never sent
+                after.send(job("route-plan", "z"));
+                rig.until("it goes out", () -> rig.counters.of("attempts.out") == 2);
+            }
+        }
+    }
+
+    /** Guards the same pause while an order's last byte is kept back. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void whoLeftInAPauseBeforeTheLastByte(End end) throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer client = rig.client();
+            client.send(job("pickup-order", "a"));
+            Peer node = rig.nodes.get(0).accept();
+            node.expect("towel");
+            rig.after(1, () -> leave(end, client));
+            rig.jump(400);
+            rig.until("the node's connection ends", node::over);
+            assertThat(node.text()).as("the last byte").isEmpty();
+            assertThat(rig.room.open()).isZero();
+        }
+    }
+
+    private static void leave(End end, Peer client) {
+        try {
+            end.of(client);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
--- a/src/test/java/plumpost/platform/RetriesTest.java
+++ b/src/test/java/plumpost/platform/RetriesTest.java
@@ -185,4 +185,41 @@
             rig.until("retired before the node closes it", node::over);
         }
     }
+
+    /** Guards a job that goes to the same node again: what comes late of its first try is no word on its second. */
+    @Test
+    void aLateSecondAnswerToTheSameJobIsNotTakenForItsNextTry() throws IOException {
+        String returned = SocketRig.CHUNKED + SocketRig.chunk("{\"id\":\"a\",\"state\":\"returned\"}\n") + "0\r\n\r\n";
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer client = rig.client();
+            client.send(SocketRig.job("route-plan", "a", "", "x"));
+            Peer node = rig.nodes.get(0).accept();
+            node.expect("X-Txn: a");
+            node.send(returned);
+            Peer anew = again(rig);
+            anew.expect("X-Txn: a");
+            node.send(returned); // once more, some milliseconds late
+            rig.pass(100);
+            assertThat(rig.counters.of("attempts.out")).as("beside the one that runs").isEqualTo(2);
+            anew.send(SocketRig.done("a"));
+            client.expect("r-a");
+        }
+    }
+
+    /** Guards a job that may be repeated against an error answer whose end never comes: it goes again. */
+    @Test
+    void anErrorThatNeverEndsHoldsNoJob() throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer client = rig.client();
+            client.send(SocketRig.job("route-plan", "a", "", "x"));
+            Peer node = rig.nodes.get(0).accept();
+            node.expect("X-Txn: a");
+            node.send("HTTP/1.1 500 Oops\r\nContent-Length: 100\r\n\r\nhalf");
+            Peer anew = again(rig);
+            assertThat(node.over()).as("the first try is given up").isTrue();
+            anew.expect("X-Txn: a");
+            anew.send(SocketRig.done("a"));
+            client.expect("r-a");
+        }
+    }
 }
