Take a probe's time and a node's silence from the settings, and dial where they name no time

A probe may take as long as a connection may take to come up and the 50 ms by which the protocol's page lengthens limits; a node that says nothing of a repeatable job for twice that has lost its connection. For 250 ms nothing changes. RetriesTest.aNodeThatTakesNothingIsLeftByTheSettings fails without it for the other two.

--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -28,9 +28,12 @@
 /** The route nodes that speak HTTP: one link each, with its pool of connections. */
 final class RouteNodes {
     private static final int ANSWER_LIMIT = 256 * 1024;
-    private static final double PROBE_MS = 300;
-    /** A node says within milliseconds that it has taken a job: one silent for this long has lost the connection. */
-    private static final double TAKEN_MS = 600;
+    /** Where the settings do not say how long a connection may take to come up. */
+    private static final double DIAL_MS = 250;
+    /** By so much the protocol's page lengthens each limit on sockets. */
+    private static final double SLACK_MS = 50;
+    /** A node says within milliseconds that it has taken a job: silent for so many probes' time, its connection is lost. */
+    private static final double TAKEN_PROBES = 2;
     /** Progress comes at intervals: after so many without any the job has stopped or its connection is silent. */
     private static final double INTERVALS = 1.5;
     /** What is reset at a request's first bytes is so by now, well within what counts as a prompt start; an order's last byte is kept back for that long. */
@@ -57,6 +60,17 @@
         return keep > 0 ? keep * RETIRE_AT : 1000;
     }
 
+    /** How long a connection may take to come up. */
+    private double dialMs() {
+        double said = settings.get().limits().dialTimeoutMs();
+        return said > 0 ? said : DIAL_MS;
+    }
+
+    /** How long a probe may take: its connection has to come up, and what it asks for is answered at once. */
+    private double probeMs() {
+        return dialMs() + SLACK_MS;
+    }
+
     /** The link to the node at an address; the same one as long as the node is listed there. */
     NodeLink at(InetSocketAddress dial) {
         return nodes.computeIfAbsent(dial, Node::new);
@@ -170,7 +184,7 @@
             written = false;
             reader.next();
             if (p != null) {
-                limit = kit.wheel().at(kit.clock().nowMs() + PROBE_MS, () -> end(Ending.TIMEOUT));
+                limit = kit.wheel().at(kit.clock().nowMs() + probeMs(), () -> end(Ending.TIMEOUT));
             }
             if (wire == null) {
                 dial();
@@ -187,7 +201,7 @@
                 return;
             }
             wire = kit.network().dial(node.dial, w -> this);
-            kit.wheel().at(kit.clock().nowMs() + settings.get().limits().dialTimeoutMs(), () -> {
+            kit.wheel().at(kit.clock().nowMs() + dialMs(), () -> {
                 if (!up) {
                     end(Ending.CONNECT_FAILED);
                 }
@@ -257,11 +271,11 @@
 
         /** Ends an attempt whose connection has fallen silent; its job may be repeated. */
         private void watch(Attempt a) {
-            kit.wheel().at(kit.clock().nowMs() + TAKEN_MS / 2, () -> {
+            kit.wheel().at(kit.clock().nowMs() + probeMs(), () -> {
                 if (attempt != a) {
                     return;
                 }
-                double most = !reader.hasHead() || reader.status() != 200 ? TAKEN_MS
+                double most = !reader.hasHead() || reader.status() != 200 ? TAKEN_PROBES * probeMs()
                     : running && settings.get().progressMs() > 0 ? INTERVALS * settings.get().progressMs() : Double.POSITIVE_INFINITY;
                 if (kit.clock().nowMs() - heardAt >= most) {
                     kit.counters().count("nodes.silent");
@@ -310,7 +324,7 @@
                     attempt = null;
                     if (!whole && !gone) {
                         // Its last line has come and its end has not: one that never comes must not hold the place.
-                        limit = kit.wheel().at(kit.clock().nowMs() + settings.get().limits().dialTimeoutMs(), () -> {
+                        limit = kit.wheel().at(kit.clock().nowMs() + dialMs(), () -> {
                             kit.counters().count("nodes.unended");
                             drop();
                         });
--- a/src/test/java/plumpost/platform/RetriesTest.java
+++ b/src/test/java/plumpost/platform/RetriesTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import plumpost.Scenario;
 import plumpost.SocketRig;
@@ -222,4 +223,22 @@
             client.expect("r-a");
         }
     }
+
+    /** Guards other customers' settings: how long a node may be silent follows what they say of connections, if they do. */
+    @ParameterizedTest
+    @CsvSource({"100.0,300", "250.0,600", "0.0,600"})
+    void aNodeThatTakesNothingIsLeftByTheSettings(String dial, double limit) throws IOException {
+        try (SocketRig rig = new SocketRig(
+            Scenario.SETTINGS.replace("\"dialTimeoutMs\":250.0", "\"dialTimeoutMs\":" + dial), 1)) {
+            Peer client = rig.client();
+            client.send(SocketRig.job("route-plan", "a", "", "x"));
+            Peer node = rig.nodes.get(0).accept();
+            node.expect("X-Txn: a");
+            rig.pass(limit - 20);
+            assertThat(node.over()).isFalse();
+            rig.pass(40);
+            rig.until("it is given up", node::over);
+            again(rig).expect("X-Txn: a");
+        }
+    }
 }
