Go by own counts where reports come with answers only, and let late jobs give way

A trace of the module: 14 jobs of one scheduler at a worker of three slots whose report, 0.4 to 1.7 s old, told of three free ones, while 22 jobs were held and most slots stood empty elsewhere; each answer brought another such report. Ruled out: connections, probes' time, cold workers, the silent watches. What comes with answers teaches slots only; room goes by own counts, starts and recalls, as without reports. A late report of a probe leaves room for no more than own jobs do. A job that is late, where late answers keep a part of their worth, gives way by what it lost; the queue of late ones made all others late too. EvidenceTest has three tests that fail without it.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -20,6 +20,7 @@
     static final double EJECT_CAP = 0.5; // beyond this part of the fleet the cause is not the workers
     static final double PROMPT_GAIN = 0.1; // how fast the share of attempts that start at once follows
     static final double COMMIT_SHARE = 0.5; // prompt starts below which theta alone is no longer believed
+    static final double LATE_STEPS = 1e9; // what can no longer be in time comes after all that can
     static final double GIVE_STEPS = 10; // halvings that a factor 2 of worth counts when jobs must give
     static final double PRESSED_MS = 2_000; // since a held job ran out of time: longer than gaps between them
     static final double SPARE_SHARE = 0.8; // of prompt starts above which late jobs may use what is spare
@@ -65,7 +66,7 @@
         Arrays.setAll(kinds = new Kind[settings.kinds()], k -> new Kind());
         waits = new double[settings.zones()];
         Arrays.setAll(prompt = new double[settings.zones()], z -> z == settings.zone() ? 20 : 60);
-        pulls = settings.reports() != Reports.SILENT && settings.limits().probes();
+        pulls = settings.reports() == Reports.PULL && settings.limits().probes();
         topImportance = settings.classes().stream().mapToDouble(JobClass::importance).max().orElse(1);
         Arrays.fill(credit = new double[settings.tenants().size()], 3);
         creditAt = new double[credit.length];
@@ -308,6 +309,7 @@
         // Exception, a held job ran out of time lately: something must give, what is worth least first.
         if (now < pressedUntil) r.key -= GIVE_STEPS * Math.log(Math.max(r.worth, 1e-3)) / Math.log(2);
         r.key -= PRIORITY_STEPS * r.job.priority();
+        if (r.dead) r.key += lateSteps(r);
         keep(r);
     }
 
@@ -315,9 +317,16 @@
         Lane l = lane(r.job.work());
         l.held.add(r);
         waiting.add(l);
-        if (r.dead) spare.add(r);
+        if (worthless(r)) spare.add(r);
     }
 
+    /** What can no longer be in time comes later by as much as that takes off its worth; last if that is all. */
+    private static double lateSteps(Request r) {
+        return worthless(r) ? LATE_STEPS : -GIVE_STEPS * Math.log(Math.min(1, r.cls.lateWorth())) / Math.log(2);
+    }
+
+    private static boolean worthless(Request r) { return r.dead && r.cls.lateWorth() == 0; }
+
     int held() { return waiting.stream().mapToInt(l -> l.held.size()).sum(); }
 
     private Lane lane(int work) { return lanes.computeIfAbsent(work, k -> new Lane()); }
@@ -364,12 +373,12 @@
         for (Lane l = next(); l != null && (mixed || passed.size() < LOOK_AHEAD); l = next()) {
             Request r = l.held.pollFirst();
             if (r.done) continue;
-            if (!r.dead && r.cls.lateWorth() == 0 && now + r.cost / 2 > r.aim) {
-                // Exception, a job that cannot be in time: after all that can, or given up at once.
+            if (!r.dead && now + r.cost / 2 > r.aim) {
+                // Exception, a job that cannot be in time: after all that can, or given up at once if worth nothing.
                 r.dead = true;
+                r.key += lateSteps(r);
                 pressedUntil = now + PRESSED_MS;
-                r.key += 1e9;
-                if (promptShare < SPARE_SHARE) finish(r); else keep(r);
+                if (worthless(r) && promptShare < SPARE_SHARE) finish(r); else keep(r);
                 continue;
             }
             // What found no room leaves none for a job of as many slots: one scan of the fleet serves both.
@@ -495,16 +504,20 @@
         Kind k = kinds[w.kind];
         // What is free and what runs are a worker's slots; few jobs of one's own never show them all.
         double slots = p.freeSlots() + p.inflight() - (Double.isNaN(p.queue()) ? 0 : p.queue());
+        if (Double.isNaN(slots) && p.freeSlots() >= 0) slots = Math.max(k.slots, p.freeSlots());
         // A false report must not open cold workers to a flood: one moves the slots by a tenth at the most.
         double near = Math.min(slots, 2 * k.slots);
         if (!Double.isNaN(near)) k.slots = Math.max(k.proven, k.slots + (near - k.slots) * SLOT_GAIN);
         double room = !Double.isNaN(p.freeSlots()) ? p.freeSlots() : k.slots - p.inflight();
         if (!Double.isNaN(p.queue())) room -= p.queue();
-        if (!Double.isNaN(room)) see(w, room);
+        // A report may be older than what was sent since: jobs of one's own take slots whatever it says.
+        if (!Double.isNaN(slots)) room = Math.min(room, Math.max(k.slots, slots) - w.own);
+        // One that came with an answer was measured long before it: it tells how large the worker is, not what is free.
+        if (!Double.isNaN(room) && pulls) see(w, room);
         w.reportAt = now;
     }
 
-    // ---- exception: a free job that does not start is recalled; only where reports tell no room ----
+    // ---- exception: a free job that does not start is recalled; only where no probe tells of room ----
 
     private void watchStart(Request r, Attempt a) {
         if (!set.tellsStart()) return;
@@ -518,7 +531,7 @@
     }
 
     private boolean recallable(Request r, int more) {
-        return set.reports() == Reports.SILENT && set.limits().cancelling() && r.cls.effect() == Effect.FREE
+        return set.reports() != Reports.PULL && set.limits().cancelling() && r.cls.effect() == Effect.FREE
             && r.attempts.size() + more < set.limits().maxAttempts();
     }
 
--- a/src/test/java/plumpost/decision/EvidenceTest.java
+++ b/src/test/java/plumpost/decision/EvidenceTest.java
@@ -98,6 +98,68 @@
         assertThat(coldWorkerTakesALargeJob(10_000)).as("a quarter of what 2.2 slots may be sent is 792").isFalse();
     }
 
+    /** Guards a worker whose reports come late: each one that told of the room before our jobs came sent more there. */
+    @Test
+    void aLateReportDoesNotHideOnesOwnJobs() {
+        int sent = 0;
+        for (int i = 0; i < 12; i++) {
+            double now = 10 + 600 * i;
+            logic.arrived(now, job("a" + i, 0, 1_000));
+            // Three slots, none of them taken: true when it was measured, before the first job came.
+            logic.probed(now + 1, "w", Ending.OK, 1, new LoadReport(Double.NaN, 0, 500, Double.NaN, 3, Double.NaN));
+            boolean went = out.lines.contains("assign a" + i + " w");
+            sent += went ? 1 : 0;
+            if (went) {
+                logic.started(now + 2, "a" + i, 0, "w");
+            }
+            out.lines.clear();
+        }
+        assertThat(sent).isEqualTo(3);
+    }
+
+    private void begin(Dispatcher.Reports reports) {
+        bench.reports = reports;
+        logic = new Logic(bench.settings(), 7, out);
+        logic.workers(0, ListMode.SAVED, List.of(worker("w", Phase.SERVING)));
+        out.lines.clear();
+    }
+
+    /** Guards fleets whose reports come with answers only, measured before most of what was sent: theta holds there. */
+    @Test
+    void whatComesWithAnswersSaysNothingOfRoom() {
+        begin(Dispatcher.Reports.PIGGYBACK);
+        logic.arrived(1, job("a", 0, 100));
+        logic.started(2, "a", 0, "w");
+        logic.ended(1_000, new Dispatcher.Outcome("a", 0, "w", Ending.OK, 1_000, true,
+            new LoadReport(Double.NaN, 0, 500, Double.NaN, 9, Double.NaN)));
+        out.lines.clear();
+        for (int i = 0; i < 6; i++) {
+            logic.arrived(1_001 + i, job("b" + i, 0, 100));
+        }
+        assertThat(out.take("assign")).hasSize(2);
+        assertThat(out.lines).as("a probe would tell the same").noneMatch(l -> l.startsWith("probe"));
+    }
+
+    /** Guards classes whose late answers keep a part of their worth: while jobs wait, the fresh one goes first. */
+    @Test
+    void whatIsLateGivesWayToWhatCanBeInTime() {
+        bench.classes = List.of(new Dispatcher.JobClass("c", 400, 0, 9_000, Dispatcher.Effect.FREE,
+            Dispatcher.Scope.ALL, 0, 1, 0.25, -1, 0));
+        begin(Dispatcher.Reports.SILENT);
+        for (String id : List.of("a", "b")) {
+            logic.arrived(1, job(id, 0, 100));
+            logic.started(2, id, 0, "w");
+        }
+        logic.arrived(10, job("old", 0, 100));
+        logic.timer(600, 0);
+        logic.arrived(1_000, job("new", 0, 100));
+        out.lines.clear();
+        logic.ended(1_001, outcome("a", 0, "w", Ending.OK));
+        assertThat(out.take("assign")).containsExactly("assign new w");
+        logic.ended(1_002, outcome("b", 0, "w", Ending.OK));
+        assertThat(out.take("assign")).containsExactly("assign old w");
+    }
+
     private void twoWorkers() {
         logic.workers(0, ListMode.FULL, List.of(worker("w", Phase.SERVING), worker("x", Phase.SERVING)));
     }
