--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -320,7 +320,7 @@
         if (worthless(r)) spare.add(r);
     }
 
-    /** What can no longer be in time comes later by as much as that takes off its worth; last if that is all. */
+    /** What can no longer be in time comes later by as much as that takes off its worth, or last. */
     private static double lateSteps(Request r) {
         return worthless(r) ? LATE_STEPS : -GIVE_STEPS * Math.log(Math.min(1, r.cls.lateWorth())) / Math.log(2);
     }
