--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -322,7 +322,8 @@
 
     /** What can no longer be in time comes later by as much as that takes off its worth, or last. */
     private static double lateSteps(Request r) {
-        return worthless(r) ? LATE_STEPS : -GIVE_STEPS * Math.log(Math.min(1, r.cls.lateWorth())) / Math.log(2);
+        double kept = Math.min(1, r.cls.lateWorth());
+        return worthless(r) ? LATE_STEPS : -GIVE_STEPS * Math.log(kept) / Math.log(2);
     }
 
     private static boolean worthless(Request r) { return r.dead && r.cls.lateWorth() == 0; }
@@ -374,7 +375,7 @@
             Request r = l.held.pollFirst();
             if (r.done) continue;
             if (!r.dead && now + r.cost / 2 > r.aim) {
-                // Exception, a job that cannot be in time: after all that can, or given up at once if worth nothing.
+                // Exception, a job that cannot be in time: after all that can, or given up at once if worthless.
                 r.dead = true;
                 r.key += lateSteps(r);
                 pressedUntil = now + PRESSED_MS;
@@ -512,7 +513,7 @@
         if (!Double.isNaN(p.queue())) room -= p.queue();
         // A report may be older than what was sent since: jobs of one's own take slots whatever it says.
         if (!Double.isNaN(slots)) room = Math.min(room, Math.max(k.slots, slots) - w.own);
-        // One that came with an answer was measured long before it: it tells how large the worker is, not what is free.
+        // One that came with an answer was measured long before: it tells a worker's size, not what is free.
         if (!Double.isNaN(room) && pulls) see(w, room);
         w.reportAt = now;
     }
