--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -375,7 +375,7 @@
             Request r = l.held.pollFirst();
             if (r.done) continue;
             if (!r.dead && now + r.cost / 2 > r.aim) {
-                // Exception, a job that cannot be in time: after all that can, or given up at once if worthless.
+                // Exception, a job that cannot be in time: after all that can, or given up if worthless.
                 r.dead = true;
                 r.key += lateSteps(r);
                 pressedUntil = now + PRESSED_MS;
