Name connections, listeners and the warm-up by the field's terms

Wire is Connection, WireUser ConnectionHandler, SelectorLoop.Door Listener, FrontDoor.Desk ClientConnection, RouteNodes.Call WorkerConnection, Rehearsal WarmUp. Words only, by whole-word replacement; the command stays 'rehearse', since the deploy file calls it. Tests of platform, net, control, cli, gearman and loopback were run after it and pass.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -30,10 +30,10 @@
 import plumpost.log.Logs;
 import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
-import plumpost.net.WireUser;
+import plumpost.net.ConnectionHandler;
 import plumpost.peers.Fleet;
 import plumpost.platform.Platform;
-import plumpost.platform.Rehearsal;
+import plumpost.platform.WarmUp;
 
 /** Runs one real scheduler until SIGTERM, and ends it in order. SIGHUP has it read its configuration again. */
 final class Serve {
@@ -57,7 +57,7 @@
     private final Platform platform;
     private final List<Front> fronts = new ArrayList<>(2);
     /** Listeners that the platform holds and shares with the next process: let go of at SIGTERM, never closed for it. */
-    private final List<SelectorLoop.Door> inheritedDoors = new ArrayList<>(1);
+    private final List<SelectorLoop.Listener> inheritedDoors = new ArrayList<>(1);
     private final String inheritedFd;
     private final SharedBans sharedBans;
     private boolean serving;
@@ -163,7 +163,7 @@
         if (!inheritedDoors.isEmpty()) {
             platform.askNow();
         }
-        Rehearsal.play(config);
+        WarmUp.play(config);
         if (fleet != null) {
             fleet.begin();
         }
@@ -185,7 +185,7 @@
         StringBuilder where = new StringBuilder();
         for (Front f : fronts) {
             where.append(' ').append(f.open((at, users, most, batched, unread, shed) -> {
-                SelectorLoop.Door door;
+                SelectorLoop.Listener door;
                 if (at.equals(config.listen()) && inheritedFd != null && !inheritedFd.isEmpty()) {
                     door = loop.adopt(inherited(inheritedFd), users, most, unread, shed);
                     inheritedDoors.add(door);
@@ -202,11 +202,11 @@
     int rehearse() throws IOException {
         InetSocketAddress front = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
             platform::accept, 8, platform::shed).address();
-        Rehearsal.play(config);
+        WarmUp.play(config);
         platform.ready();
         AnswerReader answer = new AnswerReader(1024);
         boolean[] over = new boolean[1];
-        loop.dial(front, wire -> new WireUser() {
+        loop.dial(front, wire -> new ConnectionHandler() {
             @Override
             public void opened() {
                 wire.write(Answers.ascii("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"));
@@ -278,7 +278,7 @@
             stopAt = clock.nowMs();
             log("stopping, " + room.open() + " jobs open");
             // The next process accepts on the shared socket already: what comes from now on is its to take.
-            inheritedDoors.forEach(SelectorLoop.Door::close);
+            inheritedDoors.forEach(SelectorLoop.Listener::close);
             fronts.forEach(f -> f.stop(GOING_MS));
             if (fleet != null) {
                 fleet.stop();
--- a/src/main/java/plumpost/control/ControlDoor.java
+++ b/src/main/java/plumpost/control/ControlDoor.java
@@ -14,8 +14,8 @@
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
 import plumpost.net.Kit;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /**
  * The operators' listener: one HTTP/1.1 call a connection, answered in the turn in which it is whole and then closed.
@@ -76,7 +76,7 @@
     }
 
     /** Takes a caller's connection in. */
-    public WireUser accept(Wire wire) {
+    public ConnectionHandler accept(Connection wire) {
         Call c = new Call(wire, kit.clock().nowMs());
         calls.add(c);
         return c;
@@ -116,13 +116,13 @@
     }
 
     /** One caller's connection: bytes in, one answer out. */
-    private final class Call implements WireUser {
-        private final Wire wire;
+    private final class Call implements ConnectionHandler {
+        private final Connection wire;
         private final double since;
         private final RequestReader reader = new RequestReader(BODY_LIMIT);
         private boolean over;
 
-        Call(Wire wire, double since) {
+        Call(Connection wire, double since) {
             this.wire = wire;
             this.since = since;
         }
--- a/src/main/java/plumpost/front/Listeners.java
+++ b/src/main/java/plumpost/front/Listeners.java
@@ -4,8 +4,8 @@
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /** Where fronts open their listeners. */
 public interface Listeners {
@@ -16,6 +16,6 @@
      * @param unreadBytes what a peer may leave unread before its connection is cut
      * @param shed ends the connection that matters least, and says whether there was one
      */
-    InetSocketAddress listen(InetSocketAddress at, Function<Wire, WireUser> users, int most, boolean batched,
+    InetSocketAddress listen(InetSocketAddress at, Function<Connection, ConnectionHandler> users, int most, boolean batched,
                              long unreadBytes, BooleanSupplier shed) throws IOException;
 }
--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -3,11 +3,11 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import plumpost.gearman.Packet.Type;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /** One Gearman connection: a client, a worker, an admin, or all of them. Reads packets and hands them to its sides. */
-final class Caller implements WireUser {
+final class Caller implements ConnectionHandler {
     /** A packet on its way for longer than this, and than its size at a slow link's pace, ends the connection. */
     private static final double SLOW_MS = 10_000;
     private static final double SLOW_BYTES_A_MS = 16;
@@ -15,7 +15,7 @@
     /** Bytes of a long answer that are written at a time. */
     private static final int PIECE = 64 * 1024;
 
-    final Wire wire;
+    final Connection wire;
     private final GearmanDoor door;
     private final long number;
     private final PacketReader reader;
@@ -28,7 +28,7 @@
     private boolean spoke;
     private ByteBuffer listing;
 
-    Caller(GearmanDoor door, Wire wire, long number) {
+    Caller(GearmanDoor door, Connection wire, long number) {
         since = door.kit.clock().nowMs();
         this.door = door;
         this.number = number;
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanDoor.java
@@ -18,8 +18,8 @@
 import plumpost.front.Front;
 import plumpost.front.Listeners;
 import plumpost.net.Kit;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 import plumpost.peers.Fleet;
 import plumpost.time.TimerWheel;
 
@@ -82,7 +82,7 @@
     }
 
     /** Takes a connection in. */
-    public WireUser accept(Wire wire) {
+    public ConnectionHandler accept(Connection wire) {
         Caller c = new Caller(this, wire, ++taken);
         callers.add(c);
         return c;
--- a/src/main/java/plumpost/lab/gearman/LoadClient.java
+++ b/src/main/java/plumpost/lab/gearman/LoadClient.java
@@ -9,11 +9,11 @@
 import plumpost.gearman.Packet;
 import plumpost.gearman.Packet.Type;
 import plumpost.gearman.PacketReader;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /** An emulated client connection with many jobs out at once; each job's time counts from when it was meant to start. */
-final class LoadClient implements WireUser {
+final class LoadClient implements ConnectionHandler {
     private static final double RETRY_MS = 20;
 
     /** One submit: a job's number, when it was meant to start, and what has come for it. */
@@ -36,7 +36,7 @@
     private final Map<String, List<Out>> byHandle = new HashMap<>();
     private final ArrayDeque<Out> before = new ArrayDeque<>();
     private PacketReader reader;
-    private Wire wire;
+    private Connection wire;
     private boolean live;
 
     LoadClient(Yard yard, LoadRun run) {
--- a/src/main/java/plumpost/lab/gearman/LoadRun.java
+++ b/src/main/java/plumpost/lab/gearman/LoadRun.java
@@ -13,7 +13,7 @@
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 import plumpost.gearman.Packet;
-import plumpost.net.WireUser;
+import plumpost.net.ConnectionHandler;
 
 /**
  * A load run: clients on this thread, workers on threads of their own. On an open loop jobs start when the plan says,
@@ -214,7 +214,7 @@
 
     private void storm() {
         for (int i = 0; i < STORM; i++) {
-            yard.loop.dial(plan.target(), wire -> new WireUser() {
+            yard.loop.dial(plan.target(), wire -> new ConnectionHandler() {
                 @Override
                 public void opened() {
                     wire.write(Packet.bytes(Packet.REQUEST, Packet.Type.CAN_DO, plan.plan()));
--- a/src/main/java/plumpost/lab/gearman/LoadWorker.java
+++ b/src/main/java/plumpost/lab/gearman/LoadWorker.java
@@ -4,11 +4,11 @@
 import plumpost.gearman.Packet;
 import plumpost.gearman.Packet.Type;
 import plumpost.gearman.PacketReader;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /** An emulated worker: grabs, works as long as the job's data says, ends it, with the faults that its jobs draw. */
-final class LoadWorker implements WireUser {
+final class LoadWorker implements ConnectionHandler {
     private static final double RETRY_MS = 50;
     private static final double STALL_MS = 1500;
     private static final double SLEEP_MS = 1200;
@@ -19,7 +19,7 @@
     private final Yard yard;
     private final String name;
     private PacketReader reader;
-    private Wire wire;
+    private Connection wire;
     private ByteBuffer handle;
     private String lastHandle = "H:none:0";
     private boolean sleepy;
@@ -164,7 +164,7 @@
         if (f == Fault.DRAIN && Double.isNaN(drainedAt)) {
             drainedAt = yard.clock.nowMs();
             send(Type.CANT_DO, yard.plan.plan());
-            Wire drained = wire;
+            Connection drained = wire;
             yard.later(DRAIN_MS, () -> {
                 if (wire == drained) {
                     drainedAt = Double.NaN;
--- a/src/main/java/plumpost/net/Wire.java
+++ b/src/main/java/plumpost/net/Connection.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 
 /** One connection as a protocol's state machine sees it. */
-public interface Wire {
+public interface Connection {
     /** Writes the parts in order, now as far as they fit and the rest as soon as they do. */
     void write(ByteBuffer... parts);
 
--- a/src/main/java/plumpost/net/WireUser.java
+++ b/src/main/java/plumpost/net/ConnectionHandler.java
@@ -2,8 +2,8 @@
 
 import java.nio.ByteBuffer;
 
-/** A protocol's state machine: it is fed what comes over a {@link Wire}. */
-public interface WireUser {
+/** A protocol's state machine: it is fed what comes over a {@link Connection}. */
+public interface ConnectionHandler {
     /** The connection is up. */
     default void opened() { }
 
--- a/src/main/java/plumpost/net/Network.java
+++ b/src/main/java/plumpost/net/Network.java
@@ -5,6 +5,6 @@
 
 /** Where connections come from. */
 public interface Network {
-    /** Begins to connect; the user hears {@link WireUser#opened} or {@link WireUser#ended}, never before this returns. */
-    Wire dial(InetSocketAddress to, Function<Wire, WireUser> user);
+    /** Begins to connect; the user hears {@link ConnectionHandler#opened} or {@link ConnectionHandler#ended}, never before this returns. */
+    Connection dial(InetSocketAddress to, Function<Connection, ConnectionHandler> user);
 }
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -131,13 +131,13 @@
      * Listens; the returned handle ends that. Where a newcomer finds all places taken, {@code shed} may end one of the
      * connections that matter least, and says whether it did.
      */
-    public Door listen(InetSocketAddress at, Function<Wire, WireUser> users, int most, BooleanSupplier shed)
+    public Listener listen(InetSocketAddress at, Function<Connection, ConnectionHandler> users, int most, BooleanSupplier shed)
         throws IOException {
         return listen(at, users, most, MOST_UNREAD, shed);
     }
 
     /** The same with a bound on the bytes that a peer may leave unread. */
-    public Door listen(InetSocketAddress at, Function<Wire, WireUser> users, int most, long unreadBytes,
+    public Listener listen(InetSocketAddress at, Function<Connection, ConnectionHandler> users, int most, long unreadBytes,
                        BooleanSupplier shed) throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -149,19 +149,19 @@
      * Serves a socket that listens already, such as one inherited from the platform and shared with another process:
      * closing it here ends only this process's hold on it.
      */
-    public Door adopt(ServerSocketChannel channel, Function<Wire, WireUser> users, int most, long unreadBytes,
+    public Listener adopt(ServerSocketChannel channel, Function<Connection, ConnectionHandler> users, int most, long unreadBytes,
                       BooleanSupplier shed) throws IOException {
         channel.configureBlocking(false);
-        return new Door(channel, users, most, unreadBytes, shed);
+        return new Listener(channel, users, most, unreadBytes, shed);
     }
 
     /**
      * A listening socket; at most so many of its connections are open at once. A newcomer gets the place of one that
      * has been answered for good and only lingers, else of one that its user sheds; else it waits in the backlog.
      */
-    public final class Door implements Ready {
+    public final class Listener implements Ready {
         private final ServerSocketChannel channel;
-        private final Function<Wire, WireUser> users;
+        private final Function<Connection, ConnectionHandler> users;
         private final int most;
         private final long unreadBytes;
         private final BooleanSupplier shed;
@@ -170,7 +170,7 @@
         private int open;
         private boolean batched;
 
-        private Door(ServerSocketChannel channel, Function<Wire, WireUser> users, int most, long unreadBytes,
+        private Listener(ServerSocketChannel channel, Function<Connection, ConnectionHandler> users, int most, long unreadBytes,
                      BooleanSupplier shed) throws IOException {
             this.channel = channel;
             this.users = users;
@@ -181,7 +181,7 @@
         }
 
         /** From here on what is written to its connections goes out once a turn: fewer calls, a turn later. */
-        public Door batched() {
+        public Listener batched() {
             batched = true;
             return this;
         }
@@ -258,7 +258,7 @@
     }
 
     @Override
-    public Wire dial(InetSocketAddress to, Function<Wire, WireUser> user) {
+    public Connection dial(InetSocketAddress to, Function<Connection, ConnectionHandler> user) {
         Socket s = new Socket(null, null);
         s.user = user.apply(s);
         counters.count("net.dialled");
@@ -279,11 +279,11 @@
         return s;
     }
 
-    private final class Socket implements Wire, Ready {
+    private final class Socket implements Connection, Ready {
         private SocketChannel channel;
-        private final Door door;
+        private final Listener door;
         private SelectionKey key;
-        private WireUser user;
+        private ConnectionHandler user;
         private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
         private long unread;
         private boolean connected;
@@ -291,12 +291,12 @@
         private boolean finishing;
         private boolean written;
 
-        Socket(SocketChannel channel, Door door) {
+        Socket(SocketChannel channel, Listener door) {
             this.channel = channel;
             this.door = door;
         }
 
-        private void up(WireUser by) throws IOException {
+        private void up(ConnectionHandler by) throws IOException {
             user = by;
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -20,8 +20,8 @@
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
 import plumpost.net.Kit;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /** The thin front for the platform's protocol: front desks hand jobs in by HTTP and wait for the answer. */
 final class FrontDoor {
@@ -49,7 +49,7 @@
     private final DispatchRoom room;
     private final Kit kit;
     private final Lag lag;
-    private final Set<Desk> desks = new LinkedHashSet<>();
+    private final Set<ClientConnection> desks = new LinkedHashSet<>();
     /** Whether a node list has come, where one is to be waited for. */
     private final BooleanSupplier listed;
     private boolean ready;
@@ -71,8 +71,8 @@
     }
 
     /** Takes a connection in. */
-    WireUser accept(Wire wire) {
-        return new Desk(wire);
+    ConnectionHandler accept(Connection wire) {
+        return new ClientConnection(wire);
     }
 
     /** From here on {@code /health/ready} says 200. */
@@ -93,7 +93,7 @@
     /** The end may come any moment: a job that was taken when that was known already gets its answer before it. */
     private void lastCall(double since) {
         called = true;
-        for (Desk d : List.copyOf(desks)) {
+        for (ClientConnection d : List.copyOf(desks)) {
             if (d.entry != null && d.takenAt > since) {
                 room.cutShort(d.entry);
             }
@@ -103,7 +103,7 @@
     /** Closes idle connections, and ends the others with their next answer. */
     private void leave() {
         leaving = true;
-        for (Desk d : List.copyOf(desks)) {
+        for (ClientConnection d : List.copyOf(desks)) {
             d.wire.look(); // a request that has come already is taken, not cut off
             if (desks.contains(d) && d.idle()) {
                 d.finish();
@@ -119,7 +119,7 @@
     /** Ends what is slow, says nothing from the start, does not read its answer or has idled too long. */
     private void sweep() {
         double now = kit.clock().nowMs();
-        for (Desk d : List.copyOf(desks)) {
+        for (ClientConnection d : List.copyOf(desks)) {
             if (now - d.since > (d.owesBytes() ? SLOW_MS : IDLE_MS)) {
                 d.wire.look(); // bytes that have come already are read first
             }
@@ -145,7 +145,7 @@
 
     /** Ends the connection that matters least, so that a newcomer finds a place; false while each may matter. */
     boolean shed() {
-        for (Desk d = least(); d != null; d = least()) {
+        for (ClientConnection d = least(); d != null; d = least()) {
             d.wire.look();
             if (!desks.contains(d)) {
                 return true;
@@ -159,10 +159,10 @@
         return false;
     }
 
-    private Desk least() {
+    private ClientConnection least() {
         double now = kit.clock().nowMs();
-        Desk least = null;
-        for (Desk d : desks) {
+        ClientConnection least = null;
+        for (ClientConnection d : desks) {
             int rank = d.rank(now);
             if (rank >= 0 && (least == null || rank < least.rank(now)
                 || rank == least.rank(now) && d.since < least.since)) {
@@ -173,8 +173,8 @@
     }
 
     /** One connection of a front desk. */
-    private final class Desk implements WireUser, ReplyTo {
-        private final Wire wire;
+    private final class ClientConnection implements ConnectionHandler, ReplyTo {
+        private final Connection wire;
         private final RequestReader reader = new RequestReader(BODY_LIMIT);
         private LedgerEntry entry;
         private ByteBuffer ahead = ByteBuffer.allocate(0);
@@ -189,7 +189,7 @@
         private boolean knownDesk;
         private double takenAt;
 
-        Desk(Wire wire) {
+        ClientConnection(Connection wire) {
             this.wire = wire;
             desks.add(this);
         }
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -19,8 +19,8 @@
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.net.Kit;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 import plumpost.time.TimerWheel;
 
 /**
@@ -178,10 +178,10 @@
         room.listed(this, mode, lines);
     }
 
-    private final class Call implements WireUser {
+    private final class Call implements ConnectionHandler {
         private final AnswerReader answer = new AnswerReader(LIST_LIMIT);
         private final ObjectStream objects = new ObjectStream("a list", LIST_LIMIT);
-        private final Wire wire;
+        private final Connection wire;
         private double heardAt = kit.clock().nowMs();
         private TimerWheel.Timer silence;
         private boolean up;
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -9,8 +9,8 @@
 import plumpost.front.Front;
 import plumpost.front.Listeners;
 import plumpost.net.Kit;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /** The platform's side of a scheduler: its front, its links to route nodes and its watch on the node list. */
 public final class Platform implements Front {
@@ -103,7 +103,7 @@
     }
 
     /** Takes a front desk's connection in. */
-    public WireUser accept(Wire wire) {
+    public ConnectionHandler accept(Connection wire) {
         return door.accept(wire);
     }
 
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -22,8 +22,8 @@
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.net.Kit;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /** The route nodes that speak HTTP: one link each, with its pool of connections. */
 final class RouteNodes {
@@ -93,8 +93,8 @@
 
     private final class Node implements NodeLink {
         private final InetSocketAddress dial;
-        private final ArrayDeque<Call> idle = new ArrayDeque<>();
-        private final Map<Attempt, Call> out = new HashMap<>();
+        private final ArrayDeque<WorkerConnection> idle = new ArrayDeque<>();
+        private final Map<Attempt, WorkerConnection> out = new HashMap<>();
 
         Node(InetSocketAddress dial) {
             this.dial = dial;
@@ -103,14 +103,14 @@
         @Override
         public void send(Attempt attempt) {
             // A kept connection may be reset by what is written next, and an order may then not go again.
-            Call c = repeatable(attempt) ? free(attempt.sheet().id()) : new Call(this);
+            WorkerConnection c = repeatable(attempt) ? free(attempt.sheet().id()) : new WorkerConnection(this);
             out.put(attempt, c);
             c.begin(attempt, null);
         }
 
         @Override
         public void giveUp(Attempt attempt) {
-            Call c = out.remove(attempt);
+            WorkerConnection c = out.remove(attempt);
             if (c != null) {
                 c.drop();
             }
@@ -133,8 +133,8 @@
          * The connection that idled last, if it is sure to be open still; else a new one. Not one that carried the same
          * job before: a late second answer to that try would be taken for this one's.
          */
-        private Call free(String job) {
-            for (Call c = idle.peek(); c != null; c = idle.peek()) {
+        private WorkerConnection free(String job) {
+            for (WorkerConnection c = idle.peek(); c != null; c = idle.peek()) {
                 c.wire.look();
                 if (c != idle.peek()) {
                     continue;
@@ -147,15 +147,15 @@
                 c.retire.cancel();
                 return c;
             }
-            return new Call(this);
+            return new WorkerConnection(this);
         }
     }
 
     /** One connection to a node, with the attempt or probe it carries. */
-    private final class Call implements WireUser {
+    private final class WorkerConnection implements ConnectionHandler {
         private final Node node;
         private final AnswerReader reader = new AnswerReader(ANSWER_LIMIT);
-        private Wire wire;
+        private Connection wire;
         private Attempt attempt;
         private Probe probe;
         private boolean up;
@@ -171,7 +171,7 @@
         private TimerWheel.Timer limit;
         private TimerWheel.Timer retire;
 
-        Call(Node node) {
+        WorkerConnection(Node node) {
             this.node = node;
             connections++;
         }
@@ -424,7 +424,7 @@
                 // The node ended a connection that it had kept: that says nothing of the node, a new one does.
                 Probe again = probe;
                 drop();
-                new Call(node).begin(null, again);
+                new WorkerConnection(node).begin(null, again);
                 return;
             }
             if ((attempt != null || probe != null) && written && reader.end()) {
--- a/src/main/java/plumpost/platform/Rehearsal.java
+++ b/src/main/java/plumpost/platform/WarmUp.java
@@ -15,14 +15,14 @@
 import plumpost.http.RequestReader;
 import plumpost.net.Kit;
 import plumpost.net.Network;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /**
  * Warms the program up before it says that it is ready: a scheduler of its own, in memory, with a ledger, clock and
  * counters of its own, serves jobs through every machine on the path, so that the first real ones find it all loaded.
  */
-public final class Rehearsal implements Network {
+public final class WarmUp implements Network {
     private static final int JOBS = 20;
     private static final String LIST = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"r\",\"dial\":\"127.0.0.1:1\","
         + "\"health\":\"up\",\"share\":1.0,\"born_ms\":0}]}";
@@ -32,7 +32,7 @@
 
     /** Plays the rehearsal; returns the answers that front desks got. */
     public static long play(NodeConfig config) {
-        return new Rehearsal().serve(config);
+        return new WarmUp().serve(config);
     }
 
     private long serve(NodeConfig like) {
@@ -45,8 +45,8 @@
         Platform platform = new Platform(config, room,
             new Kit(this, () -> now, wheel, counters, words -> { }), () -> 0);
         platform.begin();
-        Mouth desk = new Mouth();
-        WireUser front = platform.accept(desk);
+        MemoryConnection desk = new MemoryConnection();
+        ConnectionHandler front = platform.accept(desk);
         for (int i = 0; i < JOBS; i++) {
             String cls = config.settings().classes().get(i % config.settings().classes().size()).name();
             front.bytes(Answers.ascii("POST /" + cls + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + i + "\r\nX-Lane: " + cls
@@ -62,17 +62,17 @@
     }
 
     @Override
-    public Wire dial(InetSocketAddress to, Function<Wire, WireUser> user) {
-        Mouth m = new Mouth();
+    public Connection dial(InetSocketAddress to, Function<Connection, ConnectionHandler> user) {
+        MemoryConnection m = new MemoryConnection();
         m.user = user.apply(m);
         soon.add(m.user::opened);
         return m;
     }
 
     /** A connection whose other end answers requests as a route node does, and as discovery does. */
-    private final class Mouth implements Wire {
+    private final class MemoryConnection implements Connection {
         private final RequestReader reader = new RequestReader(1024);
-        private WireUser user;
+        private ConnectionHandler user;
 
         @Override
         public void write(ByteBuffer... parts) {
--- a/src/test/java/plumpost/CrowdedPeersTest.java
+++ b/src/test/java/plumpost/CrowdedPeersTest.java
@@ -22,8 +22,8 @@
 import plumpost.http.RequestReader;
 import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 import plumpost.platform.Platform;
 import plumpost.time.TimerWheel;
 
@@ -60,9 +60,9 @@
     }
 
     /** The first caller is dropped, the second refused; the third gets the list, nearly a second late. */
-    private WireUser discovery(Wire wire) {
+    private ConnectionHandler discovery(Connection wire) {
         int call = ++calls;
-        return new WireUser() {
+        return new ConnectionHandler() {
             private boolean gone;
 
             @Override
@@ -97,7 +97,7 @@
     private final class Node {
         private int held;
 
-        WireUser accept(Wire wire) {
+        ConnectionHandler accept(Connection wire) {
             boolean over = held >= PLACES;
             held++;
             if (over) {
@@ -105,7 +105,7 @@
                 wheel.at(now, wire::cut);
             }
             RequestReader reader = new RequestReader(1 << 16);
-            return new WireUser() {
+            return new ConnectionHandler() {
                 private boolean gone;
 
                 @Override
@@ -148,7 +148,7 @@
     private void job(InetSocketAddress front, int n) {
         String path = n % 3 == 0 ? "pickup-order" : "route-plan";
         AnswerReader answer = new AnswerReader(1 << 16);
-        loop.dial(front, wire -> new WireUser() {
+        loop.dial(front, wire -> new ConnectionHandler() {
             @Override
             public void opened() {
                 wire.write(wired("POST /" + path + " HTTP/1.1\r\nHost: h\r\nX-Txn: j" + n + "\r\nX-Lane: " + path
--- a/src/test/java/plumpost/LoopbackTest.java
+++ b/src/test/java/plumpost/LoopbackTest.java
@@ -28,8 +28,8 @@
 import plumpost.http.RequestReader;
 import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 import plumpost.platform.Platform;
 
 /** Both fronts at once on real loopback sockets, at ports that the system gives and by a clock that the test turns. */
@@ -79,11 +79,11 @@
     }
 
     /** What the stand-ins have in common: a wire, and a peer that may be gone. */
-    private abstract class StandIn implements WireUser {
-        Wire wire;
+    private abstract class StandIn implements ConnectionHandler {
+        Connection wire;
         boolean gone;
 
-        WireUser on(Wire w) {
+        ConnectionHandler on(Connection w) {
             wire = w;
             return this;
         }
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -27,8 +27,8 @@
 import plumpost.lab.script.Rig;
 import plumpost.lab.script.Script;
 import plumpost.net.Kit;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 import plumpost.platform.Platform;
 
 /**
@@ -236,7 +236,7 @@
         return p;
     }
 
-    private Wire dial(InetSocketAddress to, Function<Wire, WireUser> user) {
+    private Connection dial(InetSocketAddress to, Function<Connection, ConnectionHandler> user) {
         String who = to.getPort() < 9000 ? "list" + (to.getPort() == 8500 ? "" : to.getPort()) : "node" + (to.getPort() - 9000);
         Pipe p = new Pipe(who);
         p.user = user.apply(p);
@@ -257,9 +257,9 @@
     }
 
     /** One connection in memory: the scheduler holds it as a wire, the scenario speaks at its other end. */
-    private final class Pipe implements Wire {
+    private final class Pipe implements Connection {
         private final String who;
-        private WireUser user;
+        private ConnectionHandler user;
         private final ArrayDeque<ByteBuffer> held = new ArrayDeque<>();
         private String out = "";
         private int window = Integer.MAX_VALUE;
--- a/src/test/java/plumpost/cli/MainTest.java
+++ b/src/test/java/plumpost/cli/MainTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import plumpost.config.NodeConfig;
-import plumpost.platform.Rehearsal;
+import plumpost.platform.WarmUp;
 
 /** The command line and the configuration behind it. */
 class MainTest {
@@ -56,7 +56,7 @@
     /** Guards the run at build from which the class archive is made: it serves a request and ends by itself. */
     @Test
     @Timeout(20)
-    void theRehearsalServesAndEnds() throws IOException {
+    void theWarmUpServesAndEnds() throws IOException {
         assertThat(run("rehearse", "-c", SAMPLE.toString())).isZero();
     }
 
@@ -72,6 +72,6 @@
     void theOperatorsFileIsInOrder() throws IOException {
         assertThat(run("check", "-c", SAMPLE.toString())).isZero();
         assertThat(run("version")).isZero();
-        assertThat(Rehearsal.play(NodeConfig.read(SAMPLE, java.util.Map.of()))).isEqualTo(20);
+        assertThat(WarmUp.play(NodeConfig.read(SAMPLE, java.util.Map.of()))).isEqualTo(20);
     }
 }
--- a/src/test/java/plumpost/control/HostileCallsTest.java
+++ b/src/test/java/plumpost/control/HostileCallsTest.java
@@ -12,8 +12,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import plumpost.Scenario;
-import plumpost.net.Wire;
-import plumpost.net.WireUser;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
 
 /** Hostile bytes on the operators' listener, in pieces of any size: one answer at most, and never a fault. */
 class HostileCallsTest {
@@ -28,7 +28,7 @@
     void anyBytesInAnyPiecesGetOneAnswerAtMost(@ForAll("calls") byte[] bytes, @ForAll("cuts") List<Integer> cuts) {
         Scenario s = new Scenario(1);
         Mouth m = new Mouth();
-        WireUser call = s.control.accept(m);
+        ConnectionHandler call = s.control.accept(m);
         int at = 0;
         for (int cut : cuts) {
             int end = Math.min(bytes.length, at + cut);
@@ -65,7 +65,7 @@
     }
 
     /** One connection that keeps what is written to it. */
-    private static final class Mouth implements Wire {
+    private static final class Mouth implements Connection {
         private final List<ByteBuffer> out = new ArrayList<>();
         private boolean closed;
 
--- a/src/test/java/plumpost/net/SelectorLoopTest.java
+++ b/src/test/java/plumpost/net/SelectorLoopTest.java
@@ -21,8 +21,8 @@
     private final List<String> heard = new ArrayList<>();
 
     /** Writes its greeting once it is up, and keeps what it hears. */
-    private WireUser user(Wire wire, String greeting, Runnable first) {
-        return new WireUser() {
+    private ConnectionHandler user(Connection wire, String greeting, Runnable first) {
+        return new ConnectionHandler() {
             @Override
             public void opened() {
                 wire.write(ByteBuffer.wrap(greeting.getBytes(StandardCharsets.US_ASCII)));
@@ -64,7 +64,7 @@
     @Timeout(20)
     void aNewcomerGetsThePlaceOfOneThatIsShed() throws Exception {
         SelectorLoop loop = new SelectorLoop(clock, new TimerWheel(clock.nowMs()), counters, words -> { });
-        List<Wire> places = new ArrayList<>();
+        List<Connection> places = new ArrayList<>();
         var door = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), w -> {
             places.add(w);
             return user(w, "", () -> { });
@@ -89,10 +89,10 @@
     @Timeout(20)
     void aLookInsideAReadingLeavesItsBytesAlone() throws Exception {
         SelectorLoop loop = new SelectorLoop(clock, new TimerWheel(clock.nowMs()), counters, heard::add);
-        List<Wire> wires = new ArrayList<>();
+        List<Connection> wires = new ArrayList<>();
         var door = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), w -> {
             wires.add(w);
-            return user(w, "", () -> wires.forEach(Wire::look));
+            return user(w, "", () -> wires.forEach(Connection::look));
         }, 8, () -> false);
         loop.dial(door.address(), w -> user(w, "one", () -> { }));
         loop.dial(door.address(), w -> user(w, "two", () -> { }));
