Let operators take out what the file names before the pushed list has come; log an outage once

Since a process whose lists are pushed does not serve by its file's list for up to 5 s (NodeListWatch.begin), and the roster had not heard of its nodes either, so that an operator's call in that time found none; the test met that where its fleet had joined within 5 s. The names are known at once now, and nothing is served by them. Beside it in the same log: a line every 0.1 s while discovery is down, since what is pushed is asked for again so soon. A reason is told once until a call is answered. Both have a test in ListWatchTest that fails without it.

--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -144,6 +144,11 @@
         return roster.known(node);
     }
 
+    /** A list that is not served by yet names the node: an operator may take it out already. */
+    public void named(String node) {
+        roster.knows(node);
+    }
+
     /** The fleet's word on a node, whether it was ever listed here or not: out by hand, or called back. */
     public void banned(String node, boolean out) {
         roster.knows(node);
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -60,6 +60,8 @@
     private boolean waits;
     private Call call;
     private Call former;
+    /** Why the last call failed, until one is answered: a service that is down is asked many times, and told of once. */
+    private String failure;
     /** In a fleet: who hears of each line, and whether this process is the one to ask. */
     private Listener fleet;
     private boolean asks = true;
@@ -87,6 +89,7 @@
             tell(ListMode.SAVED, saved);
         } else {
             waits = true;
+            saved.lines().forEach(l -> room.named(l.entry().id()));
             watch();
             kit.wheel().at(kit.clock().nowMs() + FIRST_MS, () -> {
                 if (waits) {
@@ -243,6 +246,7 @@
                     heardAt = kit.clock().nowMs();
                     if (!answered) {
                         answered = true;
+                        failure = null;
                         silence.cancel(); // from here on by the shorter time
                         watchSilence();
                     }
@@ -284,7 +288,10 @@
         private void fail(String why) {
             if (!over) {
                 drop();
-                kit.log().accept("node list watch: " + why);
+                if (!why.equals(failure)) {
+                    kit.log().accept("node list watch: " + why);
+                }
+                failure = why;
                 if (this == call) {
                     room.listed(NodeListWatch.this, ListMode.FAILED, List.of());
                 }
--- a/src/test/java/plumpost/platform/ListWatchTest.java
+++ b/src/test/java/plumpost/platform/ListWatchTest.java
@@ -9,6 +9,7 @@
 import plumpost.Scenario;
 import plumpost.SocketRig;
 import plumpost.SocketRig.Peer;
+import plumpost.dispatch.Bans;
 
 /** The node list's watch on real connections: lists however they are written, and watches that end or fall silent. */
 class ListWatchTest {
@@ -171,4 +172,42 @@
             }
         }
     }
+
+    /** Guards operators' calls at a start: what the file names may be taken out before the pushed list has come. */
+    @Test
+    void aNodeOfTheFileMayBeTakenOutBeforeTheListIsPushed() throws IOException {
+        try (SocketRig rig = new SocketRig(PUSHED, 1)) {
+            assertThat(rig.room.offline("node0")).isEqualTo(Bans.Said.CHANGED);
+            assertThat(rig.room.offline("node9")).isEqualTo(Bans.Said.UNKNOWN);
+            Peer watch = watch(rig);
+            watch.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 2, "up")));
+            rig.until("the list", () -> rig.counters.of("list.full") == 1);
+            Peer client = rig.client();
+            client.send(SocketRig.job("route-plan", "a", "", "x"));
+            rig.pass(500);
+            assertThat(rig.nodes.get(0).poll()).as("a connection to what was taken out").isNull();
+            assertThat(rig.room.online("node0")).isEqualTo(Bans.Said.CHANGED);
+            rig.nodes.get(0).accept().expect("POST /route-plan");
+        }
+    }
+
+    /** Guards the log: a service that is down is asked ten times a second, and told of once until it has answered. */
+    @Test
+    void aServiceThatIsDownIsLoggedOnce() throws IOException {
+        try (SocketRig rig = new SocketRig(PUSHED, 1)) {
+            for (int round = 1; round <= 2; round++) {
+                for (int i = 0; i < 10; i++) {
+                    watch(rig).reset();
+                    rig.turn();
+                }
+                assertThat(rig.log).filteredOn(l -> l.contains("connection ended")).hasSize(round);
+                Peer watch = watch(rig);
+                watch.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, round, "up")));
+                int now = round;
+                rig.until("the list", () -> rig.counters.of("list.full") == now);
+                watch.reset();
+                rig.turn();
+            }
+        }
+    }
 }
