Wait at the end for planned jobs whose begin is on its way to the log

Seen in a whole run on four cores, FleetIT.sigtermYieldsAtOnceAndARollingRestartLosesNothing: 9 of 30 planned orders never ran. Their history has no word after 'taken': SIGTERM reached s2 in the 40 ms in which they came due and it was told to run them. ScheduleRunner.done looked at jobs that stand as begun in the copy here; a Begin that was proposed and not yet applied is none, so Leave followed it into the log, and the life that had begun them was over: given up as may-have-run though nobody had seen them. Ruled out: the worker, the owner's yield, refused ends (they come after). What it has asked to begin counts now until the log says where the job stands; a member that is not heard leaves by its limit as before. FleetSimTest.whoeverIsToldToEndLeavesNothingBegun stops each of three members at each 4 ms of 200, four seeds, in virtual time: none is given up and each runs once; without the fix all four seeds fail.

--- a/src/main/java/plumpost/fleet/ScheduleRunner.java
+++ b/src/main/java/plumpost/fleet/ScheduleRunner.java
@@ -36,6 +36,8 @@
     private final Map<String, Integer> coming = new HashMap<>();
     private final Set<String> handed = new HashSet<>();
     private final Map<String, Boolean> toEnd = new LinkedHashMap<>();
+    /** What it has asked to begin and that still stands as told to it: the log may yet say that it is begun here. */
+    private final Set<String> beginning = new HashSet<>();
     private double fullUntil;
     private int fired;
 
@@ -52,6 +54,7 @@
         load.clear();
         fired = 0;
         member.view().plans().all().forEach(this::changed);
+        beginning.retainAll(mine.keySet());
     }
 
     /** A job stands so now. */
@@ -63,6 +66,9 @@
             fired -= old.state() == State.FIRED ? 1 : 0;
             load.merge(old.target(), -1, Integer::sum);
         }
+        if (j.state() != State.FIRED || !j.target().equals(member.name()) || j.incarnation() != member.incarnation()) {
+            beginning.remove(j.id());
+        }
         if (j.state() != State.ENDED) {
             open.put(j.id(), j);
             load.merge(j.target(), 1, Integer::sum);
@@ -80,11 +86,12 @@
         handed.forEach(host::callBack);
         handed.clear();
         toEnd.clear();
+        beginning.clear();
     }
 
-    /** Whether nothing is left here that it was told to run. */
+    /** Whether nothing is left here that it was told to run, nor on its way: a life that leaves first gives that up. */
     boolean done() {
-        return handed.isEmpty() && toEnd.isEmpty() && mine.values().stream().noneMatch(
+        return handed.isEmpty() && toEnd.isEmpty() && beginning.isEmpty() && mine.values().stream().noneMatch(
             j -> j.state() == State.BEGUN && j.incarnation() == member.incarnation());
     }
 
@@ -111,7 +118,9 @@
                 continue;
             }
             if (j.state() == State.FIRED && member.nowMs() >= fullUntil && member.mayAct()) {
-                member.once("begin " + j.id(), new Entry.Begin(j.id(), member.name(), member.incarnation()), o -> { });
+                if (member.once("begin " + j.id(), new Entry.Begin(j.id(), member.name(), member.incarnation()), o -> { })) {
+                    beginning.add(j.id());
+                }
             } else if (j.state() == State.BEGUN && !handed.contains(j.id()) && !toEnd.containsKey(j.id())) {
                 if (member.stopping()) {
                     toEnd.put(j.id(), true); // begun as the end was told: nobody has seen it, it goes back
--- a/src/test/java/plumpost/fleet/FleetSimTest.java
+++ b/src/test/java/plumpost/fleet/FleetSimTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Many members in virtual time; see {@link FleetSim}. */
 class FleetSimTest {
@@ -63,6 +64,27 @@
         assertThat(never).isLessThan(planned / 4);
     }
 
+    /** Guards the orderly end at each moment in which a planned order is told, asked to begin, begun or under way. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void whoeverIsToldToEndLeavesNothingBegun(long seed) {
+        for (int after = 0; after <= 200; after += 4) {
+            for (int who = 0; who < 3; who++) {
+                FleetSim sim = new FleetSim(3, seed);
+                sim.pass(2000);
+                double due = sim.now + 500;
+                for (int i = 0; i < 12; i++) {
+                    sim.all.get(i % 3).propose(new Entry.Plan("order" + i, "f", "", new byte[1], due, false), o -> { });
+                }
+                sim.pass(500 + after);
+                sim.all.get(who).member.stop();
+                sim.pass(4000);
+                assertThat(sim.book.plans().image().givenUp()).as("s%d told %d ms after they were due", who, after).isEmpty();
+                assertThat(sim.runs).hasSize(12).allSatisfy((id, times) -> assertThat(times).as(id).isEqualTo(1));
+            }
+        }
+    }
+
     /** Guards the cost at rest: nothing is written to the log, and each member is heard four times a second. */
     @Test
     void atRestNothingIsWritten() {
