End a connection that is of no use once it is up without a fault on the loop

A connection comes up, its user has no use for it (drained meanwhile, its client left) and ends it, and Socket.opened went on to push on its cancelled key. Nothing was lost by it, since the connection was over; net.fault counted it. RetriesTest forces it by a drain between the dial and the first turn after, and fails without the change.

--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -308,7 +308,9 @@
             if (!gone) {
                 connected = true;
                 user.opened();
-                push();
+                if (!gone) { // its user may have no use for it any more, and end it
+                    push();
+                }
             }
         }
 
--- a/src/test/java/plumpost/platform/RetriesTest.java
+++ b/src/test/java/plumpost/platform/RetriesTest.java
@@ -241,4 +241,17 @@
             again(rig).expect("X-Txn: a");
         }
     }
+
+    /** Guards the loop: a connection that comes up after its node was told to drain is ended, and that is no fault. */
+    @Test
+    void aConnectionThatIsOfNoUseOnceItIsUpIsNoFault() throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer client = rig.client();
+            client.send(SocketRig.job("pickup-order", "a", "", "towels"));
+            rig.until("an attempt", () -> rig.counters.of("attempts.out") == 1);
+            rig.platform.told("{\"seq\":2,\"whole\":true,\"hosts\":[" + rig.host(0, "draining") + "]}");
+            rig.until("its end", () -> rig.counters.of("attempts.connect_failed") == 1);
+            assertThat(rig.counters.of("net.fault")).as(rig.log.toString()).isZero();
+        }
+    }
 }
