Hear from discovery before a new process serves; keep every call for the list within 6 s

NodeListWatch.begin told the file's list at once where lists are asked for, and Logic.workers spread the first call over 3.3 s. Ruled out: silent watches and late changes at schedulers that ran on; all breaks lie in the seconds after the restarts. Change: the call goes out at the start, the file is withheld and the process not ready until the answer. The file serves where discovery refuses connections, after 5 s, or where clients come before ready was said: the front has not noticed the restart. Also: a second call beside one unanswered for 3 s (the first wins), failed calls again within 2 s, in place of up to 3.5 + 3.75 s; spread by the fleet's size; changes below our version are not taken; lists over 1 MiB. DiscoveryCall is one call, split out. Scenario and SocketRig answer the first call, as the platform does. PlatformTest's askNow case is replaced by one as strict: every process asks at once now.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -160,9 +160,6 @@
         if (sharedBans != null) {
             sharedBans.begin();
         }
-        if (!inheritedDoors.isEmpty()) {
-            platform.askNow();
-        }
         WarmUp.play(config);
         if (fleet != null) {
             fleet.begin();
--- a/src/main/java/plumpost/config/ObjectStream.java
+++ b/src/main/java/plumpost/config/ObjectStream.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Whether an object has begun and is not whole yet. */
+    public boolean midway() {
+        return !open.isEmpty();
+    }
+
     /** Takes a token; the object that it ends, where that stands in no other. */
     private Object token(JsonToken t) throws IOException {
         switch (t) {
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -29,6 +29,8 @@
     static final int COLD_LOOKS = 16; // at a seat that is still cold, while it warms
     static final double PRIORITY_STEPS = 20; // halvings of an estimate that a step of priority is worth: 2 s
     static final double RECHECK_MS = 80; // look again at held jobs while no event brings room
+    // A change counts as told 6 s after discovery had it: some calls of up to 1 s each have to fit.
+    static final double LIST_RETRY_MS = 500, LIST_RETRY_MAX_MS = 1_300, LIST_EACH_MS = 12;
     static final double LIST_AGAIN_MS = 50; // at the least, between list calls that fail: whatever is set
     static final double TIMER_SLACK_MS = 0.01; // a host may round a timer down: waiting on stalled them all
 
@@ -55,7 +57,7 @@
     private int hintCount, ejected, probesOut, moot;
     private long order;
     private boolean recheckSet, mixed, sweeps;
-    private double now, meanRun = 1000, promptShare = 1, listBackoff = 500;
+    private double now, meanRun = 1000, promptShare = 1, listAskedAt = Double.NEGATIVE_INFINITY;
     private double pressedUntil = Double.NEGATIVE_INFINITY;
 
     /** A dispatcher with nothing taken and no list yet. */
@@ -131,13 +133,15 @@
             // No herd on the list service: first calls are spread, later ones come after a backoff.
             // What is pushed counts as told while nobody listens: a drain leaves no more than its own time.
             Rules rule = set.rules();
-            double most = (set.listOnRequest() ? rule.mustAskInMs() : rule.stopSendingWithinMs()) / 4;
-            listBackoff = Math.max(LIST_AGAIN_MS, Math.min(listBackoff * 2, most));
-            at(now + listBackoff * (0.5 + random.nextDouble()), out::subscribe, null);
+            // A call that failed in the service's queue was work for nothing: many such come again later.
+            boolean waited = now - listAskedAt > LIST_RETRY_MS;
+            double retry = waited ? Math.min(LIST_RETRY_MAX_MS, LIST_EACH_MS * set.balancers()) : 0;
+            double ofAsked = Math.min(Math.max(LIST_RETRY_MS, retry), rule.mustAskInMs() / 4);
+            double backoff = set.listOnRequest() ? ofAsked : rule.stopSendingWithinMs() / 4;
+            at(now + Math.max(LIST_AGAIN_MS, backoff) * (0.5 + random.nextDouble()), this::askForList, null);
         } else {
             boolean first = mode == ListMode.SAVED && set.listOnRequest();
-            if (first) at(now + random.nextDouble() * set.rules().mustAskInMs() / 3, out::subscribe, null);
-            listBackoff = 500;
+            if (first) at(now + random.nextDouble() * set.rules().mustAskInMs() / 3, this::askForList, null);
             if (mode != ListMode.INCREMENTAL) known.values().forEach(w -> w.phase = Phase.DELETED);
             entries.forEach(this::list);
             // Seats come and go one by one, by thousands: only other workers' lines are worth a look at all.
@@ -153,6 +157,11 @@
         settle();
     }
 
+    private void askForList() {
+        listAskedAt = now;
+        out.subscribe();
+    }
+
     private void list(WorkerEntry e) {
         Worker w = known.computeIfAbsent(e.id(), Worker::new);
         if (w.turn == 0) w.turn = 1 + random.nextInt(1 << 20);
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -6,7 +6,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
 import plumpost.config.LoadReports;
@@ -50,9 +49,10 @@
     private final Kit kit;
     private final Lag lag;
     private final Set<ClientConnection> desks = new LinkedHashSet<>();
-    /** Whether a node list has come, where one is to be waited for. */
-    private final BooleanSupplier listed;
+    private final NodeListWatch list;
     private boolean ready;
+    /** Whether anybody was told that this process is ready. */
+    private boolean saidReady;
     private boolean stopping;
     private boolean leaving;
     private boolean called;
@@ -62,8 +62,8 @@
         double ms();
     }
 
-    FrontDoor(DispatchRoom room, Kit kit, Lag lag, BooleanSupplier listed) {
-        this.listed = listed;
+    FrontDoor(DispatchRoom room, Kit kit, Lag lag, NodeListWatch list) {
+        this.list = list;
         this.room = room;
         this.kit = kit;
         this.lag = lag;
@@ -298,13 +298,19 @@
             kit.counters().count("front.requests");
             String path = reader.path();
             switch (path) {
-                case "/health/ready" -> get(() -> answer(ready && !stopping && listed.getAsBoolean() ? 200 : 503, Answers.ascii(""), "", false));
+                case "/health/ready" -> get(this::answerReady);
                 case "/health/live" -> get(() -> answer(200, Answers.ascii(""), "", false));
                 case "/counters" -> get(() -> answer(200, Answers.ascii(kit.counters().toString()), "", false));
                 default -> job(path);
             }
         }
 
+        private void answerReady() {
+            boolean yes = ready && !stopping && list.primed();
+            saidReady |= yes;
+            answer(yes ? 200 : 503, Answers.ascii(""), "", false);
+        }
+
         private void get(Runnable then) {
             if (reader.method().equals("GET")) {
                 then.run();
@@ -344,6 +350,9 @@
                     refused(0);
                     return;
                 }
+                if (!saidReady) {
+                    list.clientsStillCome();
+                }
                 knownDesk = true;
                 takenAt = kit.clock().nowMs();
                 entry = room.take(sheet, this);
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -1,67 +1,78 @@
 package plumpost.platform;
 
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeListReader;
-import plumpost.config.ObjectStream;
 import plumpost.decision.Dispatcher.ListMode;
 import plumpost.decision.Dispatcher.Phase;
 import plumpost.dispatch.DispatchRoom;
 import plumpost.dispatch.ListedNode;
 import plumpost.dispatch.NodeLink;
 import plumpost.dispatch.NodeList;
-import plumpost.http.AnswerReader;
-import plumpost.http.Answers;
-import plumpost.http.BadMessage;
 import plumpost.net.Kit;
-import plumpost.net.Connection;
-import plumpost.net.ConnectionHandler;
-import plumpost.time.TimerWheel;
 
 /**
- * The watch on discovery's node list. When it ends or falls silent the core hears of a failed call and asks again.
- * When discovery moves, the old watch goes on telling until the new service has told its list.
+ * Keeps a watch open on discovery's node list. A new process asks before it serves, since the list in its file may be
+ * old. A watch that falls silent, or that belongs to a former discovery service, goes on telling until a newer call is
+ * answered. When a call fails the core hears of it and decides when to ask again.
+ *
+ * <p>The protocol bounds all of this: a change counts as told 6 s after discovery had it and could be reached.
  */
-public final class NodeListWatch implements NodeList {
+public final class NodeListWatch implements NodeList, DiscoveryCall.Listener {
     /** Hears what discovery tells this process, object by object. */
     public interface Listener {
         /** An object of the list. */
         void heard(String line, long seq, boolean whole);
     }
 
-    private static final int LIST_LIMIT = 1024 * 1024;
     /**
-     * An empty line comes every 2 s: without a byte for this long the watch is dead. What it misses counts as told 6 s
-     * after it fell silent: until then it is opened anew, after a spread, and a service that takes calls in turn answers.
+     * A new process waits this long for discovery before it serves by the list in its file. The platform wants restarted
+     * processes ready within 6 s at the least, and the start itself takes up to a second.
      */
-    private static final double SILENCE_MS = 2_500;
-    /** The same before an answer has begun: the service answers calls in turn. */
-    private static final double ANSWER_MS = 3_500;
-    /** All watches of a fleet may fall silent at once: their new calls are spread over this. */
-    private static final double SPREAD_MS = 1_000;
-    /** So long a new process waits for the list that is pushed to it, before it serves by the one it had. */
-    private static final double FIRST_MS = 5_000;
-    /** A service that has not taken the connection by now will not: it answers calls in turn, but accepts at once. */
-    private static final double DIAL_MS = 1_000;
+    private static final double FIRST_LIST_MS = 5_000;
+    /**
+     * A call that is not answered by now may have lost its connection, or may stand in the service's queue: a second one
+     * is opened beside it, and the first answer wins. Giving the first up would lose its place in the queue.
+     */
+    private static final double UNANSWERED_MS = 3_000;
+    /**
+     * Discovery answers calls in turn and some tens of them a second, and calls that have waited too long cost it work
+     * for nothing. Those that many schedulers would make at once are spread by so much for each scheduler, ...
+     */
+    private static final double SPREAD_MS_PER_SCHEDULER = 30;
+    /** ... but over no more than this part of the time in which the settings want each scheduler to ask. */
+    private static final double MOST_SPREAD_PART = 1.0 / 3;
 
     private final Kit kit;
     private final NodeListReader reader;
     private final RouteNodes nodes;
     private final DispatchRoom room;
-    private InetSocketAddress discovery;
     private final SplittableRandom random;
-    private long seq = -1;
-    /** The list as last had is kept back: what is pushed may know better. */
-    private boolean waits;
-    private Call call;
-    private Call former;
-    /** Why the last call failed, until one is answered: a service that is down is asked many times, and told of once. */
-    private String failure;
+    private InetSocketAddress service;
+    private long version = DiscoveryCall.WHOLE_LIST;
+    /** The list of the file while it is withheld, or null. */
+    private NodeListReader.Listing withheld;
+    /** Whether the core has been told any list. */
+    private boolean told;
+    /** The call whose answer tells of changes, or null. */
+    private DiscoveryCall watch;
+    /** Whether {@link #watch} has fallen silent and is to be replaced. */
+    private boolean watchIsSilent;
+    /** The watch on a former service, which tells on until the new one has told its list; or null. */
+    private DiscoveryCall former;
+    /** The newest call without an answer, or null. */
+    private DiscoveryCall pending;
+    /** An older call without an answer, or null. */
+    private DiscoveryCall overdue;
+    /** Why the last call failed, until one is answered: an outage is logged once. */
+    private String lastFailure;
     /** In a fleet: who hears of each line, and whether this process is the one to ask. */
     private Listener fleet;
     private boolean asks = true;
@@ -70,79 +81,124 @@
                   DispatchRoom room) {
         this.random = new SplittableRandom(seed);
         this.kit = kit;
-        this.discovery = discovery;
+        this.service = discovery;
         this.reader = reader;
         this.nodes = nodes;
         this.room = room;
     }
 
     /**
-     * Begins with the list as last had, or null. Where lists are asked for, that is told and the module asks in its
-     * time; where they are pushed, a change counts as told from a process's first moment, so the list of now is heard
-     * first, and the old one serves only where none comes.
+     * Begins with the list as last had, or null. That list is withheld until discovery has answered: nodes that it names
+     * may have left long ago, and a change counts as told however new the process is. It serves alone after
+     * {@link #FIRST_LIST_MS}, as soon as discovery turns out to be unreachable, or where it cannot be old.
      */
     void begin(NodeListReader.Listing saved) {
-        if (discovery == null || saved == null) {
-            watch();
-        } else if (room.settings().listOnRequest()) {
-            seq = saved.seq();
-            tell(ListMode.SAVED, saved);
+        if (service != null && saved != null && !told) {
+            withheld = saved;
+            saved.lines().forEach(line -> room.named(line.entry().id()));
+            if (room.settings().listOnRequest()) {
+                version = saved.seq();
+            }
+            kit.wheel().at(kit.clock().nowMs() + FIRST_LIST_MS, () -> serveByFile("no list in time"));
+        }
+        watchWithinSpread();
+    }
+
+    /**
+     * Clients come though this process has not said that it is ready. The platform's front notices within some seconds
+     * that a scheduler is gone, and then waits until it is ready: this one was away for less, and its list is that young.
+     * Where lists are pushed that is too old all the same: there a change counts from a process's first moment.
+     */
+    void clientsStillCome() {
+        if (room.settings().listOnRequest()) {
+            serveByFile("clients have not noticed the restart");
+        }
+    }
+
+    /** Opens a call at a random moment, so that schedulers for which the same thing happened do not all call at once. */
+    private void watchWithinSpread() {
+        double spreadMs = spreadMs();
+        if (spreadMs > 0) {
+            kit.wheel().at(kit.clock().nowMs() + random.nextDouble() * spreadMs, this::watch);
         } else {
-            waits = true;
-            saved.lines().forEach(l -> room.named(l.entry().id()));
             watch();
-            kit.wheel().at(kit.clock().nowMs() + FIRST_MS, () -> {
-                if (waits) {
-                    kit.counters().count("list.none_pushed");
-                    tell(ListMode.SAVED, saved);
-                }
-            });
+        }
+    }
+
+    private double spreadMs() {
+        if (!room.settings().listOnRequest()) {
+            return 0; // each scheduler has an agent of its own
+        }
+        double others = room.settings().balancers() - 1;
+        return Math.min(others * SPREAD_MS_PER_SCHEDULER, room.settings().rules().mustAskInMs() * MOST_SPREAD_PART);
+    }
+
+    private void serveByFile(String why) {
+        if (withheld != null) {
+            kit.counters().count("list.none_pushed");
+            kit.log().accept("node list: serving by the file, " + why);
+            tell(ListMode.SAVED, withheld);
         }
     }
 
     /** Whether there is a list to serve by, as far as one is to be had. */
     boolean primed() {
-        return !waits;
+        return withheld == null;
     }
 
     /** Asks for the list, unless a call for it is under way or no service is known. */
     @Override
     public void watch() {
-        if (asks && discovery != null && (call == null || call.over)) {
-            kit.counters().count("list.asked");
-            call = new Call();
+        boolean watching = watch != null && !watchIsSilent;
+        if (asks && service != null && pending == null && !watching) {
+            call();
         }
     }
 
-    /** From now on the fleet says who asks, and hears of each line; until it has spoken nobody is asked. */
+    private void call() {
+        kit.counters().count("list.asked");
+        DiscoveryCall opened = new DiscoveryCall(kit, reader, service, version, this);
+        pending = opened;
+        kit.wheel().at(kit.clock().nowMs() + UNANSWERED_MS, () -> {
+            if (opened == pending) {
+                closeOverdue();
+                overdue = opened;
+                call();
+            }
+        });
+    }
+
+    /** Puts the node list under a fleet, which says who asks discovery and hears of each line. */
     void in(Listener whole) {
         fleet = whole;
         asks = false;
     }
 
-    /** Whether this process is to ask; one that is not any more lets go of its watch, and keeps its list. */
+    /** Whether this process is to ask; one that is not any more closes its watch, and keeps its list. */
     void ask(boolean itself, boolean whole) {
         asks = itself;
-        if (call != null && (!itself || whole)) {
-            call.drop();
-            call = null;
+        if (!itself || whole) {
+            closeWatch();
+            closeUnanswered();
+        }
+        if (whole) {
+            version = DiscoveryCall.WHOLE_LIST;
         }
-        seq = whole ? -1 : seq;
         watch();
     }
 
+    /** Whether a watch is open and tells of changes. */
     boolean hears() {
-        return call != null && !call.over && call.answered;
+        return watch != null && !watchIsSilent;
     }
 
     /** A line that another scheduler has heard from discovery. */
     void told(String line) {
         try {
-            NodeListReader.Listing listing = reader.read(Json.object("a list line", line.getBytes(
-                java.nio.charset.StandardCharsets.UTF_8)));
-            seq = listing.seq();
+            NodeListReader.Listing listing = reader.read(Json.object("a list line", line.getBytes(StandardCharsets.UTF_8)));
+            version = listing.seq();
             kit.counters().count("list.followed");
-            tell(listing.whole() ? ListMode.FULL : ListMode.INCREMENTAL, listing);
+            tell(listing);
         } catch (BadInput e) {
             kit.counters().count("list.malformed");
             kit.log().accept("node list, told by the fleet: " + e.getMessage());
@@ -151,157 +207,157 @@
 
     /** Watches another service from now on: its versions are its own, so the whole list is asked for. */
     void move(InetSocketAddress to) {
-        if (to.equals(discovery)) {
+        if (to.equals(service)) {
             return;
         }
         kit.counters().count("list.moved");
-        if (call != null && call.told) {
-            if (former != null) {
-                former.drop();
-            }
-            former = call;
-        } else if (call != null) {
-            call.drop();
+        closeUnanswered();
+        if (watch != null && watch.hasListed()) {
+            closeFormer();
+            former = watch;
+            watch = null;
         }
-        discovery = to;
-        seq = -1;
-        call = null;
+        closeWatch();
+        service = to;
+        version = DiscoveryCall.WHOLE_LIST;
         watch();
     }
 
+    private void tell(NodeListReader.Listing listing) {
+        if (listing.whole()) {
+            tell(ListMode.FULL, listing);
+        } else if (withheld != null) {
+            tell(ListMode.FULL, changed(withheld, listing));
+        } else {
+            tell(ListMode.INCREMENTAL, listing);
+        }
+    }
+
+    /** A whole list with changes applied to it. */
+    private static NodeListReader.Listing changed(NodeListReader.Listing whole, NodeListReader.Listing changes) {
+        Map<String, NodeListReader.Line> byNode = new LinkedHashMap<>();
+        whole.lines().forEach(line -> byNode.put(line.entry().id(), line));
+        changes.lines().forEach(line -> byNode.put(line.entry().id(), line));
+        return new NodeListReader.Listing(changes.seq(), true, List.copyOf(byNode.values()));
+    }
+
     private void tell(ListMode mode, NodeListReader.Listing listing) {
-        waits = false;
+        withheld = null;
+        told = true;
         List<ListedNode> lines = new ArrayList<>();
-        for (NodeListReader.Line l : listing.lines()) {
-            NodeLink link = l.dial() == null ? Gone.LINK : nodes.at(l.dial());
-            if (mode == ListMode.INCREMENTAL || l.entry().phase() != Phase.DELETED) {
-                lines.add(new ListedNode(l.entry(), link));
+        for (NodeListReader.Line line : listing.lines()) {
+            NodeLink link = line.dial() == null ? Gone.LINK : nodes.at(line.dial());
+            if (mode == ListMode.INCREMENTAL || line.entry().phase() != Phase.DELETED) {
+                lines.add(new ListedNode(line.entry(), link));
             }
         }
         room.listed(this, mode, lines);
     }
 
-    private final class Call implements ConnectionHandler {
-        private final AnswerReader answer = new AnswerReader(LIST_LIMIT);
-        private final ObjectStream objects = new ObjectStream("a list", LIST_LIMIT);
-        private final Connection wire;
-        private double heardAt = kit.clock().nowMs();
-        private TimerWheel.Timer silence;
-        private boolean up;
-        private boolean told;
-        private boolean answered;
-        private boolean over;
-
-        Call() {
-            wire = kit.network().dial(discovery, w -> this);
-            kit.wheel().at(heardAt + DIAL_MS, () -> {
-                if (!up) {
-                    fail("no connection");
-                }
-            });
-            watchSilence();
+    // ---- what calls bring ----
+
+    @Override
+    public void answered(DiscoveryCall call) {
+        lastFailure = null;
+        forget(call);
+        closeUnanswered();
+        closeWatch();
+        watch = call;
+    }
+
+    @Override
+    public void unchanged(DiscoveryCall call) {
+        if (withheld != null) {
+            tell(ListMode.FULL, withheld);
         }
+    }
 
-        private void watchSilence() {
-            double most = answered ? SILENCE_MS : ANSWER_MS;
-            silence = kit.wheel().at(heardAt + most, () -> {
-                if (kit.clock().nowMs() - heardAt >= most) {
-                    silent();
-                } else {
-                    watchSilence();
-                }
-            });
+    @Override
+    public void listed(DiscoveryCall call, NodeListReader.Listing listing, String text) {
+        if (call == watch) {
+            version = listing.seq();
+            closeFormer();
+        }
+        tell(listing);
+        if (fleet != null && call == watch) {
+            fleet.heard(text, listing.seq(), listing.whole());
         }
+    }
 
-        /** A watch that told and fell silent is opened anew by itself: the module's waits for a failed call are too long. */
-        private void silent() {
-            if (!answered || this != call) {
-                fail("silent");
-                return;
-            }
-            drop();
-            kit.counters().count("list.silent");
-            kit.log().accept("node list watch: silent, opened anew");
-            kit.wheel().at(kit.clock().nowMs() + (room.settings().listOnRequest() ? random.nextDouble() * SPREAD_MS : 0),
-                NodeListWatch.this::watch);
+    @Override
+    public void silent(DiscoveryCall call) {
+        if (call == former) {
+            closeFormer();
+            return;
         }
+        watchIsSilent = true;
+        kit.counters().count("list.silent");
+        kit.log().accept("node list watch: silent, opened anew");
+        watchWithinSpread();
+    }
 
-        @Override
-        public void opened() {
-            up = true;
-            wire.write(Answers.ascii("GET /registry/instances?follow=1" + (seq < 0 ? "" : "&since=" + seq)
-                + " HTTP/1.1\r\nHost: " + discovery.getHostString() + ':' + discovery.getPort() + "\r\n\r\n"));
+    @Override
+    public void failed(DiscoveryCall call, DiscoveryCall.Failure failure, String detail) {
+        if (!detail.equals(lastFailure)) {
+            kit.log().accept("node list watch: " + detail);
+        }
+        lastFailure = detail;
+        boolean asked = call == pending || call == watch && !watchIsSilent;
+        forget(call);
+        if (failure == DiscoveryCall.Failure.VERSION_WENT_BACK) {
+            version = DiscoveryCall.WHOLE_LIST;
         }
+        if (failure == DiscoveryCall.Failure.UNREACHABLE) {
+            serveByFile("discovery cannot be reached");
+        }
+        if (asked) {
+            room.listed(this, ListMode.FAILED, List.of());
+        }
+    }
 
-        @Override
-        public void bytes(ByteBuffer in) {
-            try {
-                boolean whole = answer.feed(in);
-                if (answer.hasHead() && answer.status() != 200) {
-                    fail("status " + answer.status());
-                    return;
-                }
-                byte[] fresh = answer.hasHead() ? answer.take() : new byte[0];
-                if (fresh.length > 0) {
-                    heardAt = kit.clock().nowMs();
-                    if (!answered) {
-                        answered = true;
-                        failure = null;
-                        silence.cancel(); // from here on by the shorter time
-                        watchSilence();
-                    }
-                    objects.feed(fresh, this::object);
-                }
-                if (whole && !over) {
-                    fail("ended");
-                }
-            } catch (BadMessage | BadInput e) {
-                kit.counters().count("list.malformed");
-                fail("malformed: " + e.getMessage());
-            }
+    private void forget(DiscoveryCall call) {
+        if (call == pending) {
+            pending = null;
         }
+        if (call == overdue) {
+            overdue = null;
+        }
+        if (call == watch) {
+            watch = null;
+            watchIsSilent = false;
+        }
+        if (call == former) {
+            former = null;
+        }
+    }
 
-        private void object(Json.Fields fields, byte[] text) {
-            if (over) {
-                return;
-            }
-            NodeListReader.Listing listing = reader.read(fields);
-            told = true;
-            if (this == call) {
-                seq = listing.seq();
-                if (former != null) {
-                    former.drop();
-                    former = null;
-                }
-            }
-            tell(listing.whole() ? ListMode.FULL : ListMode.INCREMENTAL, listing);
-            if (fleet != null && this == call) {
-                fleet.heard(new String(text, java.nio.charset.StandardCharsets.UTF_8).strip(), listing.seq(), listing.whole());
-            }
+    private void closeWatch() {
+        if (watch != null) {
+            watch.close();
         }
+        watch = null;
+        watchIsSilent = false;
+    }
 
-        @Override
-        public void ended() {
-            fail("connection ended");
+    private void closeFormer() {
+        if (former != null) {
+            former.close();
         }
+        former = null;
+    }
 
-        private void fail(String why) {
-            if (!over) {
-                drop();
-                if (!why.equals(failure)) {
-                    kit.log().accept("node list watch: " + why);
-                }
-                failure = why;
-                if (this == call) {
-                    room.listed(NodeListWatch.this, ListMode.FAILED, List.of());
-                }
-            }
+    private void closeOverdue() {
+        if (overdue != null) {
+            overdue.close();
         }
+        overdue = null;
+    }
 
-        private void drop() {
-            over = true;
-            silence.cancel();
-            wire.cut();
+    private void closeUnanswered() {
+        closeOverdue();
+        if (pending != null) {
+            pending.close();
         }
+        pending = null;
     }
 }
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -35,7 +35,7 @@
         });
         RouteNodes nodes = new RouteNodes(kit, room::settings, nodeConnections);
         watch = new NodeListWatch(kit, config.discovery(), config.seed(), reader, nodes, room);
-        door = new FrontDoor(room, kit, lag::getAsDouble, watch::primed);
+        door = new FrontDoor(room, kit, lag::getAsDouble, watch);
     }
 
     /** Connections that front desks may hold open together. */
@@ -67,21 +67,12 @@
         }
     }
 
-    /** Tells the core the list as last had, where none that is newer is pushed. */
+    /** Asks discovery for the list; the one as last had serves only where discovery tells none in time. */
     public void begin() {
         room.add(watch);
         watch.begin(config.known().has("seq") ? reader.read(config.known()) : null);
     }
 
-    /**
-     * Asks discovery for the list now, without the module's spread over the first seconds: a process that takes over
-     * from another one of its scheduler has no herd to avoid, and what discovery told counts as known 2 s after its
-     * yes.
-     */
-    public void askNow() {
-        watch.watch();
-    }
-
     /** Discovery's word as another scheduler of the fleet has heard it: one line of the node list. */
     public void told(String line) {
         watch.told(line);
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -108,6 +108,11 @@
             new Console(room, counters, null, () -> serving));
         platform.begin();
         platform.ready();
+        if (config.settings().listOnRequest()) {
+            settle();
+            pipe("list", false).say("{\"seq\":1,\"whole\":false,\"hosts\":[]}"); // discovery knows what the file knows
+            settle();
+        }
     }
 
     /** The timer wheel that the scenario's clock turns. */
--- a/src/test/java/plumpost/SocketRig.java
+++ b/src/test/java/plumpost/SocketRig.java
@@ -13,11 +13,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import plumpost.config.GearmanConfig;
 import plumpost.config.Json;
 import plumpost.config.NodeConfig;
 import plumpost.config.SettingsReader;
 import plumpost.count.Counters;
 import plumpost.dispatch.DispatchRoom;
+import plumpost.gearman.GearmanDoor;
+import plumpost.gearman.Packet;
 import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
 import plumpost.platform.Platform;
@@ -38,14 +41,29 @@
     public final SelectorLoop loop;
     public final DispatchRoom room;
     public final Platform platform;
+    private final Kit kit;
     private final TimerWheel wheel = new TimerWheel(now);
     private final List<Peer> peers = new ArrayList<>();
     private final NodeConfig config;
+    /** Discovery's empty lines come on an open watch at this interval. */
+    private static final double EMPTY_LINE_MS = 2_000;
     private InetSocketAddress front;
+    /** Discovery's end of the watch that this rig keeps open, or null. */
+    private Peer watch;
+    private double emptyLineAt;
     private boolean over;
 
-    /** A scheduler that knows so many nodes from its file. */
+    /** A scheduler that knows so many nodes from its file, and has heard from discovery that nothing has changed since. */
     public SocketRig(String settings, int nodes) throws IOException {
+        this(settings, nodes, settings.contains("on_request"));
+    }
+
+    /** A scheduler that knows so many nodes from its file, and has not heard from discovery. */
+    public static SocketRig unanswered(String settings, int nodes) throws IOException {
+        return new SocketRig(settings, nodes, false);
+    }
+
+    private SocketRig(String settings, int nodes, boolean answered) throws IOException {
         StringBuilder hosts = new StringBuilder();
         for (int i = 0; i < nodes; i++) {
             this.nodes.add(new Listener());
@@ -59,11 +77,19 @@
         loop = new SelectorLoop(() -> now, wheel, counters, log::add);
         room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
             new DispatchRoom.Bounds(64, 1 << 20, 64, 1 << 20), log::add);
-        platform = new Platform(config, room, new Kit(loop, () -> now, wheel, counters, log::add), loop::lagMs);
+        kit = new Kit(loop, () -> now, wheel, counters, log::add);
+        platform = new Platform(config, room, kit, loop::lagMs);
         platform.open((at, users, most, batched, unread, shed) -> {
             front = loop.listen(at, users, most, unread, shed).address();
             return front;
         });
+        if (answered) {
+            watch = discovery.accept();
+            emptyLineAt = now + EMPTY_LINE_MS;
+            watch.expect("GET ");
+            watch.send(CHUNKED + chunk("{\"seq\":1,\"whole\":false,\"hosts\":[]}\n"));
+            until("the list", () -> counters.of("list.full") == 1);
+        }
     }
 
     private static InetSocketAddress anywhere() {
@@ -87,6 +113,14 @@
         return new Peer(SocketChannel.open(front));
     }
 
+    /** A Gearman client's connection; the scheduler has not accepted it yet. */
+    public Peer gearmanClient() throws IOException {
+        NodeConfig withGearman = new NodeConfig(config.name(), config.listen(), config.discovery(), config.seed(),
+            config.sockets(), config.settings(), config.raw(), config.known(), GearmanConfig.usual(null), null, null);
+        GearmanDoor gearman = new GearmanDoor(withGearman, "0", room, kit, () -> { });
+        return new Peer(SocketChannel.open(loop.listen(anywhere(), gearman::accept, 8, () -> false).address()));
+    }
+
     /** A request for a job as a client sends it. */
     public static String job(String cls, String id, String more, String body) {
         return "POST /" + cls + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + id + "\r\n" + more + "Content-Length: "
@@ -143,6 +177,10 @@
     public void pass(double ms) {
         for (double end = now + ms; now < end;) {
             now = Math.min(end, now + 2);
+            if (watch != null && now >= emptyLineAt) {
+                emptyLineAt += EMPTY_LINE_MS;
+                watch.send(chunk("\n"));
+            }
             turn();
         }
     }
@@ -196,6 +234,11 @@
             return (InetSocketAddress) channel.socket().getLocalSocketAddress();
         }
 
+        /** Refuses connections from now on. */
+        public void close() throws IOException {
+            channel.close();
+        }
+
         /** The next connection that has come, or null. */
         public Peer poll() {
             try {
@@ -235,6 +278,13 @@
             channel.setOption(StandardSocketOptions.SO_RCVBUF, 2048);
         }
 
+        /** Sends a Gearman request. */
+        public void send(Packet.Type type, Object... arguments) {
+            for (ByteBuffer part : Packet.bytes(Packet.REQUEST, type, arguments)) {
+                send(StandardCharsets.ISO_8859_1.decode(part).toString());
+            }
+        }
+
         /** Sends bytes; they lie at the scheduler when this returns. */
         public void send(String bytes) {
             try {
--- a/src/test/java/plumpost/platform/PlatformTest.java
+++ b/src/test/java/plumpost/platform/PlatformTest.java
@@ -149,14 +149,11 @@
         new Scenario(0).play("desk1 send POST /route-plan a 500 x\nwait 502\ndesk1 expect 50*");
     }
 
-    /** Guards an upgrade's news: the process that takes over asks for the list at once, not within seconds. */
+    /** Guards against lists as old as the file: a process asks discovery from its start, not within seconds. */
     @Test
-    void aProcessThatTakesOverAsksForTheListAtOnce() {
-        Scenario spread = new Scenario(1).play("wait 2\nlist expect nothing");
-        assertThat(spread.counters.of("list.asked")).isZero();
-        Scenario s = new Scenario(1);
-        s.platform.askNow();
-        s.play("wait 2\nlist expect GET /registry/instances?follow=1&since=1");
+    void aNewProcessAsksForTheListAtOnce() {
+        Scenario s = new Scenario(1).play("list expect GET /registry/instances?follow=1&since=1");
+        assertThat(s.counters.of("list.asked")).isEqualTo(1);
     }
 
     /** Guards drains: told while a connection comes up, nothing is written on it any more. */
