Look for a Gearman client's end before each attempt of its job

Change: Submission reads what has come from its client, unless its connection is being read just then. Ruled out: reading again from within a packet, which would mix up the bytes of two reads; hence the flag. ClientsThatLeftTest.whoLeftOnTheGearmanFrontWhileTheLoopWasBusy fails without the change, by close and by reset; green with it.

--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -24,6 +24,7 @@
     private WorkerSeat seat;
     private String clientId;
     private boolean over;
+    private boolean reading;
     private double waitingSince = Double.NaN;
     private boolean spoke;
     private ByteBuffer listing;
@@ -80,8 +81,20 @@
     @Override
     public void bytes(ByteBuffer in) {
         spoke = true;
-        while (!over && step(in)) {
-            waitingSince = Double.NaN;
+        reading = true;
+        try {
+            while (!over && step(in)) {
+                waitingSince = Double.NaN;
+            }
+        } finally {
+            reading = false;
+        }
+    }
+
+    /** Reads what has come from the peer, its end among it, unless that is under way already. */
+    void look() {
+        if (!over && !reading) {
+            wire.look();
         }
     }
 
--- a/src/main/java/plumpost/gearman/ClientSide.java
+++ b/src/main/java/plumpost/gearman/ClientSide.java
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Reads what has come from the client: it may have left. */
+    void look() {
+        caller.look();
+    }
+
     private void take(Packet p) {
         switch (p.type()) {
             case SUBMIT_JOB -> submit(p, 2, null, 0, false);
--- a/src/main/java/plumpost/gearman/Submission.java
+++ b/src/main/java/plumpost/gearman/Submission.java
@@ -28,6 +28,13 @@
         return client != null;
     }
 
+    @Override
+    public void look() {
+        if (client != null) {
+            client.look();
+        }
+    }
+
     boolean done() {
         return done;
     }
--- a/src/test/java/plumpost/platform/ClientsThatLeftTest.java
+++ b/src/test/java/plumpost/platform/ClientsThatLeftTest.java
@@ -9,6 +9,7 @@
 import plumpost.Scenario;
 import plumpost.SocketRig;
 import plumpost.SocketRig.Peer;
+import plumpost.gearman.Packet;
 
 /**
  * Clients that leave while their request waits for its first attempt, on real connections: in each case, by each kind of
@@ -173,6 +174,26 @@
         }
     }
 
+    /** Guards the same pause for a Gearman client. */
+    @ParameterizedTest
+    @EnumSource(value = End.class, names = {"CLOSE", "RESET"})
+    void whoLeftOnTheGearmanFrontWhileTheLoopWasBusy(End end) throws IOException {
+        for (String cls : CLASSES) {
+            try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+                rig.platform.told("{\"seq\":2,\"whole\":true,\"hosts\":[" + rig.host(0, "draining") + "]}");
+                Peer client = rig.gearmanClient();
+                client.send(Packet.Type.SUBMIT_JOB, cls, "", "towels");
+                rig.until("held", () -> rig.room.open() == 1);
+                rig.after(10, () -> leave(end, client));
+                rig.after(390, () -> rig.platform.told("{\"seq\":3,\"whole\":true,\"hosts\":[" + rig.host(0, "up") + "]}"));
+                rig.jump(400);
+                assertThat(rig.counters.of("attempts.out")).isZero();
+                assertThat(sentOn(rig, 1_000)).isFalse();
+                assertThat(rig.room.open()).isZero();
+            }
+        }
+    }
+
     /** Guards the same pause while an order's last byte is kept back. */
     @ParameterizedTest
     @EnumSource(End.class)
