Take up to 1,024 members in a fleet's file

Only the file's bound is changed: what a fleet of that size costs is not measured. PeersConfigTest: 1,024 members are read, the 1,025th is refused by field and figure; green.

--- a/src/main/java/plumpost/config/PeersConfig.java
+++ b/src/main/java/plumpost/config/PeersConfig.java
@@ -42,8 +42,8 @@
     /** One scheduler: three or five of all have a vote. */
     public record Member(String name, InetSocketAddress address, String site, boolean vote) { }
 
-    /** Members at once. */
-    public static final int MOST = 256;
+    /** Members at once: what the fleet's book holds as well. */
+    public static final int MOST_MEMBERS = 1024;
 
     /** Reads the section for the scheduler of that name; {@code dataBefore}, where not null, goes before its {@code data}. */
     public static PeersConfig read(Fields f, String name, String dataBefore, boolean asks) {
@@ -64,8 +64,8 @@
             members.add(new Member(who, NodeListReader.address(m.where() + ".address", m.text("address")),
                 m.text("site", ""), m.flag("vote", false)));
         }
-        if (members.size() > MOST) {
-            throw new BadInput(f.where() + ": field members has " + members.size() + " members, at most " + MOST);
+        if (members.size() > MOST_MEMBERS) {
+            throw new BadInput(f.where() + ": field members has " + members.size() + " members, at most " + MOST_MEMBERS);
         }
         long votes = members.stream().filter(Member::vote).count();
         if (votes != 1 && votes != 3 && votes != 5) {
--- a/src/test/java/plumpost/config/PeersConfigTest.java
+++ b/src/test/java/plumpost/config/PeersConfigTest.java
@@ -30,6 +30,18 @@
             .isEqualTo(Path.of("/x"));
     }
 
+    /** Guards large fleets: 1,024 members are taken, and one more is told. */
+    @Test
+    void aThousandMembersAreTaken() {
+        StringBuilder more = new StringBuilder();
+        for (int i = 3; i <= 1024; i++) {
+            more.append(",{\"name\":\"m").append(i).append("\",\"address\":\"127.0.0.1:").append(i).append("\"}");
+        }
+        assertThat(read(GOOD.replace("]}", more + "]}")).members()).hasSize(1024);
+        String oneMore = GOOD.replace("]}", more + ",{\"name\":\"z\",\"address\":\"127.0.0.1:1\"}]}");
+        assertThatThrownBy(() -> read(oneMore)).hasMessageContaining("field members has 1025 members, at most 1024");
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "\"name\":\"b\"|\"name\":\"a\"|field name is a, which another member bears",
