Test the cold rule with 30 and 120 schedulers, and descriptors held by idle clients

Cause: both terms had no test that forces the case. FleetTest's flood case ran with 14 schedulers only; all sizes keep under N. FullDescriptorsIT starts a process with 256 descriptors by ulimit; 400 idle clients come while discovery resets its callers: calls for the list, an operator's call and an attempt get theirs. No change to the program.

--- /dev/null
+++ b/src/test/java/plumpost/cli/FullDescriptorsIT.java
@@ -0,0 +1,156 @@
+package plumpost.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import plumpost.Scenario;
+
+/** A process whose system lets it open no more descriptors than its settings say, while idle clients take all they get. */
+class FullDescriptorsIT {
+    private static final int DESCRIPTORS = 256;
+    private static final int IDLE_CLIENTS = 400;
+
+    @TempDir
+    private Path folder;
+
+    /** A listener of the test's own; each connection gets a thread. */
+    private static final class Stand implements Closeable {
+        private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+
+        interface Answer {
+            void to(Socket caller) throws IOException;
+        }
+
+        Stand(Answer answer) throws IOException {
+            Thread accepts = new Thread(() -> {
+                while (!socket.isClosed()) {
+                    try {
+                        Socket caller = socket.accept();
+                        Thread serves = new Thread(() -> serve(answer, caller));
+                        serves.setDaemon(true);
+                        serves.start();
+                    } catch (IOException e) {
+                        return;
+                    }
+                }
+            });
+            accepts.setDaemon(true);
+            accepts.start();
+        }
+
+        private static void serve(Answer answer, Socket caller) {
+            try {
+                answer.to(caller);
+            } catch (IOException e) {
+                // The scheduler has closed its end, which it may at any time.
+                return;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static String read(Socket from) throws IOException {
+        byte[] bytes = new byte[4096];
+        int n = from.getInputStream().read(bytes);
+        return n < 0 ? "" : new String(bytes, 0, n, StandardCharsets.US_ASCII);
+    }
+
+    private static void write(Socket to, String text) throws IOException {
+        to.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String ask(int port, String request) throws IOException {
+        try (Socket caller = new Socket("127.0.0.1", port)) {
+            caller.setSoTimeout(10_000);
+            write(caller, request);
+            return read(caller);
+        }
+    }
+
+    private static int port(String ready, String front) {
+        return Integer.parseInt(ready.replaceAll(".* " + front + " /127.0.0.1:([0-9]+).*", "$1"));
+    }
+
+    /** Guards descriptors: the call for the list, an attempt and an operator's call get theirs, whoever idles. */
+    @Test
+    @Timeout(90)
+    void idleClientsLeaveDescriptorsForEverythingElse() throws Exception {
+        CountDownLatch calledWhileFull = new CountDownLatch(3);
+        CountDownLatch full = new CountDownLatch(1);
+        CountDownLatch up = new CountDownLatch(1);
+        CountDownLatch told = new CountDownLatch(1);
+        Stand node = new Stand(caller -> {
+            read(caller);
+            write(caller, "HTTP/1.1 200 OK\r\nContent-Length: 46\r\n\r\n{\"id\":\"job\",\"state\":\"done\",\"result\":\"washed\"}\n");
+            read(caller);
+        });
+        String host = "{\"host\":\"n1\",\"dial\":\"127.0.0.1:" + node.socket.getLocalPort()
+            + "\",\"site\":\"p\",\"class\":\"k\",\"health\":\"up\",\"share\":1.0,\"born_ms\":0}";
+        Stand discovery = new Stand(caller -> {
+            read(caller);
+            if (full.getCount() == 0) {
+                calledWhileFull.countDown();
+            }
+            if (up.getCount() > 0) {
+                caller.close(); // down
+                return;
+            }
+            String list = "{\"seq\":2,\"whole\":true,\"hosts\":[" + host + "]}\n";
+            write(caller, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
+                + "\r\n" + list + "\r\n");
+            told.countDown();
+            read(caller);
+        });
+        Path file = Files.writeString(folder.resolve("c.json"), "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\","
+            + "\"ops\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery.socket.getLocalPort() + "\",\"limits\":"
+            + "{\"sockets\":" + DESCRIPTORS + "},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":"
+            + Scenario.SETTINGS + "}");
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + DESCRIPTORS
+            + "; exec java -jar target/plumpost.jar serve --config \"$0\"", file.toString());
+        builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
+        builder.environment().put("TMPDIR", folder.toString());
+        Process served = builder.start();
+        List<Socket> idle = new ArrayList<>();
+        try (node; discovery; BufferedReader log = served.errorReader()) {
+            String ready = log.lines().filter(l -> l.contains("ready,")).findFirst().orElseThrow();
+            for (int i = 0; i < IDLE_CLIENTS; i++) {
+                Socket client = new Socket("127.0.0.1", port(ready, "http"));
+                idle.add(client);
+                write(client, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n");
+            }
+            full.countDown();
+            assertThat(calledWhileFull.await(20, TimeUnit.SECONDS)).as("calls for the list while clients hold all").isTrue();
+            String operators = "GET /control/counters HTTP/1.1\r\nHost: h\r\n\r\n";
+            assertThat(ask(port(ready, "control"), operators)).startsWith("HTTP/1.1 200 ");
+            up.countDown();
+            assertThat(told.await(20, TimeUnit.SECONDS)).as("the list was told").isTrue();
+            assertThat(ask(port(ready, "http"), "POST /route-plan HTTP/1.1\r\nHost: h\r\nX-Txn: job\r\nContent-Length: 1\r\n\r\nx"))
+                .startsWith("HTTP/1.1 200 ").endsWith("washed");
+            assertThat(ask(port(ready, "control"), operators)).startsWith("HTTP/1.1 200 ");
+        } finally {
+            served.destroyForcibly();
+            for (Socket client : idle) {
+                client.close();
+            }
+        }
+    }
+}
--- a/src/test/java/plumpost/decision/FleetTest.java
+++ b/src/test/java/plumpost/decision/FleetTest.java
@@ -9,6 +9,8 @@
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.ListMode;
 import plumpost.decision.Dispatcher.LoadReport;
@@ -31,9 +33,15 @@
             String id = "w" + i;
             workers.put(id, new WorkerEntry(id, i % PLANTS, 0, 0, Phase.SERVING, 1, 0));
         }
-        for (int i = 0; i < SCHEDULERS; i++) {
+        startSchedulers(SCHEDULERS);
+    }
+
+    private void startSchedulers(int count) {
+        outs.clear();
+        fleet.clear();
+        for (int i = 0; i < count; i++) {
             Bench bench = new Bench();
-            bench.balancers = SCHEDULERS;
+            bench.balancers = count;
             bench.index = i;
             bench.zone = i % PLANTS;
             bench.zones = PLANTS;
@@ -152,9 +160,14 @@
         assertThat(errors).as("orders lost, one a scheduler").isLessThanOrEqualTo(SCHEDULERS);
     }
 
-    /** Guards rule 4 over all schedulers: what they send one cold worker within any window, while all have work. */
-    @Test
-    void togetherTheyDoNotFloodAColdWorker() {
+    /**
+     * Guards rule 4 over all schedulers, however many they are: what they send one cold worker within any window, while
+     * all have work. Beyond what the settings allow the bench takes 2 x root of N + 2 jobs for chance; none is needed.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {14, 30, 120})
+    void togetherTheyDoNotFloodAColdWorker(int schedulers) {
+        startSchedulers(schedulers);
         WorkerEntry cold = new WorkerEntry("cold", 0, 0, 0, Phase.SERVING, 1, 1_000);
         List<double[]> sent = new ArrayList<>();
         Random random = new Random(5);
@@ -162,7 +175,7 @@
             each.workers(1_000, ListMode.FULL, List.of(cold));
         }
         for (double now = 1_000; now < 11_000; now += 20) {
-            for (int s = 0; s < SCHEDULERS; s++) {
+            for (int s = 0; s < schedulers; s++) {
                 double cost = 50 + random.nextInt(400);
                 String id = "j" + now;
                 fleet.get(s).arrived(now, Bench.job(id, 0, cost));
