--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run; the commands behind them are Maven's and java's.
 CONFIG ?= deploy/gearman.json
 
-.PHONY: build test lint run bench-gearman faults-gearman fleet-cost fleet-test kill-test conformance clean
+.PHONY: build test lint format run bench-gearman faults-gearman fleet-cost fleet-test kill-test conformance clean
 
 build: ## the jar, without tests
 	mvn -q -B -DskipTests package
@@ -9,8 +9,11 @@
 test: ## build and all tests, as CI does
 	mvn -B verify
 
-lint: ## compiler lint, warnings are errors
-	mvn -q -B clean test-compile
+lint: ## compiler lint, linter and formatter, as CI does; warnings are errors
+	mvn -q -B clean test-compile checkstyle:check@lint spotless:check
+
+format: ## writes the code in the form that lint asks for
+	mvn -q -B spotless:apply
 
 run: build ## one scheduler by the file in CONFIG
 	java -jar target/plumpost.jar serve --config $(CONFIG)
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -545,9 +545,9 @@
             && r.attempts.size() + more < set.limits().maxAttempts();
     }
 
-    private void startSeen(Worker w, double prompt) {
-        promptShare += (prompt - promptShare) * PROMPT_GAIN;
-        waits[w.zone] += (1 - prompt - waits[w.zone]) * PROMPT_GAIN;
+    private void startSeen(Worker w, double inTime) {
+        promptShare += (inTime - promptShare) * PROMPT_GAIN;
+        waits[w.zone] += (1 - inTime - waits[w.zone]) * PROMPT_GAIN;
     }
 
     private void judge(Request r, Attempt a, Worker w, boolean ran) {
@@ -695,10 +695,10 @@
     private void settle() {
         while (!tasks.isEmpty()) {
             Task next = tasks.peek();
-            boolean moot = next.about != null && next.about.done;
-            if (!moot && next.at > now + TIMER_SLACK_MS) break;
+            boolean over = next.about != null && next.about.done;
+            if (!over && next.at > now + TIMER_SLACK_MS) break;
             tasks.poll();
-            if (!moot) next.what.run();
+            if (!over) next.what.run();
         }
         if (!tasks.isEmpty() && (wakes.isEmpty() || tasks.peek().at < wakes.peek())) {
             wakes.add(tasks.peek().at);
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -62,7 +62,7 @@
     /** A core with an empty ledger and no node yet. */
     public DispatchRoom(Dispatcher.Settings settings, long seed, Clock clock, TimerWheel wheel, Counters counters,
                         Bounds bounds, Consumer<String> log) {
-        this(settings, clock, wheel, counters, bounds, log, actions -> new Logic(settings, seed, actions));
+        this(settings, clock, wheel, counters, bounds, log, carrier -> new Logic(settings, seed, carrier));
     }
 
     /** A core that drives the module which is made for its actions. */
--- a/src/main/java/plumpost/gearman/WorkerSeat.java
+++ b/src/main/java/plumpost/gearman/WorkerSeat.java
@@ -1,6 +1,5 @@
 package plumpost.gearman;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.BitSet;
 import java.util.Collection;
--- a/src/main/java/plumpost/http/Head.java
+++ b/src/main/java/plumpost/http/Head.java
@@ -223,10 +223,10 @@
 
     /** The length of the body as the framing fields say it: -1 without such a field, -2 in chunks. */
     long framing() throws BadMessage {
-        int length = index("Content-Length", 0);
+        int lengthField = index("Content-Length", 0);
         int coding = index("Transfer-Encoding", 0);
         if (coding >= 0) {
-            if (length >= 0) {
+            if (lengthField >= 0) {
                 throw new BadMessage(400, "conflicting framing");
             }
             if (!value(coding).equalsIgnoreCase("chunked") || index("Transfer-Encoding", coding + 1) >= 0) {
@@ -234,11 +234,11 @@
             }
             return -2;
         }
-        if (length < 0) {
+        if (lengthField < 0) {
             return -1;
         }
-        String said = value(length);
-        for (int i = index("Content-Length", length + 1); i >= 0; i = index("Content-Length", i + 1)) {
+        String said = value(lengthField);
+        for (int i = index("Content-Length", lengthField + 1); i >= 0; i = index("Content-Length", i + 1)) {
             if (!value(i).equals(said)) {
                 throw new BadMessage(400, "conflicting framing");
             }
--- a/src/main/java/plumpost/lab/fleet/FleetLab.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLab.java
@@ -161,13 +161,13 @@
         }
 
         private void tell(String what, String words) throws IOException {
-            Path file = plan.folder.resolve(name + what);
+            Path control = plan.folder.resolve(name + what);
             if (words == null) {
-                Files.deleteIfExists(file);
+                Files.deleteIfExists(control);
             } else {
                 Path whole = plan.folder.resolve(name + what + ".new");
                 Files.writeString(whole, words);
-                Files.move(whole, file, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+                Files.move(whole, control, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
             }
         }
 
--- a/src/main/java/plumpost/log/Lines.java
+++ b/src/main/java/plumpost/log/Lines.java
@@ -31,16 +31,16 @@
     }
 
     /** The line of an entry, without its end. */
-    static String line(String who, boolean json, Level level, String logger, String message, Throwable thrown) {
-        if (!json) {
-            return who + ": " + message + (thrown == null ? "" : ": " + thrown);
+    static String line(String process, boolean asJson, Level level, String logger, String message, Throwable thrown) {
+        if (!asJson) {
+            return process + ": " + message + (thrown == null ? "" : ": " + thrown);
         }
         StringWriter text = new StringWriter();
         try (JsonGenerator j = new JsonFactory().createGenerator(text)) {
             j.writeStartObject();
             j.writeStringField("time", Instant.now().toString());
             j.writeStringField("level", level.name());
-            j.writeStringField("name", who);
+            j.writeStringField("name", process);
             j.writeStringField("logger", logger);
             j.writeStringField("message", message);
             if (thrown != null) {
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -1,7 +1,6 @@
 package plumpost.platform;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.function.DoubleSupplier;
 import plumpost.config.NodeConfig;
 import plumpost.config.NodeListReader;
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -79,10 +79,12 @@
         this(nodes, SETTINGS);
     }
 
+    /** The same with settings of its own. */
     public Scenario(int nodes, String settings) {
         this(nodes, settings, 1024);
     }
 
+    /** The same with a limit on descriptors of its own. */
     public Scenario(int nodes, String settings, int sockets) {
         this(nodes, settings, sockets, GearmanConfig.usual(null), 64);
     }
--- a/src/test/java/plumpost/durable/OrderModel.java
+++ b/src/test/java/plumpost/durable/OrderModel.java
@@ -105,8 +105,8 @@
                 + 64 * (known.worker < 0 ? 0 : 1 + (known.worker ^ swapWorkers))));
         }
 
-        void check(boolean holds, String words) {
-            broken = broken == null && !holds ? words : broken;
+        void check(boolean kept, String words) {
+            broken = broken == null && !kept ? words : broken;
         }
     }
 
--- a/src/test/java/plumpost/lab/fleet/DisksIT.java
+++ b/src/test/java/plumpost/lab/fleet/DisksIT.java
@@ -6,7 +6,6 @@
 import java.io.RandomAccessFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
