--- a/src/main/java/plumpost/cli/FleetCommands.java
+++ b/src/main/java/plumpost/cli/FleetCommands.java
@@ -22,7 +22,7 @@
 final class FleetCommands {
     private static final String USAGE = "plumpost fleet show|yield DUTY|remove NAME [options]";
 
-    private FleetCommands() { }
+    private FleetCommands() {}
 
     static int run(String[] args, PrintStream out, PrintStream err) {
         Options options = new Options();
@@ -37,16 +37,16 @@
                 return 0;
             }
             String command = words.isEmpty() ? "" : words.get(0);
-            boolean known = command.equals("show") ? words.size() == 1
-                : Arrays.asList("yield", "remove").contains(command) && words.size() == 2;
+            boolean known = command.equals("show")
+                    ? words.size() == 1
+                    : Arrays.asList("yield", "remove").contains(command) && words.size() == 2;
             if (!known) {
                 throw new ParseException("usage: " + USAGE);
             }
             NodeConfig config = NodeConfig.read(Serve.file(line.getOptionValue("config")), System.getenv());
             PeersConfig peers = PeersConfig.of(config);
             LinesProvider.begin("fleet", false);
-            String answer = Peers.maker().call(peers, command,
-                words.size() > 1 ? words.get(1) : "");
+            String answer = Peers.maker().call(peers, command, words.size() > 1 ? words.get(1) : "");
             out.println(command.equals("show") && !line.hasOption("json") ? page(answer) : answer);
             return 0;
         } catch (ParseException | BadInput e) {
@@ -58,22 +58,30 @@
     /** The page as a person reads it. */
     private static String page(String json) {
         Fields f = Json.object("fleet", json.getBytes(StandardCharsets.UTF_8));
-        StringBuilder all = new StringBuilder("leader " + f.text("leader") + ", record format " + f.whole("format") + "\n\n");
+        StringBuilder all =
+                new StringBuilder("leader " + f.text("leader") + ", record format " + f.whole("format") + "\n\n");
         all.append(String.format("%-20s %-9s %12s  %-12s %s%n", "member", "state", "incarnation", "site", "vote"));
         for (Object o : f.list("members")) {
             Fields m = Json.fields("members", o);
-            all.append(String.format("%-20s %-9s %12d  %-12s %s%n", m.text("name"), m.text("state"),
-                m.longWhole("incarnation"), m.text("site"), m.flag("vote", false) ? "yes" : "no"));
+            all.append(String.format(
+                    "%-20s %-9s %12d  %-12s %s%n",
+                    m.text("name"),
+                    m.text("state"),
+                    m.longWhole("incarnation"),
+                    m.text("site"),
+                    m.flag("vote", false) ? "yes" : "no"));
         }
         all.append(String.format("%n%-28s %-20s %8s  %s%n", "duty", "owner", "fence", "site"));
         for (Object o : f.list("duties")) {
             Fields d = Json.fields("duties", o);
-            all.append(String.format("%-28s %-20s %8d  %s%n", d.text("name"), d.text("owner"), d.longWhole("fence"),
-                d.text("site")));
+            all.append(String.format(
+                    "%-28s %-20s %8d  %s%n", d.text("name"), d.text("owner"), d.longWhole("fence"), d.text("site")));
         }
         Map<String, Object> s = f.object("schedule").map();
-        all.append("\noffline by hand: ").append(f.list("offline").isEmpty() ? "none" : f.list("offline"))
-            .append("\nschedule: ").append(s);
+        all.append("\noffline by hand: ")
+                .append(f.list("offline").isEmpty() ? "none" : f.list("offline"))
+                .append("\nschedule: ")
+                .append(s);
         return all.toString();
     }
 }
--- a/src/main/java/plumpost/cli/FleetHost.java
+++ b/src/main/java/plumpost/cli/FleetHost.java
@@ -29,13 +29,22 @@
     }
 
     /** Makes this scheduler's part in its fleet and joins it to the core and the fronts. */
-    static Fleet begin(NodeConfig config, String data, DispatchRoom room, Platform platform, GearmanDoor gearman,
-                       Console console, Kit kit, SelectorLoop loop) {
+    static Fleet begin(
+            NodeConfig config,
+            String data,
+            DispatchRoom room,
+            Platform platform,
+            GearmanDoor gearman,
+            Console console,
+            Kit kit,
+            SelectorLoop loop) {
         PeersConfig peers = PeersConfig.read(config.peers(), config.name(), data, config.discovery() != null);
-        List<String> classes = config.settings().classes().stream().map(c -> c.name()).toList();
+        List<String> classes =
+                config.settings().classes().stream().map(c -> c.name()).toList();
         peers.covered().classes().forEach(c -> {
             if (!classes.contains(c)) {
-                throw new BadInput("configuration: peers: field covers names " + c + ", not one of the classes " + classes);
+                throw new BadInput(
+                        "configuration: peers: field covers names " + c + ", not one of the classes " + classes);
             }
         });
         if (gearman == null && !peers.covered().classes().isEmpty()) {
--- a/src/main/java/plumpost/cli/Main.java
+++ b/src/main/java/plumpost/cli/Main.java
@@ -18,7 +18,7 @@
 public final class Main {
     private static final String USAGE = "plumpost serve|rehearse|check|fleet|benchlink|lab|version|help [options]";
 
-    private Main() { }
+    private Main() {}
 
     /** Runs a command; bad arguments and bad configuration end with one line and 2. */
     public static void main(String[] args) throws IOException {
@@ -42,10 +42,11 @@
         options.addOption("c", "config", true, "configuration file; NODE_CONFIG where it is not given");
         options.addOption(null, "data", true, "serve: data directory, in place of peers.data");
         try {
-            CommandLine line = new DefaultParser().parse(options,
-                args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length));
+            CommandLine line = new DefaultParser()
+                    .parse(options, args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length));
             if (!line.getArgList().isEmpty()) {
-                throw new ParseException("unexpected argument " + line.getArgList().get(0));
+                throw new ParseException(
+                        "unexpected argument " + line.getArgList().get(0));
             }
             switch (args.length == 0 ? "" : args[0]) {
                 case "serve" -> {
--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -11,29 +11,29 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import plumpost.config.GearmanConfig;
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
-import plumpost.config.GearmanConfig;
 import plumpost.config.NodeConfig;
 import plumpost.control.Console;
 import plumpost.control.ControlDoor;
 import plumpost.control.SharedBans;
 import plumpost.count.Counters;
 import plumpost.dispatch.DispatchRoom;
-import plumpost.time.SystemClock;
-import plumpost.time.TimerWheel;
 import plumpost.front.Front;
 import plumpost.gearman.GearmanDoor;
 import plumpost.http.AnswerReader;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.log.Logs;
+import plumpost.net.ConnectionHandler;
 import plumpost.net.Kit;
 import plumpost.net.SelectorLoop;
-import plumpost.net.ConnectionHandler;
 import plumpost.peers.Fleet;
 import plumpost.platform.Platform;
 import plumpost.platform.WarmUp;
+import plumpost.time.SystemClock;
+import plumpost.time.TimerWheel;
 
 /** Runs one real scheduler until SIGTERM, and ends it in order. SIGHUP has it read its configuration again. */
 final class Serve {
@@ -43,6 +43,7 @@
     private static final int READINGS = 12;
     /** So long the start waits for what the data directory holds. */
     private static final double FLEET_MS = 5000;
+
     private static final double REREAD_MS = 250;
 
     private final Path file;
@@ -58,12 +59,14 @@
     private final List<Front> fronts = new ArrayList<>(2);
     /** Listeners that the platform holds and shares with the next process: let go of at SIGTERM, never closed for it. */
     private final List<SelectorLoop.Listener> inheritedDoors = new ArrayList<>(1);
+
     private final String inheritedFd;
     private final SharedBans sharedBans;
     private boolean serving;
     private int hangups;
     /** The file as last taken: a later one that lacks any of its keys is broken. */
     private Json.Fields lastFile;
+
     private double stopAt = Double.NaN;
 
     /** Its part in a fleet, or null while the file has no peers. */
@@ -74,25 +77,38 @@
         lastFile = NodeConfig.parse(file);
         config = NodeConfig.from(lastFile, System.getenv());
         inheritedFd = System.getenv("NODE_FD");
-        log = Logs.sink(config.name(), config.peers() != null && config.logFormat() == null ? "text" : config.logFormat());
+        log = Logs.sink(
+                config.name(), config.peers() != null && config.logFormat() == null ? "text" : config.logFormat());
         loop = new SelectorLoop(clock, wheel, counters, this::log);
-        room = new DispatchRoom(config.settings(), config.seed(), clock, wheel, counters,
-            bounds(Runtime.getRuntime().maxMemory(), config.gearman()), this::log);
+        room = new DispatchRoom(
+                config.settings(),
+                config.seed(),
+                clock,
+                wheel,
+                counters,
+                bounds(Runtime.getRuntime().maxMemory(), config.gearman()),
+                this::log);
         Kit kit = new Kit(loop, clock, wheel, counters, this::log);
         platform = new Platform(config, room, kit, loop::lagMs);
         fronts.add(platform);
-        GearmanDoor gearman = config.gearman() == null ? null : new GearmanDoor(config, Main.version(), room, kit,
-            () -> new Thread(() -> System.exit(0), "shutdown").start());
+        GearmanDoor gearman = config.gearman() == null
+                ? null
+                : new GearmanDoor(
+                        config, Main.version(), room, kit, () -> new Thread(() -> System.exit(0), "shutdown").start());
         if (gearman != null) {
             fronts.add(gearman);
         }
         // In a fleet the log keeps the bans, and the data directory belongs to one process.
-        sharedBans = config.ops() == null || config.peers() != null ? null : new SharedBans(sharedDirectory(), room, kit);
-        Console console = new Console(room, counters, sharedBans, () -> serving && Double.isNaN(stopAt) && platform.listed());
+        sharedBans =
+                config.ops() == null || config.peers() != null ? null : new SharedBans(sharedDirectory(), room, kit);
+        Console console =
+                new Console(room, counters, sharedBans, () -> serving && Double.isNaN(stopAt) && platform.listed());
         if (config.ops() != null) {
             fronts.add(new ControlDoor(config.ops(), controlPlaces(config.sockets()), kit, console));
         }
-        fleet = config.peers() == null ? null : FleetHost.begin(config, data, room, platform, gearman, console, kit, loop);
+        fleet = config.peers() == null
+                ? null
+                : FleetHost.begin(config, data, room, platform, gearman, console, kit, loop);
     }
 
     /** Callers of the operators' listener at once: a few dozen, out of the descriptors that jobs need. */
@@ -110,10 +126,11 @@
     static DispatchRoom.Bounds bounds(long heap, GearmanConfig gearman) {
         GearmanConfig.Limits said = gearman == null ? GearmanConfig.Limits.USUAL : gearman.limits();
         return new DispatchRoom.Bounds(
-            said.openJobs() > 0 ? said.openJobs() : (int) Math.min(4096, heap >> 14),
-            said.jobBytes() > 0 ? said.jobBytes() : heap / 5,
-            said.keptOutcomes() > 0 ? said.keptOutcomes() : (int) Math.min(16_384, heap >> 12), heap / 10,
-            said.packetBytes());
+                said.openJobs() > 0 ? said.openJobs() : (int) Math.min(4096, heap >> 14),
+                said.jobBytes() > 0 ? said.jobBytes() : heap / 5,
+                said.keptOutcomes() > 0 ? said.keptOutcomes() : (int) Math.min(16_384, heap >> 12),
+                heap / 10,
+                said.packetBytes());
     }
 
     /** The configuration's file: the one that is given, or the one in NODE_CONFIG. */
@@ -135,7 +152,8 @@
         }
         Channel given = System.inheritedChannel();
         if (!(given instanceof ServerSocketChannel listening)) {
-            throw new BadInput("NODE_FD is 0, but descriptor 0 is " + (given == null ? "no socket" : "no listening socket"));
+            throw new BadInput(
+                    "NODE_FD is 0, but descriptor 0 is " + (given == null ? "no socket" : "no listening socket"));
         }
         return listening;
     }
@@ -176,7 +194,7 @@
     }
 
     private String open() throws IOException {
-        for (double until = clock.nowMs() + FLEET_MS; fleet != null && !fleet.ready() && clock.nowMs() < until;) {
+        for (double until = clock.nowMs() + FLEET_MS; fleet != null && !fleet.ready() && clock.nowMs() < until; ) {
             loop.turn(20); // the bans that the fleet has agreed on hold before anything is served
         }
         StringBuilder where = new StringBuilder();
@@ -197,8 +215,9 @@
 
     /** Goes through the start and one request on a port that the system gives, so that the JVM can archive what it loads. */
     int rehearse() throws IOException {
-        InetSocketAddress front = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-            platform::accept, 8, platform::shed).address();
+        InetSocketAddress front = loop.listen(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), platform::accept, 8, platform::shed)
+                .address();
         WarmUp.play(config);
         platform.ready();
         AnswerReader answer = new AnswerReader(1024);
@@ -228,8 +247,10 @@
     }
 
     private boolean done() {
-        boolean idle = !Double.isNaN(stopAt) && clock.nowMs() - stopAt >= GOING_MS && room.open() == 0
-            && fronts.stream().allMatch(Front::quiet);
+        boolean idle = !Double.isNaN(stopAt)
+                && clock.nowMs() - stopAt >= GOING_MS
+                && room.open() == 0
+                && fronts.stream().allMatch(Front::quiet);
         if (idle && fleet != null) {
             fleet.idle();
         }
@@ -257,7 +278,7 @@
             counters.count("config.applied");
             fronts.forEach(f -> f.reload(now));
             log("SIGHUP: the file is taken, classes " + String.join(" ", room.classNames()) + ", attempts "
-                + room.settings().limits().maxAttempts());
+                    + room.settings().limits().maxAttempts());
         } catch (BadInput | IllegalArgumentException e) {
             if (readings == READINGS) {
                 counters.count("config.rejected");
--- a/src/main/java/plumpost/config/GearmanConfig.java
+++ b/src/main/java/plumpost/config/GearmanConfig.java
@@ -23,11 +23,19 @@
  * @param allowed the admin lines that can harm and are allowed all the same
  * @param limits what the front may hold
  */
-public record GearmanConfig(InetSocketAddress listen, int plant, int model, List<Rule> functions, double backgroundMs,
-                            double returnMs, double grabHoldMs, Set<String> allowed, Limits limits) {
+public record GearmanConfig(
+        InetSocketAddress listen,
+        int plant,
+        int model,
+        List<Rule> functions,
+        double backgroundMs,
+        double returnMs,
+        double grabHoldMs,
+        Set<String> allowed,
+        Limits limits) {
 
     /** Functions whose names match belong to a class. */
-    public record Rule(Pattern match, int cls) { }
+    public record Rule(Pattern match, int cls) {}
 
     /**
      * What the front may hold.
@@ -44,9 +52,18 @@
      * @param jobBytes bytes of their data, 0 for a fifth of the heap
      * @param keptOutcomes outcomes kept for resubmits, 0 for what the heap allows
      */
-    public record Limits(int packetBytes, long readingBytes, int connections, int functions, int queue,
-                         int jobsPerClient, int scheduled, long scheduledBytes, int openJobs, long jobBytes,
-                         int keptOutcomes) {
+    public record Limits(
+            int packetBytes,
+            long readingBytes,
+            int connections,
+            int functions,
+            int queue,
+            int jobsPerClient,
+            int scheduled,
+            long scheduledBytes,
+            int openJobs,
+            long jobBytes,
+            int keptOutcomes) {
         /** The limits where nothing is said. */
         public static final Limits USUAL = new Limits(65 * 1024, 8 << 20, 0, 1024, 0, 65_536, 10_000, 8 << 20, 0, 0, 0);
     }
@@ -84,11 +101,16 @@
                 allowed.add(line);
             }
         }
-        return new GearmanConfig(NodeListReader.address(f.where() + ".listen", listen),
-            place(settings.listOrEmpty("dcs"), f, "plant"), place(settings.listOrEmpty("shapes"), f, "model"),
-            List.copyOf(rules), f.between("backgroundMs", 3_600_000, 1, 7 * 86_400_000.0),
-            f.between("returnMs", 30_000, 0, 3_600_000), f.between("grabHoldMs", 10, 0, 1000),
-            Set.copyOf(allowed), limits(f.objectOrEmpty("limits")));
+        return new GearmanConfig(
+                NodeListReader.address(f.where() + ".listen", listen),
+                place(settings.listOrEmpty("dcs"), f, "plant"),
+                place(settings.listOrEmpty("shapes"), f, "model"),
+                List.copyOf(rules),
+                f.between("backgroundMs", 3_600_000, 1, 7 * 86_400_000.0),
+                f.between("returnMs", 30_000, 0, 3_600_000),
+                f.between("grabHoldMs", 10, 0, 1000),
+                Set.copyOf(allowed),
+                limits(f.objectOrEmpty("limits")));
     }
 
     private static Limits limits(Fields f) {
@@ -106,10 +128,18 @@
         v.put("jobBytes", f.whole("jobBytes", u.jobBytes, 0, 1L << 36));
         v.put("keptOutcomes", f.whole("keptOutcomes", u.keptOutcomes, 0, 10_000_000));
         f.only(v.keySet().toArray(String[]::new));
-        return new Limits(v.get("packetBytes").intValue(), v.get("readingBytes"), v.get("connections").intValue(),
-            v.get("functions").intValue(), v.get("queue").intValue(), v.get("jobsPerClient").intValue(),
-            v.get("scheduled").intValue(), v.get("scheduledBytes"), v.get("openJobs").intValue(), v.get("jobBytes"),
-            v.get("keptOutcomes").intValue());
+        return new Limits(
+                v.get("packetBytes").intValue(),
+                v.get("readingBytes"),
+                v.get("connections").intValue(),
+                v.get("functions").intValue(),
+                v.get("queue").intValue(),
+                v.get("jobsPerClient").intValue(),
+                v.get("scheduled").intValue(),
+                v.get("scheduledBytes"),
+                v.get("openJobs").intValue(),
+                v.get("jobBytes"),
+                v.get("keptOutcomes").intValue());
     }
 
     /** A pattern in which {@code *} stands for any characters and {@code ?} for one. */
--- a/src/main/java/plumpost/config/Json.java
+++ b/src/main/java/plumpost/config/Json.java
@@ -14,10 +14,12 @@
 /** Reads JSON with the streaming parser into named fields, with the checks that every reader needs. */
 public final class Json {
     /** No peer's bytes may nest so deep that reading them runs out of stack. */
-    static final JsonFactory FACTORY = JsonFactory.builder().streamReadConstraints(
-        StreamReadConstraints.builder().maxNestingDepth(32).build()).build();
+    static final JsonFactory FACTORY = JsonFactory.builder()
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxNestingDepth(32).build())
+            .build();
 
-    private Json() { }
+    private Json() {}
 
     /** Reads bytes that hold one object and nothing else; {@code where} names it in messages. */
     public static Fields object(String where, byte[] bytes) {
@@ -71,7 +73,8 @@
             }
             case VALUE_NUMBER_INT -> {
                 return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                    ? (Object) in.getBigIntegerValue().longValue() : (Object) in.getLongValue();
+                        ? (Object) in.getBigIntegerValue().longValue()
+                        : (Object) in.getLongValue();
             }
             case VALUE_NUMBER_FLOAT -> {
                 return in.getDoubleValue();
@@ -137,7 +140,7 @@
             double v = number(name, otherwise);
             if (!(v >= least && v <= most)) {
                 throw new BadInput(where + ": field " + name + " is " + get(name, Number.class, "a number")
-                    + ", not from " + plain(least) + " to " + plain(most));
+                        + ", not from " + plain(least) + " to " + plain(most));
             }
             return v;
         }
--- a/src/main/java/plumpost/config/LoadReports.java
+++ b/src/main/java/plumpost/config/LoadReports.java
@@ -10,13 +10,17 @@
 
 /** Reads a route node's load report: from named fields, or from a body that is an object or {@code name=value} pairs. */
 public final class LoadReports {
-    private LoadReports() { }
+    private LoadReports() {}
 
     /** The report in named fields. */
     public static LoadReport read(Fields r, boolean freeSlots) {
-        return new LoadReport(r.number("inflight", Double.NaN), r.number("queue", Double.NaN),
-            r.number("latency_ms", Double.NaN), r.number("eps", Double.NaN),
-            freeSlots ? r.number("x0", Double.NaN) : Double.NaN, r.number("x1", Double.NaN));
+        return new LoadReport(
+                r.number("inflight", Double.NaN),
+                r.number("queue", Double.NaN),
+                r.number("latency_ms", Double.NaN),
+                r.number("eps", Double.NaN),
+                freeSlots ? r.number("x0", Double.NaN) : Double.NaN,
+                r.number("x1", Double.NaN));
     }
 
     /** The report in a body or field of an answer; null for an empty one. */
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -27,14 +27,33 @@
  * @param ops where the operators' calls are listened for, or null
  * @param peers the section that names the schedulers that this one may talk to, as given, or null while there are none
  */
-public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                         Dispatcher.Settings settings, Fields raw, Fields known,
-                         GearmanConfig gearman, String logFormat, InetSocketAddress ops, Fields peers) {
+public record NodeConfig(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        Dispatcher.Settings settings,
+        Fields raw,
+        Fields known,
+        GearmanConfig gearman,
+        String logFormat,
+        InetSocketAddress ops,
+        Fields peers) {
 
     /** A configuration without peers. */
-    public NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                      Dispatcher.Settings settings, Fields raw, Fields known, GearmanConfig gearman, String logFormat,
-                      InetSocketAddress ops) {
+    public NodeConfig(
+            String name,
+            InetSocketAddress listen,
+            InetSocketAddress discovery,
+            long seed,
+            int sockets,
+            Dispatcher.Settings settings,
+            Fields raw,
+            Fields known,
+            GearmanConfig gearman,
+            String logFormat,
+            InetSocketAddress ops) {
         this(name, listen, discovery, seed, sockets, settings, raw, known, gearman, logFormat, ops, null);
     }
 
@@ -86,11 +105,19 @@
         } catch (IllegalArgumentException e) {
             throw new BadInput("configuration: " + e.getMessage());
         }
-        NodeConfig c = new NodeConfig(environment.getOrDefault("NODE_NAME", f.text("name", "plumpost")),
-            address(environment, "NODE_LISTEN", f, "listen"), address(environment, "NODE_DISCOVERY", f, "discovery"),
-            seed(f.text("seed", "0")), (int) f.objectOrEmpty("limits").number("sockets", 1024), settings, raw,
-            f.objectOrEmpty("known"), f.has("gearman") ? GearmanConfig.read(f.object("gearman"), raw) : null,
-            f.has("log") ? logFormat(f.object("log")) : null, address(environment, "NODE_OPS", f, "ops"), f.has("peers") ? f.object("peers") : null);
+        NodeConfig c = new NodeConfig(
+                environment.getOrDefault("NODE_NAME", f.text("name", "plumpost")),
+                address(environment, "NODE_LISTEN", f, "listen"),
+                address(environment, "NODE_DISCOVERY", f, "discovery"),
+                seed(f.text("seed", "0")),
+                (int) f.objectOrEmpty("limits").number("sockets", 1024),
+                settings,
+                raw,
+                f.objectOrEmpty("known"),
+                f.has("gearman") ? GearmanConfig.read(f.object("gearman"), raw) : null,
+                f.has("log") ? logFormat(f.object("log")) : null,
+                address(environment, "NODE_OPS", f, "ops"),
+                f.has("peers") ? f.object("peers") : null);
         if (c.listen == null && c.gearman == null) {
             throw new BadInput("configuration: neither listen nor gearman.listen is given");
         }
@@ -116,8 +143,10 @@
 
     private static InetSocketAddress address(Map<String, String> environment, String variable, Fields f, String field) {
         String text = environment.getOrDefault(variable, f.text(field, null));
-        return text == null || text.isEmpty() ? null
-            : NodeListReader.address(environment.containsKey(variable) ? variable : "configuration: " + field, text);
+        return text == null || text.isEmpty()
+                ? null
+                : NodeListReader.address(
+                        environment.containsKey(variable) ? variable : "configuration: " + field, text);
     }
 
     private static long seed(String text) {
--- a/src/main/java/plumpost/config/NodeListReader.java
+++ b/src/main/java/plumpost/config/NodeListReader.java
@@ -19,10 +19,10 @@
     private final Consumer<String> malformed;
 
     /** One line of a list: a route node, and the address at which this scheduler reaches it. */
-    public record Line(WorkerEntry entry, InetSocketAddress dial) { }
+    public record Line(WorkerEntry entry, InetSocketAddress dial) {}
 
     /** A list or its changes, with the version. */
-    public record Listing(long seq, boolean whole, List<Line> lines) { }
+    public record Listing(long seq, boolean whole, List<Line> lines) {}
 
     /** A reader that knows the names of plants and models; it reports each malformed line and passes it over. */
     public NodeListReader(Fields settings, Consumer<String> malformed) {
@@ -45,13 +45,20 @@
     }
 
     private Line line(Fields f) {
-        Phase phase = switch (f.text("health")) {
-            case "up" -> Phase.SERVING;
-            case "removed" -> Phase.DELETED;
-            default -> Phase.DRAINING; // draining, or a word not known here: nothing new is sent
-        };
-        WorkerEntry entry = new WorkerEntry(f.text("host"), place(plants, f, "site"), place(models, f, "class"),
-            (int) f.number("block", 0), phase, f.number("share", 1), f.number("born_ms", 0));
+        Phase phase =
+                switch (f.text("health")) {
+                    case "up" -> Phase.SERVING;
+                    case "removed" -> Phase.DELETED;
+                    default -> Phase.DRAINING; // draining, or a word not known here: nothing new is sent
+                };
+        WorkerEntry entry = new WorkerEntry(
+                f.text("host"),
+                place(plants, f, "site"),
+                place(models, f, "class"),
+                (int) f.number("block", 0),
+                phase,
+                f.number("share", 1),
+                f.number("born_ms", 0));
         String dial = f.text("dial", null);
         if (dial == null && phase == Phase.SERVING) {
             throw new BadInput("hosts: " + entry.id() + " has no dial address");
@@ -66,8 +73,11 @@
     /** An address given as host and port in numbers; names are not looked up. */
     public static InetSocketAddress address(String what, String text) {
         int colon = text.lastIndexOf(':');
-        String host = colon < 0 ? "" : text.substring(0, colon).replaceAll("^\\[|\\]$", "").toLowerCase(Locale.ROOT);
-        if (!host.matches(IPV4 + "|[0-9a-f:.]*:[0-9a-f:.]*") || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
+        String host = colon < 0
+                ? ""
+                : text.substring(0, colon).replaceAll("^\\[|\\]$", "").toLowerCase(Locale.ROOT);
+        if (!host.matches(IPV4 + "|[0-9a-f:.]*:[0-9a-f:.]*")
+                || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
             throw new BadInput(what + " is not an address and port: " + text);
         }
         try {
--- a/src/main/java/plumpost/config/PeersConfig.java
+++ b/src/main/java/plumpost/config/PeersConfig.java
@@ -24,8 +24,17 @@
  * @param asks whether this scheduler can ask discovery
  * @param covered what of work in hand the fleet's ledger covers
  */
-public record PeersConfig(String group, Path data, Member self, List<Member> members, double beatMs, double lostMs,
-                          double discoveryAgeMs, long snapshotEvery, boolean asks, Covered covered) {
+public record PeersConfig(
+        String group,
+        Path data,
+        Member self,
+        List<Member> members,
+        double beatMs,
+        double lostMs,
+        double discoveryAgeMs,
+        long snapshotEvery,
+        boolean asks,
+        Covered covered) {
 
     /**
      * Work in hand that survives its scheduler.
@@ -40,15 +49,24 @@
     }
 
     /** One scheduler: three or five of all have a vote. */
-    public record Member(String name, InetSocketAddress address, String site, boolean vote) { }
+    public record Member(String name, InetSocketAddress address, String site, boolean vote) {}
 
     /** Members at once: what the fleet's book holds as well. */
     public static final int MOST_MEMBERS = 1024;
 
     /** Reads the section for the scheduler of that name; {@code dataBefore}, where not null, goes before its {@code data}. */
     public static PeersConfig read(Fields f, String name, String dataBefore, boolean asks) {
-        f.only("group", "data", "members", "beatMs", "lostMs", "discoveryAgeMs", "snapshotEvery", "covers", "awaitMs",
-            "keepMs");
+        f.only(
+                "group",
+                "data",
+                "members",
+                "beatMs",
+                "lostMs",
+                "discoveryAgeMs",
+                "snapshotEvery",
+                "covers",
+                "awaitMs",
+                "keepMs");
         List<Member> members = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Object o : f.list("members")) {
@@ -61,26 +79,40 @@
             if (!names.add(who)) {
                 throw new BadInput(m.where() + ": field name is " + who + ", which another member bears");
             }
-            members.add(new Member(who, NodeListReader.address(m.where() + ".address", m.text("address")),
-                m.text("site", ""), m.flag("vote", false)));
+            members.add(new Member(
+                    who,
+                    NodeListReader.address(m.where() + ".address", m.text("address")),
+                    m.text("site", ""),
+                    m.flag("vote", false)));
         }
         if (members.size() > MOST_MEMBERS) {
-            throw new BadInput(f.where() + ": field members has " + members.size() + " members, at most " + MOST_MEMBERS);
+            throw new BadInput(
+                    f.where() + ": field members has " + members.size() + " members, at most " + MOST_MEMBERS);
         }
         long votes = members.stream().filter(Member::vote).count();
         if (votes != 1 && votes != 3 && votes != 5) {
             throw new BadInput(f.where() + ": field members gives " + votes + " a vote, not 1, 3 or 5");
         }
-        Member self = members.stream().filter(m -> m.name().equals(name)).findFirst().orElseThrow(
-            () -> new BadInput(f.where() + ": field members does not name this scheduler, " + name));
+        Member self = members.stream()
+                .filter(m -> m.name().equals(name))
+                .findFirst()
+                .orElseThrow(() -> new BadInput(f.where() + ": field members does not name this scheduler, " + name));
         String data = dataBefore == null ? f.text("data") : dataBefore;
         if (data.isEmpty()) {
             throw new BadInput(f.where() + ": field data is empty");
         }
         double lost = f.between("lostMs", 1500, 200, 600_000);
-        return new PeersConfig(f.text("group", "plumpost"), Path.of(data), self, List.copyOf(members),
-            f.between("beatMs", 250, 10, lost / 3), lost, f.between("discoveryAgeMs", 5000, 100, 600_000),
-            f.whole("snapshotEvery", 10_000, 10, 10_000_000), asks, covered(f));
+        return new PeersConfig(
+                f.text("group", "plumpost"),
+                Path.of(data),
+                self,
+                List.copyOf(members),
+                f.between("beatMs", 250, 10, lost / 3),
+                lost,
+                f.between("discoveryAgeMs", 5000, 100, 600_000),
+                f.whole("snapshotEvery", 10_000, 10, 10_000_000),
+                asks,
+                covered(f));
     }
 
     private static Covered covered(Fields f) {
@@ -92,8 +124,10 @@
                 }
             }
         }
-        return new Covered(Set.copyOf(classes), f.between("awaitMs", Covered.NONE.awaitMs, 100, 3_600_000),
-            f.between("keepMs", Covered.NONE.keepMs, 1000, 86_400_000));
+        return new Covered(
+                Set.copyOf(classes),
+                f.between("awaitMs", Covered.NONE.awaitMs, 100, 3_600_000),
+                f.between("keepMs", Covered.NONE.keepMs, 1000, 86_400_000));
     }
 
     /** The section of a whole file, for a command to the fleet; bad input where there is none. */
--- a/src/main/java/plumpost/config/SettingsReader.java
+++ b/src/main/java/plumpost/config/SettingsReader.java
@@ -7,7 +7,7 @@
 
 /** Reads the settings that the simulator and the platform tell in the same form. */
 public final class SettingsReader {
-    private SettingsReader() { }
+    private SettingsReader() {}
 
     /** The settings in the module's words. */
     public static Dispatcher.Settings settings(Fields c) {
@@ -25,41 +25,73 @@
         for (Object o : c.list("classes")) {
             Fields k = Json.fields("config.classes", o);
             int i = classes.size();
-            classes.add(new Dispatcher.JobClass(k.text("name", "class " + i), k.number("sloMs"),
-                k.number("aimStretch", item(info, "classStretch", i, 0)), k.number("deadlineMs"),
-                k.oneOf("effect", Dispatcher.Effect.class),
-                k.has("keyScope") ? k.oneOf("keyScope", Dispatcher.Scope.class) : Dispatcher.Scope.ALL,
-                k.number("windowMs", 0), k.number("importance", 1), k.number("lateWorth", 0),
-                (int) item(info, "classKind", i, -1), (int) item(info, "classPriority", i, 0)));
+            classes.add(new Dispatcher.JobClass(
+                    k.text("name", "class " + i),
+                    k.number("sloMs"),
+                    k.number("aimStretch", item(info, "classStretch", i, 0)),
+                    k.number("deadlineMs"),
+                    k.oneOf("effect", Dispatcher.Effect.class),
+                    k.has("keyScope") ? k.oneOf("keyScope", Dispatcher.Scope.class) : Dispatcher.Scope.ALL,
+                    k.number("windowMs", 0),
+                    k.number("importance", 1),
+                    k.number("lateWorth", 0),
+                    (int) item(info, "classKind", i, -1),
+                    (int) item(info, "classPriority", i, 0)));
         }
         List<Dispatcher.Tenant> tenants = new ArrayList<>();
         for (Object o : c.listOrEmpty("tenants")) {
             Fields t = Json.fields("config.tenants", o);
-            tenants.add(new Dispatcher.Tenant(t.text("name", "tenant " + tenants.size()),
-                t.number("quotaPerS", Double.POSITIVE_INFINITY), t.number("share", 0)));
+            tenants.add(new Dispatcher.Tenant(
+                    t.text("name", "tenant " + tenants.size()),
+                    t.number("quotaPerS", Double.POSITIVE_INFINITY),
+                    t.number("share", 0)));
         }
-        return new Dispatcher.Settings((int) c.number("balancers", 1), (int) c.number("index", 0),
-            (int) c.number("locality", 0), Math.max(1, c.listOrEmpty("dcs").size()),
-            Math.max(1, c.listOrEmpty("shapes").size()), classes, tenants,
-            new Dispatcher.Limits((int) limits.number("maxAttempts", 1), limits.flag("parallelTries", false),
-                limits.flag("cancelling", false), limits.flag("probes", false), limits.flag("peers", false),
-                limits.flag("retryAfter", false), limits.number("maxRetryAfterMs", 0),
-                limits.number("dialTimeoutMs", 0), limits.number("keepaliveMs", 0)),
-            new Dispatcher.Rules(rules.number("coldFrom", 1), rules.number("coldMs", 0), rules.number("fallMs", 0),
-                rules.number("fallMultiple", 1), rules.number("graceToAnswerMs", 0),
-                rules.number("mustAskInMs", 10_000), rules.number("stopSendingWithinMs", 0)),
-            new Dispatcher.Fees(fees.number("crossZone", 0), fees.number("handshake", 0), fees.number("probe", 0),
-                fees.number("peer", 0), fees.number("lateFail", 0), fees.number("waste", 0)),
-            switch (report.text("via", "silent")) {
-                case "piggyback" -> Dispatcher.Reports.PIGGYBACK;
-                case "pull" -> Dispatcher.Reports.PULL;
-                default -> Dispatcher.Reports.SILENT;
-            },
-            report.listOrEmpty("fields").contains("x0")
-                && info.text("reportX0", "free slots").equals("free slots"),
-            c.text("membershipMode", "pushed").equals("on_request"), info.flag("tellsStart", false),
-            info.number("progressMs", 0), c.text("worthBy", "request").equals("work"),
-            c.number("overShareWorth", 1), c.number("granularityMs", 1) + coarserMs);
+        return new Dispatcher.Settings(
+                (int) c.number("balancers", 1),
+                (int) c.number("index", 0),
+                (int) c.number("locality", 0),
+                Math.max(1, c.listOrEmpty("dcs").size()),
+                Math.max(1, c.listOrEmpty("shapes").size()),
+                classes,
+                tenants,
+                new Dispatcher.Limits(
+                        (int) limits.number("maxAttempts", 1),
+                        limits.flag("parallelTries", false),
+                        limits.flag("cancelling", false),
+                        limits.flag("probes", false),
+                        limits.flag("peers", false),
+                        limits.flag("retryAfter", false),
+                        limits.number("maxRetryAfterMs", 0),
+                        limits.number("dialTimeoutMs", 0),
+                        limits.number("keepaliveMs", 0)),
+                new Dispatcher.Rules(
+                        rules.number("coldFrom", 1),
+                        rules.number("coldMs", 0),
+                        rules.number("fallMs", 0),
+                        rules.number("fallMultiple", 1),
+                        rules.number("graceToAnswerMs", 0),
+                        rules.number("mustAskInMs", 10_000),
+                        rules.number("stopSendingWithinMs", 0)),
+                new Dispatcher.Fees(
+                        fees.number("crossZone", 0),
+                        fees.number("handshake", 0),
+                        fees.number("probe", 0),
+                        fees.number("peer", 0),
+                        fees.number("lateFail", 0),
+                        fees.number("waste", 0)),
+                switch (report.text("via", "silent")) {
+                    case "piggyback" -> Dispatcher.Reports.PIGGYBACK;
+                    case "pull" -> Dispatcher.Reports.PULL;
+                    default -> Dispatcher.Reports.SILENT;
+                },
+                report.listOrEmpty("fields").contains("x0")
+                        && info.text("reportX0", "free slots").equals("free slots"),
+                c.text("membershipMode", "pushed").equals("on_request"),
+                info.flag("tellsStart", false),
+                info.number("progressMs", 0),
+                c.text("worthBy", "request").equals("work"),
+                c.number("overShareWorth", 1),
+                c.number("granularityMs", 1) + coarserMs);
     }
 
     private static double item(Fields f, String name, int i, double otherwise) {
--- a/src/main/java/plumpost/config/Shape.java
+++ b/src/main/java/plumpost/config/Shape.java
@@ -10,7 +10,7 @@
  * first file had is taken for a broken one, not for a wish to fall back on a default.
  */
 public final class Shape {
-    private Shape() { }
+    private Shape() {}
 
     /** The first key, as a path such as {@code settings.ceilings.maxAttempts}, that {@code before} has and
      *  {@code after} lacks; null where none is missing. In a list of objects, each one needs the keys that all had. */
--- a/src/main/java/plumpost/control/Console.java
+++ b/src/main/java/plumpost/control/Console.java
@@ -48,8 +48,12 @@
         if (here == Bans.Said.UNKNOWN) {
             then.accept(here, "");
         } else {
-            fleet.ban(node, out, said -> then.accept(said.agreed() ? here : null, "worker " + node + (out
-                ? " is out here only: " : " stays out: ") + said.words()));
+            fleet.ban(
+                    node,
+                    out,
+                    said -> then.accept(
+                            said.agreed() ? here : null,
+                            "worker " + node + (out ? " is out here only: " : " stays out: ") + said.words()));
         }
     }
 
--- a/src/main/java/plumpost/control/ControlDoor.java
+++ b/src/main/java/plumpost/control/ControlDoor.java
@@ -13,9 +13,9 @@
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
-import plumpost.net.Kit;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Kit;
 
 /**
  * The operators' listener: one HTTP/1.1 call a connection, answered in the turn in which it is whole and then closed.
@@ -27,6 +27,7 @@
     static final int BODY_LIMIT = 1024;
     /** A whole call is due so long after connecting; callers are known to hold half a call for 4 s. */
     static final double CALL_MS = 10_000;
+
     static final double SWEEP_MS = 250;
     private static final long UNREAD = 1 << 16;
     private static final String PREFIX = "/control/workers/";
@@ -170,8 +171,9 @@
                 answer(404, "no such call\n", "");
             } else if (only("POST", method)) {
                 ops.change(id, out, (said, why) -> {
-                    kit.counters().count("control." + what + "." + (said == null ? "not_agreed"
-                        : said.name().toLowerCase(java.util.Locale.ROOT)));
+                    kit.counters()
+                            .count("control." + what + "."
+                                    + (said == null ? "not_agreed" : said.name().toLowerCase(java.util.Locale.ROOT)));
                     if (said == null) {
                         answer(503, why + "\n", "");
                     } else if (said == Bans.Said.UNKNOWN) {
--- a/src/main/java/plumpost/control/SharedBans.java
+++ b/src/main/java/plumpost/control/SharedBans.java
@@ -19,6 +19,7 @@
     static final double LOOK_MS = 100;
     /** More than any set of bans can fill: what is longer was not written by a scheduler. */
     static final long MOST_BYTES = 1 << 20;
+
     static final String NAME = "plumpost-bans";
 
     private final Path file;
--- a/src/main/java/plumpost/count/Counters.java
+++ b/src/main/java/plumpost/count/Counters.java
@@ -1,7 +1,7 @@
 package plumpost.count;
 
-import java.util.Map;
 import java.util.HashMap;
+import java.util.Map;
 import java.util.TreeMap;
 
 /** Counts by name of what the scheduler takes in, sends and answers; printed on request and at exit. */
@@ -28,7 +28,8 @@
     @Override
     public String toString() {
         StringBuilder all = new StringBuilder();
-        new TreeMap<>(counts).forEach((name, n) -> all.append(name).append(' ').append(n[0]).append('\n'));
+        new TreeMap<>(counts)
+                .forEach((name, n) -> all.append(name).append(' ').append(n[0]).append('\n'));
         return all.toString();
     }
 }
--- a/src/main/java/plumpost/count/Statsd.java
+++ b/src/main/java/plumpost/count/Statsd.java
@@ -8,7 +8,7 @@
  * and {@code |g} for gauges, taken from the counters at the moment they are asked for.
  */
 public final class Statsd {
-    private Statsd() { }
+    private Statsd() {}
 
     /**
      * The figures: by class, jobs served, refused and failed and attempts written whole; attempts of all classes;
@@ -37,6 +37,13 @@
     }
 
     private static void line(StringBuilder b, String prefix, String name, long value, String type) {
-        b.append(prefix).append('.').append(name).append(':').append(value).append('|').append(type).append('\n');
+        b.append(prefix)
+                .append('.')
+                .append(name)
+                .append(':')
+                .append(value)
+                .append('|')
+                .append(type)
+                .append('\n');
     }
 }
--- a/src/main/java/plumpost/decision/Dispatcher.java
+++ b/src/main/java/plumpost/decision/Dispatcher.java
@@ -14,23 +14,51 @@
 public interface Dispatcher {
 
     /** What repeating a job does: nothing harmful, nothing within a group and a time, or harm. */
-    enum Effect { FREE, GUARDED, SINGLE_SHOT }
+    enum Effect {
+        FREE,
+        GUARDED,
+        SINGLE_SHOT
+    }
 
     /** The workers that drop repeats of a {@link Effect#GUARDED} job that one of them has seen. */
-    enum Scope { ALL, ZONE, CELL }
+    enum Scope {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** A worker's listed state; DRAINING and DELETED workers get nothing new. */
-    enum Phase { SERVING, DRAINING, DELETED }
+    enum Phase {
+        SERVING,
+        DRAINING,
+        DELETED
+    }
 
     /** Changes, a complete list, the complete list kept from before, or a failed list call. */
-    enum ListMode { INCREMENTAL, FULL, SAVED, FAILED }
+    enum ListMode {
+        INCREMENTAL,
+        FULL,
+        SAVED,
+        FAILED
+    }
 
     /** How load reports come: never, with probe results, or with outcomes and probe results. */
-    enum Reports { SILENT, PULL, PIGGYBACK }
+    enum Reports {
+        SILENT,
+        PULL,
+        PIGGYBACK
+    }
 
     /** How an attempt or a probe ended. */
     enum Ending {
-        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT;
+        OK,
+        ERROR,
+        FULL,
+        TIMEOUT,
+        CONNECT_FAILED,
+        RESET,
+        CANCELLED,
+        MOOT;
 
         /** True where this ending proves that the job never ran. */
         public boolean neverRan() {
@@ -39,28 +67,67 @@
     }
 
     /** A class of jobs. The aim is {@code aimMs} plus {@code aimStretch} times the job's own run time. */
-    record JobClass(String name, double aimMs, double aimStretch, double deadlineMs, Effect effect, Scope scope,
-                    double windowMs, double importance, double lateWorth, int kind, int priority) { }
+    record JobClass(
+            String name,
+            double aimMs,
+            double aimStretch,
+            double deadlineMs,
+            Effect effect,
+            Scope scope,
+            double windowMs,
+            double importance,
+            double lateWorth,
+            int kind,
+            int priority) {}
 
     /** A tenant's agreed rate over all dispatchers, jobs a second, and its share of the service. */
-    record Tenant(String name, double quotaPerS, double share) { }
+    record Tenant(String name, double quotaPerS, double share) {}
 
     /** What the deployment allows. */
-    record Limits(int maxAttempts, boolean parallelTries, boolean cancelling, boolean probes, boolean peers,
-                  boolean retryAfter, double maxRetryAfterMs, double dialTimeoutMs, double keepaliveMs) { }
+    record Limits(
+            int maxAttempts,
+            boolean parallelTries,
+            boolean cancelling,
+            boolean probes,
+            boolean peers,
+            boolean retryAfter,
+            double maxRetryAfterMs,
+            double dialTimeoutMs,
+            double keepaliveMs) {}
 
     /** The figures behind the rules on answers, drains and cold workers; see docs/design.md. */
-    record Rules(double coldFrom, double coldMs, double fallMs, double fallMultiple, double graceToAnswerMs,
-                 double mustAskInMs, double stopSendingWithinMs) { }
+    record Rules(
+            double coldFrom,
+            double coldMs,
+            double fallMs,
+            double fallMultiple,
+            double graceToAnswerMs,
+            double mustAskInMs,
+            double stopSendingWithinMs) {}
 
     /** Prices, as shares of the result, of crossing zones, opening connections, probes, peer bytes, waste. */
-    record Fees(double crossZone, double handshake, double probe, double peer, double lateFail, double waste) { }
+    record Fees(double crossZone, double handshake, double probe, double peer, double lateFail, double waste) {}
 
     /** All that an instance is told at its start. */
-    record Settings(int balancers, int index, int zone, int zones, int kinds, List<JobClass> classes,
-                    List<Tenant> tenants, Limits limits, Rules rules, Fees fees, Reports reports,
-                    boolean reportsFreeSlots, boolean listOnRequest, boolean tellsStart, double progressMs,
-                    boolean worthByWork, double overShareWorth, double granularityMs) {
+    record Settings(
+            int balancers,
+            int index,
+            int zone,
+            int zones,
+            int kinds,
+            List<JobClass> classes,
+            List<Tenant> tenants,
+            Limits limits,
+            Rules rules,
+            Fees fees,
+            Reports reports,
+            boolean reportsFreeSlots,
+            boolean listOnRequest,
+            boolean tellsStart,
+            double progressMs,
+            boolean worthByWork,
+            double overShareWorth,
+            double granularityMs) {
         /** Refuses settings that no deployment can mean, naming the setting. */
         public Settings {
             classes = List.copyOf(classes);
@@ -72,11 +139,16 @@
             require(granularityMs >= 0 && progressMs >= 0, "granularityMs and progressMs must not be negative");
             for (JobClass c : classes) {
                 require(c.effect() != null && c.scope() != null, "effect and scope of class " + c.name());
-                require(c.aimMs() >= 0 && c.deadlineMs() > 0 && c.windowMs() >= 0 && c.aimStretch() >= 0,
+                require(
+                        c.aimMs() >= 0 && c.deadlineMs() > 0 && c.windowMs() >= 0 && c.aimStretch() >= 0,
                         "times of class " + c.name() + " must not be negative");
             }
-            require(rules.coldMs() >= 0 && rules.fallMs() >= 0 && rules.graceToAnswerMs() >= 0
-                    && rules.mustAskInMs() >= 0, "times of the rules must not be negative");
+            require(
+                    rules.coldMs() >= 0
+                            && rules.fallMs() >= 0
+                            && rules.graceToAnswerMs() >= 0
+                            && rules.mustAskInMs() >= 0,
+                    "times of the rules must not be negative");
         }
 
         private static void require(boolean kept, String what) {
@@ -94,8 +166,16 @@
      * @param runs the kinds of work that it runs, or null where it runs every class and nothing else
      * @param places jobs that it runs at once, or 0 where that is not known
      */
-    record WorkerEntry(String id, int zone, int kind, int cell, Phase phase, double units, double cameUpMs,
-                       BitSet runs, int places) {
+    record WorkerEntry(
+            String id,
+            int zone,
+            int kind,
+            int cell,
+            Phase phase,
+            double units,
+            double cameUpMs,
+            BitSet runs,
+            int places) {
         /** A worker that runs jobs of every class, in a number that is not known. */
         public WorkerEntry(String id, int zone, int kind, int cell, Phase phase, double units, double cameUpMs) {
             this(id, zone, kind, cell, phase, units, cameUpMs, null, 0);
@@ -115,22 +195,41 @@
      * @param priority above 0 before others of its age, below 0 after them
      * @param aimMs within what time it is wanted, or NaN where its class says that
      */
-    record Job(String id, int cls, int tenant, String key, double patienceMs, double costMs, double slots,
-               double memory, boolean retry, int work, int priority, double aimMs) {
+    record Job(
+            String id,
+            int cls,
+            int tenant,
+            String key,
+            double patienceMs,
+            double costMs,
+            double slots,
+            double memory,
+            boolean retry,
+            int work,
+            int priority,
+            double aimMs) {
         /** A job of its class's own work, with nothing special about it. */
-        public Job(String id, int cls, int tenant, String key, double patienceMs, double costMs, double slots,
-                   double memory, boolean retry) {
+        public Job(
+                String id,
+                int cls,
+                int tenant,
+                String key,
+                double patienceMs,
+                double costMs,
+                double slots,
+                double memory,
+                boolean retry) {
             this(id, cls, tenant, key, patienceMs, costMs, slots, memory, retry, cls, 0, Double.NaN);
         }
     }
 
     /** A worker's own account of its load; NaN where not told. */
-    record LoadReport(double inflight, double queue, double latencyMs, double errorsPerS, double freeSlots,
-                      double freeMemory) { }
+    record LoadReport(
+            double inflight, double queue, double latencyMs, double errorsPerS, double freeSlots, double freeMemory) {}
 
     /** How an attempt ended; {@code over} once the request needs no further answer. */
-    record Outcome(String job, int attempt, String worker, Ending ending, double waitMs, boolean over,
-                   LoadReport report) { }
+    record Outcome(
+            String job, int attempt, String worker, Ending ending, double waitMs, boolean over, LoadReport report) {}
 
     /** A worker-list event. */
     void workers(double now, ListMode mode, List<WorkerEntry> entries);
@@ -166,7 +265,7 @@
      * New settings from the operators: the classes of the old ones keep their numbers, new ones come after; jobs under
      * way keep the class that they came with.
      */
-    default void retune(double now, Settings next) { }
+    default void retune(double now, Settings next) {}
 
     /** Serving workers that it avoids for now by its own choice, such as for their failures; for the counters. */
     default int avoided(double now) {
--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -15,9 +15,11 @@
     final double sentAt;
     /** The node's line when it was sent, for those that may follow it. */
     final WorkerEntry on;
+
     Ending ending;
     /** Whether it waits for the right to be sent: until then no node has seen it. */
     boolean held;
+
     private final DispatchRoom room;
 
     Attempt(DispatchRoom room, LedgerEntry job, String node, NodeLink link, WorkerEntry on, double sentAt) {
--- a/src/main/java/plumpost/dispatch/ClassBook.java
+++ b/src/main/java/plumpost/dispatch/ClassBook.java
@@ -68,10 +68,25 @@
         all.clear();
         all.addAll(merged);
         goneAt = gone;
-        now = new Settings(next.balancers(), next.index(), next.zone(), next.zones(), next.kinds(), merged,
-            next.tenants(), next.limits(), next.rules(), next.fees(), next.reports(), next.reportsFreeSlots(),
-            next.listOnRequest(), next.tellsStart(), next.progressMs(), next.worthByWork(), next.overShareWorth(),
-            next.granularityMs());
+        now = new Settings(
+                next.balancers(),
+                next.index(),
+                next.zone(),
+                next.zones(),
+                next.kinds(),
+                merged,
+                next.tenants(),
+                next.limits(),
+                next.rules(),
+                next.fees(),
+                next.reports(),
+                next.reportsFreeSlots(),
+                next.listOnRequest(),
+                next.tellsStart(),
+                next.progressMs(),
+                next.worthByWork(),
+                next.overShareWorth(),
+                next.granularityMs());
         return now;
     }
 
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchRoom.java
@@ -1,8 +1,5 @@
 package plumpost.dispatch;
 
-import plumpost.count.Counters;
-import plumpost.time.TimerWheel;
-import plumpost.time.Clock;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Collection;
@@ -13,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import plumpost.count.Counters;
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.Effect;
 import plumpost.decision.Dispatcher.Ending;
@@ -20,6 +18,8 @@
 import plumpost.decision.Dispatcher.LoadReport;
 import plumpost.decision.Dispatcher.WorkerEntry;
 import plumpost.decision.Logic;
+import plumpost.time.Clock;
+import plumpost.time.TimerWheel;
 
 /**
  * The core: keeps the ledger of jobs, drives the decision module and carries out its actions. The rules' guards are
@@ -60,14 +60,26 @@
     }
 
     /** A core with an empty ledger and no node yet. */
-    public DispatchRoom(Dispatcher.Settings settings, long seed, Clock clock, TimerWheel wheel, Counters counters,
-                        Bounds bounds, Consumer<String> log) {
+    public DispatchRoom(
+            Dispatcher.Settings settings,
+            long seed,
+            Clock clock,
+            TimerWheel wheel,
+            Counters counters,
+            Bounds bounds,
+            Consumer<String> log) {
         this(settings, clock, wheel, counters, bounds, log, carrier -> new Logic(settings, seed, carrier));
     }
 
     /** A core that drives the module which is made for its actions. */
-    DispatchRoom(Dispatcher.Settings settings, Clock clock, TimerWheel wheel, Counters counters, Bounds bounds,
-                 Consumer<String> log, Function<Dispatcher.Actions, Dispatcher> module) {
+    DispatchRoom(
+            Dispatcher.Settings settings,
+            Clock clock,
+            TimerWheel wheel,
+            Counters counters,
+            Bounds bounds,
+            Consumer<String> log,
+            Function<Dispatcher.Actions, Dispatcher> module) {
         this.set = settings;
         this.book = new ClassBook(settings);
         this.clock = clock;
@@ -273,8 +285,9 @@
             replyTo.failed();
             return null;
         }
-        boolean full = ledger.size() >= bounds.openJobs() || heldBytes + bytes(sheet) > bounds.bodyBytes()
-            || sheet.unique() != null && !kept.hasRoom(byUnique.size());
+        boolean full = ledger.size() >= bounds.openJobs()
+                || heldBytes + bytes(sheet) > bounds.bodyBytes()
+                || sheet.unique() != null && !kept.hasRoom(byUnique.size());
         if (full || sheet.patienceMs() <= 0) {
             counters.count(full ? "jobs.overfull" : "jobs.too_late");
             counters.count("jobs.refused." + cls.name());
@@ -290,9 +303,21 @@
             byUnique.put(sheet.unique(), e);
         }
         e.giveUp = wheel.at(e.deadline, () -> timeUp(e));
-        event(() -> logic.arrived(nowMs(), new Dispatcher.Job(sheet.id(), sheet.cls(), sheet.tenant(), sheet.key(),
-            e.deadline - nowMs(), sheet.costMs(), sheet.slots(), sheet.memory(), sheet.retry(),
-            sheet.work().kind(), sheet.work().priority(), sheet.work().aimMs())));
+        event(() -> logic.arrived(
+                nowMs(),
+                new Dispatcher.Job(
+                        sheet.id(),
+                        sheet.cls(),
+                        sheet.tenant(),
+                        sheet.key(),
+                        e.deadline - nowMs(),
+                        sheet.costMs(),
+                        sheet.slots(),
+                        sheet.memory(),
+                        sheet.retry(),
+                        sheet.work().kind(),
+                        sheet.work().priority(),
+                        sheet.work().aimMs())));
         return e;
     }
 
@@ -480,8 +505,9 @@
             answer(a.job, "served", whole, r -> r.served(whole.duplicate()));
         }
         boolean over = a.job.answered;
-        event(() -> logic.ended(nowMs(), new Dispatcher.Outcome(a.job.sheet.id(), a.number, a.node, how,
-            nowMs() - a.sentAt, over, report)));
+        event(() -> logic.ended(
+                nowMs(),
+                new Dispatcher.Outcome(a.job.sheet.id(), a.number, a.node, how, nowMs() - a.sentAt, over, report)));
     }
 
     // ---- final answers ----
@@ -574,15 +600,21 @@
             return;
         }
         Roster.Node n = roster.get(node);
-        String broken = n == null || !n.serving() || roster.banned(node) || !n.line.entry().does(e.sheet.work().kind(), set.classes().size())
-            ? "drain"
-            : e.out() != null ? "second_copy"
-            : e.attempts.size() >= set.limits().maxAttempts() ? "attempts"
-            : !e.mayRepeat(null, n.line.entry(), nowMs()) ? "repeat"
-            : nowMs() >= e.deadline ? "late"
-            : cold(n) && n.out >= COLD_OUT ? "cold" : null;
-        Attempt a = new Attempt(this, e, node, n == null ? null : n.line.link(),
-            n == null ? null : n.line.entry(), nowMs());
+        String broken = n == null
+                        || !n.serving()
+                        || roster.banned(node)
+                        || !n.line.entry()
+                                .does(e.sheet.work().kind(), set.classes().size())
+                ? "drain"
+                : e.out() != null
+                        ? "second_copy"
+                        : e.attempts.size() >= set.limits().maxAttempts()
+                                ? "attempts"
+                                : !e.mayRepeat(null, n.line.entry(), nowMs())
+                                        ? "repeat"
+                                        : nowMs() >= e.deadline ? "late" : cold(n) && n.out >= COLD_OUT ? "cold" : null;
+        Attempt a = new Attempt(
+                this, e, node, n == null ? null : n.line.link(), n == null ? null : n.line.entry(), nowMs());
         e.attempts.add(a);
         if (broken != null) {
             counters.count("guard." + broken);
@@ -613,8 +645,9 @@
     /** Tells the module of an attempt that was not sent. */
     private void moot(Attempt a) {
         a.ending = Ending.MOOT;
-        event(() -> logic.ended(nowMs(), new Dispatcher.Outcome(a.job.sheet.id(), a.number, a.node, Ending.MOOT, 0,
-            a.job.answered, null)));
+        event(() -> logic.ended(
+                nowMs(),
+                new Dispatcher.Outcome(a.job.sheet.id(), a.number, a.node, Ending.MOOT, 0, a.job.answered, null)));
     }
 
     private boolean cold(Roster.Node n) {
--- a/src/main/java/plumpost/dispatch/JobSheet.java
+++ b/src/main/java/plumpost/dispatch/JobSheet.java
@@ -20,9 +20,21 @@
  * @param unique key under which a resubmit is the same job, with all that its front tells keys apart by, or null
  * @param work what the job is beside its class
  */
-public record JobSheet(String id, int cls, ByteBuffer target, String fields, ByteBuffer body, double patienceMs,
-                       double costMs, double slots, double memory, int tenant, String key, boolean retry,
-                       String unique, Work work) {
+public record JobSheet(
+        String id,
+        int cls,
+        ByteBuffer target,
+        String fields,
+        ByteBuffer body,
+        double patienceMs,
+        double costMs,
+        double slots,
+        double memory,
+        int tenant,
+        String key,
+        boolean retry,
+        String unique,
+        Work work) {
 
     /**
      * What a job is beside its class.
@@ -34,18 +46,53 @@
      * @param priority above 0 before others of its age, below 0 after them
      * @param aimMs within what time it is wanted, or NaN where its class says that
      */
-    public record Work(int kind, String name, String unique, String reducer, int priority, double aimMs) { }
+    public record Work(int kind, String name, String unique, String reducer, int priority, double aimMs) {}
 
     /** A job that comes without fields. */
-    public JobSheet(String id, int cls, ByteBuffer target, ByteBuffer body, double patienceMs, double costMs,
-                    double slots, double memory, int tenant, String key, boolean retry, String unique, Work work) {
+    public JobSheet(
+            String id,
+            int cls,
+            ByteBuffer target,
+            ByteBuffer body,
+            double patienceMs,
+            double costMs,
+            double slots,
+            double memory,
+            int tenant,
+            String key,
+            boolean retry,
+            String unique,
+            Work work) {
         this(id, cls, target, "", body, patienceMs, costMs, slots, memory, tenant, key, retry, unique, work);
     }
 
     /** A job of its class's own work. */
-    public JobSheet(String id, int cls, ByteBuffer target, ByteBuffer body, double patienceMs, double costMs,
-                    double slots, double memory, int tenant, String key, boolean retry, String unique) {
-        this(id, cls, target, body, patienceMs, costMs, slots, memory, tenant, key, retry, unique,
-            new Work(cls, null, unique, null, 0, Double.NaN));
+    public JobSheet(
+            String id,
+            int cls,
+            ByteBuffer target,
+            ByteBuffer body,
+            double patienceMs,
+            double costMs,
+            double slots,
+            double memory,
+            int tenant,
+            String key,
+            boolean retry,
+            String unique) {
+        this(
+                id,
+                cls,
+                target,
+                body,
+                patienceMs,
+                costMs,
+                slots,
+                memory,
+                tenant,
+                key,
+                retry,
+                unique,
+                new Work(cls, null, unique, null, 0, Double.NaN));
     }
 }
--- a/src/main/java/plumpost/dispatch/KeptOutcomes.java
+++ b/src/main/java/plumpost/dispatch/KeptOutcomes.java
@@ -1,10 +1,10 @@
 package plumpost.dispatch;
 
-import plumpost.time.Clock;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
+import plumpost.time.Clock;
 
 /**
  * Outcomes of jobs with a unique key, kept for resubmits: bounded in number and bytes, and none is dropped before its
@@ -12,14 +12,13 @@
  */
 final class KeptOutcomes {
     /** How a job ended that may have run: its result, or null where it failed. */
-    record Outcome(String unique, ByteBuffer result, double until) { }
+    record Outcome(String unique, ByteBuffer result, double until) {}
 
     private final Clock clock;
     private final int most;
     private final long mostBytes;
     private final Map<String, Outcome> byUnique = new HashMap<>();
-    private final PriorityQueue<Outcome> byTime = new PriorityQueue<>(
-        (a, b) -> Double.compare(a.until(), b.until()));
+    private final PriorityQueue<Outcome> byTime = new PriorityQueue<>((a, b) -> Double.compare(a.until(), b.until()));
     private long bytes;
 
     KeptOutcomes(Clock clock, int most, long mostBytes) {
--- a/src/main/java/plumpost/dispatch/LedgerEntry.java
+++ b/src/main/java/plumpost/dispatch/LedgerEntry.java
@@ -1,11 +1,11 @@
 package plumpost.dispatch;
 
-import plumpost.time.TimerWheel;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import plumpost.decision.Dispatcher.JobClass;
 import plumpost.decision.Dispatcher.WorkerEntry;
+import plumpost.time.TimerWheel;
 
 /** A job in the ledger, from its taking to its final answer. */
 public final class LedgerEntry {
@@ -57,15 +57,19 @@
      */
     boolean mayRepeat(Attempt attempt, WorkerEntry to, double now) {
         Attempt first = first();
-        return first == null || first == attempt || switch (cls.effect()) {
-            case FREE -> true;
-            case SINGLE_SHOT -> false;
-            case GUARDED -> now < first.sentAt + cls.windowMs() && switch (cls.scope()) {
-                case ALL -> true;
-                case ZONE -> first.on.zone() == to.zone();
-                case CELL -> first.on.cell() == to.cell();
-            };
-        };
+        return first == null
+                || first == attempt
+                || switch (cls.effect()) {
+                    case FREE -> true;
+                    case SINGLE_SHOT -> false;
+                    case GUARDED ->
+                        now < first.sentAt + cls.windowMs()
+                                && switch (cls.scope()) {
+                                    case ALL -> true;
+                                    case ZONE -> first.on.zone() == to.zone();
+                                    case CELL -> first.on.cell() == to.cell();
+                                };
+                };
     }
 
     /** The job as it was handed in. */
--- a/src/main/java/plumpost/dispatch/ReplyTo.java
+++ b/src/main/java/plumpost/dispatch/ReplyTo.java
@@ -24,14 +24,14 @@
     }
 
     /** Reads what has come from it: one that has left is not to be found out only after its job was sent on. */
-    default void look() { }
+    default void look() {}
 
     /** News on the way: a part of the result. The final answer holds the whole result all the same. */
-    default void part(ByteBuffer more) { }
+    default void part(ByteBuffer more) {}
 
     /** News on the way: the share of the job that is done. */
-    default void progressed(double share) { }
+    default void progressed(double share) {}
 
     /** News on the way: a route node's warning. */
-    default void warned(ByteBuffer words) { }
+    default void warned(ByteBuffer words) {}
 }
--- a/src/main/java/plumpost/dispatch/Roster.java
+++ b/src/main/java/plumpost/dispatch/Roster.java
@@ -141,8 +141,17 @@
 
     /** A node out by hand drains, whatever its list says. */
     private WorkerEntry shown(WorkerEntry e) {
-        return e.phase() != Phase.SERVING || !bans.out(e.id()) ? e
-            : new WorkerEntry(e.id(), e.zone(), e.kind(), e.cell(), Phase.DRAINING, e.units(), e.cameUpMs(), e.runs(),
-                e.places());
+        return e.phase() != Phase.SERVING || !bans.out(e.id())
+                ? e
+                : new WorkerEntry(
+                        e.id(),
+                        e.zone(),
+                        e.kind(),
+                        e.cell(),
+                        Phase.DRAINING,
+                        e.units(),
+                        e.cameUpMs(),
+                        e.runs(),
+                        e.places());
     }
 }
--- a/src/main/java/plumpost/durable/OrderLife.java
+++ b/src/main/java/plumpost/durable/OrderLife.java
@@ -79,9 +79,9 @@
      * @param atOnce what may be done without waiting for the disk, or null
      * @param afterRecord what is done once the state is on disk, or null
      */
-    public record Step(State state, long fence, boolean record, Deed atOnce, Deed afterRecord) { }
+    public record Step(State state, long fence, boolean record, Deed atOnce, Deed afterRecord) {}
 
-    private OrderLife() { }
+    private OrderLife() {}
 
     /**
      * What an event makes of an order; null where it means nothing: a word under an old lease, or too late to count.
@@ -96,16 +96,24 @@
         return switch (event) {
             case LEASE -> state == State.TAKEN ? new Step(State.LEASED, latest + 1, true, null, Deed.HAND_OUT) : null;
             case HANDED_BACK -> state == State.LEASED ? new Step(State.TAKEN, latest, true, null, Deed.QUEUE) : null;
-            case HEARTBEAT -> state == State.LEASED || state == State.AWAITED
-                ? new Step(State.STARTED, latest, false, null, null) : null;
+            case HEARTBEAT ->
+                state == State.LEASED || state == State.AWAITED
+                        ? new Step(State.STARTED, latest, false, null, null)
+                        : null;
             case DONE -> done(state, latest, State.SERVED, Deed.ANSWER_SERVED);
             case FAIL -> done(state, latest, State.FAILED, Deed.ANSWER_FAILED);
-            case STALL -> state.ended() || state == State.TAKEN ? null
-                : new Step(State.UNKNOWN, latest, true, null, Deed.ANSWER_FAILED);
-            case RECOVER -> state.ended() ? new Step(state, latest, false, Deed.KEEP_ONLY, null)
-                : state == State.TAKEN ? new Step(state, latest, false, Deed.QUEUE, null)
-                : new Step(State.AWAITED, latest, false, Deed.AWAIT, null);
-            case GIVE_UP -> state == State.TAKEN ? new Step(State.FAILED, latest, true, null, Deed.ANSWER_FAILED) : null;
+            case STALL ->
+                state.ended() || state == State.TAKEN
+                        ? null
+                        : new Step(State.UNKNOWN, latest, true, null, Deed.ANSWER_FAILED);
+            case RECOVER ->
+                state.ended()
+                        ? new Step(state, latest, false, Deed.KEEP_ONLY, null)
+                        : state == State.TAKEN
+                                ? new Step(state, latest, false, Deed.QUEUE, null)
+                                : new Step(State.AWAITED, latest, false, Deed.AWAIT, null);
+            case GIVE_UP ->
+                state == State.TAKEN ? new Step(State.FAILED, latest, true, null, Deed.ANSWER_FAILED) : null;
         };
     }
 
--- a/src/main/java/plumpost/fleet/Beats.java
+++ b/src/main/java/plumpost/fleet/Beats.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import plumpost.fleet.Sessions.Session;
@@ -17,7 +17,7 @@
  * any steady clock.
  */
 public final class Beats {
-    private record Life(String name, long incarnation) { }
+    private record Life(String name, long incarnation) {}
 
     private final double suspectMs;
     private final double lostMs;
@@ -25,6 +25,7 @@
     private final Map<Life, Double> heard = new HashMap<>();
     /** When each life was first seen in the book by this leader: its time runs from then, not from the leader's start. */
     private final Map<Life, Double> known = new HashMap<>();
+
     private final Set<Life> late = new HashSet<>();
     private double since = Double.NaN;
     private double lookedAt;
@@ -57,7 +58,8 @@
     }
 
     private static boolean over(Life l, Collection<Session> sessions) {
-        return sessions.stream().noneMatch(s -> s.name().equals(l.name) && s.incarnation() == l.incarnation && s.live());
+        return sessions.stream()
+                .noneMatch(s -> s.name().equals(l.name) && s.incarnation() == l.incarnation && s.live());
     }
 
     /** What is to be proposed now, under the leader's term. */
@@ -75,12 +77,14 @@
                 Double last = heard.get(new Life(s.name(), s.incarnation()));
                 double first = known.computeIfAbsent(new Life(s.name(), s.incarnation()), l -> nowMs);
                 double silent = nowMs - (last == null ? first : last);
-                Entry.Verdict v = silent >= lostMs ? Entry.Verdict.LOST : silent >= suspectMs
-                    || late.contains(new Life(s.name(), s.incarnation())) ? Entry.Verdict.SUSPECT
-                    : last == null ? null : Entry.Verdict.ALIVE;
+                Entry.Verdict v = silent >= lostMs
+                        ? Entry.Verdict.LOST
+                        : silent >= suspectMs || late.contains(new Life(s.name(), s.incarnation()))
+                                ? Entry.Verdict.SUSPECT
+                                : last == null ? null : Entry.Verdict.ALIVE;
                 boolean same = v == Entry.Verdict.ALIVE && s.state() == State.ALIVE
-                    || v == Entry.Verdict.SUSPECT && s.state() == State.SUSPECT
-                    || v != Entry.Verdict.LOST && s.state() == State.LEAVING;
+                        || v == Entry.Verdict.SUSPECT && s.state() == State.SUSPECT
+                        || v != Entry.Verdict.LOST && s.state() == State.LEAVING;
                 if (v != null && !same) {
                     all.add(new Entry.Judge(s.name(), s.incarnation(), v, term));
                 }
--- a/src/main/java/plumpost/fleet/DiscoveryRunner.java
+++ b/src/main/java/plumpost/fleet/DiscoveryRunner.java
@@ -101,8 +101,11 @@
         }
         if (!owner) {
             untold.clear();
-        } else if (untold.isEmpty() && host.hears() && now - wordAt > ageMs / 3 && !member.view().words(duty).isEmpty()) {
-            member.once("word", new Entry.Word(duty, member.fence(duty), 0, false, ""), o -> { }); // it still holds
+        } else if (untold.isEmpty()
+                && host.hears()
+                && now - wordAt > ageMs / 3
+                && !member.view().words(duty).isEmpty()) {
+            member.once("word", new Entry.Word(duty, member.fence(duty), 0, false, ""), o -> {}); // it still holds
         } else {
             tell();
         }
--- a/src/main/java/plumpost/fleet/Duties.java
+++ b/src/main/java/plumpost/fleet/Duties.java
@@ -53,8 +53,11 @@
     /** Why an act under a fence is not the owner's, or null where it is. */
     String wrong(String duty, long fence) {
         Duty d = byName.get(duty);
-        return d == null ? "no duty " + duty : d.owner.isEmpty() ? duty + " has no owner"
-            : d.fence == fence ? null : "fence " + fence + " of " + duty + " is old, " + d.fence + " holds";
+        return d == null
+                ? "no duty " + duty
+                : d.owner.isEmpty()
+                        ? duty + " has no owner"
+                        : d.fence == fence ? null : "fence " + fence + " of " + duty + " is old, " + d.fence + " holds";
     }
 
     /** The owner passes it on, to another where there is one. */
@@ -99,8 +102,10 @@
     }
 
     private boolean owned(Duty d, Sessions sessions) {
-        return !d.owner.isEmpty() && sessions.live(d.owner, d.incarnation)
-            && sessions.of(d.owner).state() != State.LEAVING && sessions.of(d.owner).offers(d.name);
+        return !d.owner.isEmpty()
+                && sessions.live(d.owner, d.incarnation)
+                && sessions.of(d.owner).state() != State.LEAVING
+                && sessions.of(d.owner).offers(d.name);
     }
 
     private static boolean atHome(Duty d, Session s) {
@@ -115,9 +120,11 @@
         Map<String, Integer> loads = new HashMap<>();
         byName.values().forEach(x -> loads.merge(x.owner, 1, Integer::sum));
         return sessions.all().stream()
-            .filter(s -> s.state() == State.ALIVE && !s.name().equals(not) && s.offers(d.name))
-            .min(Comparator.comparing((Session s) -> !atHome(d, s))
-                .thenComparing(s -> loads.getOrDefault(s.name(), 0)).thenComparing(Session::name)).orElse(null);
+                .filter(s -> s.state() == State.ALIVE && !s.name().equals(not) && s.offers(d.name))
+                .min(Comparator.comparing((Session s) -> !atHome(d, s))
+                        .thenComparing(s -> loads.getOrDefault(s.name(), 0))
+                        .thenComparing(Session::name))
+                .orElse(null);
     }
 
     private void give(Duty d, Session to, Collection<News> news) {
@@ -127,7 +134,7 @@
     }
 
     /** What a snapshot keeps of it. */
-    public record Image(List<Duty> duties, long fences) { }
+    public record Image(List<Duty> duties, long fences) {}
 
     Image image() {
         return new Image(new ArrayList<>(byName.values()), fences);
--- a/src/main/java/plumpost/fleet/FleetBook.java
+++ b/src/main/java/plumpost/fleet/FleetBook.java
@@ -168,15 +168,19 @@
     }
 
     /** All of it, for a snapshot. */
-    public record Image(Sessions.Image sessions, Duties.Image duties, Plans.Image plans, List<String> bans,
-                        List<Entry.Word> words, Orders.Image orders) { }
+    public record Image(
+            Sessions.Image sessions,
+            Duties.Image duties,
+            Plans.Image plans,
+            List<String> bans,
+            List<Entry.Word> words,
+            Orders.Image orders) {}
 
     /** What a snapshot keeps. */
     public Image image() {
         List<Entry.Word> all = new ArrayList<>();
         words.values().forEach(all::addAll);
-        return new Image(sessions.image(), duties.image(), plans.image(), new ArrayList<>(bans), all,
-            orders.image());
+        return new Image(sessions.image(), duties.image(), plans.image(), new ArrayList<>(bans), all, orders.image());
     }
 
     /** Puts a snapshot's content in place of what is here. */
@@ -188,6 +192,7 @@
         bans.clear();
         bans.addAll(image.bans);
         words.clear();
-        image.words.forEach(w -> words.computeIfAbsent(w.duty(), d -> new ArrayList<>()).add(w));
+        image.words.forEach(
+                w -> words.computeIfAbsent(w.duty(), d -> new ArrayList<>()).add(w));
     }
 }
--- a/src/main/java/plumpost/fleet/FleetCodec.java
+++ b/src/main/java/plumpost/fleet/FleetCodec.java
@@ -33,8 +33,12 @@
     /** The longest entry: a node list of some thousand lines, or a job's data, with room. */
     public static final int MOST_BYTES = 1 << 20;
 
-    private static final CBORFactory CBOR = CBORFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
-        .maxNestingDepth(16).maxStringLength(MOST_BYTES).build()).build();
+    private static final CBORFactory CBOR = CBORFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxNestingDepth(16)
+                    .maxStringLength(MOST_BYTES)
+                    .build())
+            .build();
     private static final Map<String, Class<?>> KINDS = new HashMap<>();
 
     static {
@@ -43,7 +47,7 @@
         }
     }
 
-    private FleetCodec() { }
+    private FleetCodec() {}
 
     /** What was read is not of a form that this program knows; its text says what was found. */
     public static final class Unreadable extends IOException {
@@ -122,14 +126,16 @@
     }
 
     /** A snapshot with the format that it is written in. */
-    record Saved(int format, FleetBook.Image image) { }
+    record Saved(int format, FleetBook.Image image) {}
 
     /** Reads a book's snapshot. */
     public static FleetBook.Image snapshot(InputStream from) throws Unreadable {
         try (JsonParser in = CBOR.createParser(from)) {
             need(in.nextToken() == JsonToken.START_ARRAY, "no snapshot");
             int format = in.nextIntValue(-1);
-            need(format >= 1 && format <= FORMAT, "snapshot of format " + format + ", this program reads 1 to " + FORMAT);
+            need(
+                    format >= 1 && format <= FORMAT,
+                    "snapshot of format " + format + ", this program reads 1 to " + FORMAT);
             in.nextToken();
             return (FleetBook.Image) read(in, FleetBook.Image.class);
         } catch (Unreadable e) {
@@ -194,7 +200,9 @@
         } else if (type == byte[].class) {
             return in.getBinaryValue();
         }
-        need(type instanceof Class<?> c && c.isEnum() || in.currentToken() == JsonToken.START_ARRAY, "a list is missing");
+        need(
+                type instanceof Class<?> c && c.isEnum() || in.currentToken() == JsonToken.START_ARRAY,
+                "a list is missing");
         if (type instanceof ParameterizedType list) {
             List<Object> items = new ArrayList<>();
             while (in.nextToken() != JsonToken.END_ARRAY) {
--- a/src/main/java/plumpost/fleet/Life.java
+++ b/src/main/java/plumpost/fleet/Life.java
@@ -12,6 +12,7 @@
 final class Life {
     /** A join that was not answered is proposed again, and a change of functions is told, no sooner than this. */
     private static final double JOIN_MS = 500;
+
     private static final double SERVES_MS = 250;
     private static final int MOST_FUNCTIONS = 1024;
 
@@ -64,20 +65,29 @@
 
     private void join() {
         joining = true;
-        member.log().propose(new Entry.Join(config.self().name(), config.self().site(), disk, config.self().vote(), nonce,
-            FleetCodec.FORMAT, offers), o -> {
-                joining = false;
-                joinAt = member.nowMs() + JOIN_MS;
-                if (o != null && o.done()) {
-                    incarnation = o.number();
-                    heardAt = member.nowMs();
-                    served = List.of();
-                    member.count("joined");
-                    member.say("joined as incarnation " + incarnation);
-                } else if (o != null) {
-                    member.halted(o.words());
-                }
-            });
+        member.log()
+                .propose(
+                        new Entry.Join(
+                                config.self().name(),
+                                config.self().site(),
+                                disk,
+                                config.self().vote(),
+                                nonce,
+                                FleetCodec.FORMAT,
+                                offers),
+                        o -> {
+                            joining = false;
+                            joinAt = member.nowMs() + JOIN_MS;
+                            if (o != null && o.done()) {
+                                incarnation = o.number();
+                                heardAt = member.nowMs();
+                                served = List.of();
+                                member.count("joined");
+                                member.say("joined as incarnation " + incarnation);
+                            } else if (o != null) {
+                                member.halted(o.words());
+                            }
+                        });
     }
 
     private void heard(long life, double sent, Boolean heard) {
@@ -101,7 +111,9 @@
 
     /** Tells which functions have workers here, where that has changed. */
     void serves(double now) {
-        List<String> functions = now < servesAt ? served : host.functions().stream().sorted().limit(MOST_FUNCTIONS).toList();
+        List<String> functions = now < servesAt
+                ? served
+                : host.functions().stream().sorted().limit(MOST_FUNCTIONS).toList();
         if (!functions.equals(served)) {
             servesAt = now + SERVES_MS;
             member.once("serves", new Entry.Serves(config.self().name(), incarnation, functions), o -> {
--- a/src/main/java/plumpost/fleet/Member.java
+++ b/src/main/java/plumpost/fleet/Member.java
@@ -27,6 +27,7 @@
     private static final double STEP_MS = 50;
     /** An equal entry is proposed again, and a wish is answered as not known, no sooner than this. */
     private static final double AGAIN_MS = 1000;
+
     private static final double LEAVE_MS = 400;
 
     private final PeersConfig config;
@@ -41,6 +42,7 @@
     private final DiscoveryRunner discovery;
     /** Null where the file covers nothing. */
     private final OrderRunner orders;
+
     private FleetLog log;
     private final Map<Object, Double> asked = new HashMap<>();
     private boolean dirty;
@@ -60,8 +62,16 @@
      * @param disk its data directory's identity
      * @param asks whether it can ask discovery
      */
-    public Member(PeersConfig config, String nonce, String disk, boolean asks, Host host, Clock clock, TimerWheel wheel,
-                  Counters counters, Consumer<String> say) {
+    public Member(
+            PeersConfig config,
+            String nonce,
+            String disk,
+            boolean asks,
+            Host host,
+            Clock clock,
+            TimerWheel wheel,
+            Counters counters,
+            Consumer<String> say) {
         this.config = config;
         this.host = host;
         this.clock = clock;
@@ -70,7 +80,8 @@
         this.say = say;
         List<Offer> offers = new ArrayList<>(List.of(new Offer(FleetBook.SCHEDULE, "")));
         if (asks) {
-            offers.add(new Offer(FleetBook.DISCOVERY + config.self().site(), config.self().site()));
+            offers.add(new Offer(
+                    FleetBook.DISCOVERY + config.self().site(), config.self().site()));
         }
         if (!config.covered().classes().isEmpty()) {
             offers.add(new Offer(FleetBook.LEDGER, ""));
@@ -78,8 +89,8 @@
         life = new Life(this, host, config, nonce, disk, offers);
         schedule = new ScheduleRunner(this, host);
         orders = config.covered().classes().isEmpty() ? null : new OrderRunner(this, host, config.covered());
-        discovery = new DiscoveryRunner(this, host, asks ? FleetBook.DISCOVERY + config.self().site() : null,
-            config.discoveryAgeMs());
+        discovery = new DiscoveryRunner(
+                this, host, asks ? FleetBook.DISCOVERY + config.self().site() : null, config.discoveryAgeMs());
     }
 
     /** The log that it takes part in; given before {@link #begin}. */
@@ -184,7 +195,7 @@
         if (hadLease && !lease && !stopping) {
             count("lease_ended");
             say.accept("fleet: no leader has heard this scheduler for " + Math.round(config.lostMs() * 2 / 3)
-                + " ms: it does no fleet duty and serves on by itself");
+                    + " ms: it does no fleet duty and serves on by itself");
         }
         if (lease && !hadLease) {
             say("heard by the leader, incarnation " + incarnation() + " takes part");
@@ -207,8 +218,11 @@
         for (Duty d : view.duties().all()) {
             long fence = fence(d.name());
             if (fence > 0) {
-                once("late " + d.name(), new Entry.Yield(d.name(), fence), o -> say("has been behind the log for "
-                    + Math.round(log.behindMs()) + " ms: passes " + d.name() + " on"));
+                once(
+                        "late " + d.name(),
+                        new Entry.Yield(d.name(), fence),
+                        o -> say("has been behind the log for " + Math.round(log.behindMs()) + " ms: passes " + d.name()
+                                + " on"));
             }
         }
     }
@@ -239,10 +253,12 @@
         news.forEach(this::news);
         if (!dirty) {
             dirty = true;
-            later(0, () -> { // what came together is looked at once
-                dirty = false;
-                look();
-            });
+            later(
+                    0,
+                    () -> { // what came together is looked at once
+                        dirty = false;
+                        look();
+                    });
         }
     }
 
@@ -289,9 +305,13 @@
         } else if (n instanceof News.Owned o) {
             if (o.duty().owner().equals(name()) || o.former().equals(name())) {
                 count("owner_changed");
-                say.accept("fleet: " + o.duty().name() + " under fence " + o.duty().fence() + " is "
-                    + (o.duty().owner().isEmpty() ? "nobody's" : o.duty().owner() + "'s, incarnation "
-                    + o.duty().incarnation()) + (o.former().isEmpty() ? "" : ", was " + o.former() + "'s"));
+                say.accept(
+                        "fleet: " + o.duty().name() + " under fence " + o.duty().fence() + " is "
+                                + (o.duty().owner().isEmpty()
+                                        ? "nobody's"
+                                        : o.duty().owner() + "'s, incarnation "
+                                                + o.duty().incarnation())
+                                + (o.former().isEmpty() ? "" : ", was " + o.former() + "'s"));
             }
         } else if (n instanceof News.Refused r) {
             count("refused." + r.entry().getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
@@ -309,8 +329,11 @@
             return;
         }
         Session s = view.sessions().of(name());
-        if (incarnation() > 0 && s != null && s.incarnation() >= incarnation()
-            && !leaving && !(s.incarnation() == incarnation() && s.live())) {
+        if (incarnation() > 0
+                && s != null
+                && s.incarnation() >= incarnation()
+                && !leaving
+                && !(s.incarnation() == incarnation() && s.live())) {
             over("the log says " + s.state().name().toLowerCase(java.util.Locale.ROOT));
             if (s.state() == Sessions.State.REMOVED) {
                 halted("it was removed from the fleet by command");
@@ -341,8 +364,10 @@
             if (!over[0]) {
                 over[0] = true;
                 count("wish_unknown");
-                then.accept(new Said(false, false, "the fleet has not agreed in time; try again after "
-                    + Math.round(config.lostMs()) + " ms"));
+                then.accept(new Said(
+                        false,
+                        false,
+                        "the fleet has not agreed in time; try again after " + Math.round(config.lostMs()) + " ms"));
             }
         });
         log.propose(e, o -> {
@@ -379,7 +404,10 @@
 
     @Override
     public List<String> plannedIds() {
-        return view.plans().all().stream().filter(j -> j.state() == Plans.State.WAITING).map(Plans.Job::id).toList();
+        return view.plans().all().stream()
+                .filter(j -> j.state() == Plans.State.WAITING)
+                .map(Plans.Job::id)
+                .toList();
     }
 
     @Override
@@ -423,7 +451,7 @@
         if (incarnation() == 0 || halted || log == null) {
             leave();
         } else {
-            log.propose(new Entry.Leave(name(), incarnation(), false), o -> { }); // others have its duties from now on
+            log.propose(new Entry.Leave(name(), incarnation(), false), o -> {}); // others have its duties from now on
         }
     }
 
--- a/src/main/java/plumpost/fleet/OrderRunner.java
+++ b/src/main/java/plumpost/fleet/OrderRunner.java
@@ -29,13 +29,15 @@
 final class OrderRunner implements Ledger {
     /** Orders claimed at once, and settled at once. */
     private static final int MOST_CLAIMED = 64;
+
     private static final int MOST_SETTLED = 256;
     /** What this scheduler has released it does not claim again for so long. */
     private static final double PAUSE_MS = 1000;
+
     private static final byte[] NOTHING = new byte[0];
 
     /** What is to be said of an order until the log shows it. */
-    private record Saying(Event event, int lease, byte[] result) { }
+    private record Saying(Event event, int lease, byte[] result) {}
 
     private final Member member;
     private final Host host;
@@ -48,6 +50,7 @@
     private final Map<String, Consumer<Boolean>> asked = new LinkedHashMap<>();
     /** Leases under which orders are out from here, over the ends of lives. */
     private final Map<String, Integer> rights = new HashMap<>();
+
     private final Map<String, Saying> words = new LinkedHashMap<>();
     private double strayAt;
     private boolean looking;
@@ -98,8 +101,12 @@
             w = new Saying(w.event, now.lease(), w.result); // it was heard before the copy here knew of its lease
             words.put(id, w);
         }
-        if (w != null && (!known || over && !(now.state() == State.UNKNOWN && w.event != Event.STALL)
-            || (w.event == Event.GIVE_UP ? !own : w.lease > 0 && (now.lease() > w.lease || now.state() == State.TAKEN)))) {
+        if (w != null
+                && (!known
+                        || over && !(now.state() == State.UNKNOWN && w.event != Event.STALL)
+                        || (w.event == Event.GIVE_UP
+                                ? !own
+                                : w.lease > 0 && (now.lease() > w.lease || now.state() == State.TAKEN)))) {
             words.remove(id);
         }
         if (!known || over || now.state() == State.TAKEN || now.lease() != rights.getOrDefault(id, now.lease())) {
@@ -191,15 +198,17 @@
         }
         By me = new By(member.name(), member.incarnation());
         if (me.incarnation() > 0) {
-            words.entrySet().stream().filter(e -> e.getValue().lease > 0 || e.getValue().event == Event.GIVE_UP).toList()
-                .forEach(e -> say(me, e.getKey(), e.getValue()));
+            words.entrySet().stream()
+                    .filter(e -> e.getValue().lease > 0 || e.getValue().event == Event.GIVE_UP)
+                    .toList()
+                    .forEach(e -> say(me, e.getKey(), e.getValue()));
         }
         if (!member.mayAct()) {
             return;
         }
         if (!releases.isEmpty()) {
             List<String> some = releases.stream().limit(MOST_CLAIMED).toList();
-            member.once("release " + some.get(0), new Entry.Release(me, some), o -> { });
+            member.once("release " + some.get(0), new Entry.Release(me, some), o -> {});
         }
         if (member.nowMs() >= strayAt) {
             strayAt = member.nowMs() + PAUSE_MS;
@@ -209,8 +218,10 @@
         asked.keySet().forEach(id -> {
             Orders.Order o = mine.get(id);
             if (o != null && o.state() == State.TAKEN && !words.containsKey(id)) {
-                member.once("lease " + id + " " + o.lease(), new Entry.Told(me, id, Event.LEASE, o.lease(), NOTHING),
-                    x -> { });
+                member.once(
+                        "lease " + id + " " + o.lease(),
+                        new Entry.Told(me, id, Event.LEASE, o.lease(), NOTHING),
+                        x -> {});
             }
         });
         claim(me);
@@ -228,16 +239,22 @@
     private void strays() {
         Collection<String> functions = host.functions();
         Set<String> elsewhere = new HashSet<>();
-        member.view().sessions().all().stream().filter(s -> s.state() == Sessions.State.ALIVE
-            && !s.name().equals(member.name())).forEach(s -> elsewhere.addAll(s.functions()));
+        member.view().sessions().all().stream()
+                .filter(s -> s.state() == Sessions.State.ALIVE && !s.name().equals(member.name()))
+                .forEach(s -> elsewhere.addAll(s.functions()));
         int n = 0;
         for (Orders.Order o : mine.values()) {
-            if (o.state() == State.TAKEN && !held.contains(o.id()) && !words.containsKey(o.id())
-                && !releases.contains(o.id())) {
+            if (o.state() == State.TAKEN
+                    && !held.contains(o.id())
+                    && !words.containsKey(o.id())
+                    && !releases.contains(o.id())) {
                 toHold.add(o.id()); // what was given up here was refused by the log: it is still to be tried
             }
-            if (o.state() == State.TAKEN && !functions.contains(o.function()) && elsewhere.contains(o.function())
-                && !words.containsKey(o.id()) && n++ < MOST_SETTLED) {
+            if (o.state() == State.TAKEN
+                    && !functions.contains(o.function())
+                    && elsewhere.contains(o.function())
+                    && !words.containsKey(o.id())
+                    && n++ < MOST_SETTLED) {
                 releases.add(o.id());
                 toHold.remove(o.id());
             }
@@ -251,8 +268,15 @@
                 continue;
             }
             held.add(id);
-            if (!holder.hold(new Ledger.Order(o.id(), o.function(), o.unique(), o.body(), o.priority(), o.patienceMs(),
-                o.again(), o.background()))) {
+            if (!holder.hold(new Ledger.Order(
+                    o.id(),
+                    o.function(),
+                    o.unique(),
+                    o.body(),
+                    o.priority(),
+                    o.patienceMs(),
+                    o.again(),
+                    o.background()))) {
                 told(id, Word.RELEASED, NOTHING);
             }
         }
@@ -275,8 +299,11 @@
                 if (ids.size() >= room || !functions.contains(o.function()) || paused.containsKey(id)) {
                     continue;
                 }
-                List<String> able = member.view().sessions().all().stream().filter(s -> s.state() == Sessions.State.ALIVE
-                    && s.functions().contains(o.function())).map(Session::name).toList();
+                List<String> able = member.view().sessions().all().stream()
+                        .filter(s -> s.state() == Sessions.State.ALIVE
+                                && s.functions().contains(o.function()))
+                        .map(Session::name)
+                        .toList();
                 int at = turn.merge(o.function(), 1, Integer::sum) - 1;
                 if (!able.isEmpty() && able.get(at % able.size()).equals(member.name())) {
                     ids.add(id);
@@ -286,7 +313,7 @@
                 }
             }
         }
-        if (!ids.isEmpty() && member.once("claim " + ids.get(0), new Entry.Claim(me, ids), o -> { })) {
+        if (!ids.isEmpty() && member.once("claim " + ids.get(0), new Entry.Claim(me, ids), o -> {})) {
             member.count("orders_claimed");
             member.say("takes over up to " + ids.size() + " orders that nobody holds, from " + ids.get(0) + " on");
         }
@@ -297,10 +324,10 @@
         List<String> forgotten = due(ended, covered.keepMs());
         if (!given.isEmpty() || !forgotten.isEmpty()) {
             String mark = "settle " + (given.isEmpty() ? forgotten.get(0) : given.get(0));
-            if (member.once(mark, new Entry.Settle(member.fence(FleetBook.LEDGER), given, forgotten), o -> { })
-                && !given.isEmpty()) {
+            if (member.once(mark, new Entry.Settle(member.fence(FleetBook.LEDGER), given, forgotten), o -> {})
+                    && !given.isEmpty()) {
                 member.say("gives up " + given.size() + " orders whose worker was not heard for "
-                    + Math.round(covered.awaitMs()) + " ms: " + given.get(0) + (given.size() > 1 ? ", ..." : ""));
+                        + Math.round(covered.awaitMs()) + " ms: " + given.get(0) + (given.size() > 1 ? ", ..." : ""));
             }
         }
     }
@@ -331,22 +358,42 @@
     @Override
     public void take(Ledger.Order o, Consumer<Fleet.Said> then) {
         if (!member.mayAct()) {
-            then.accept(new Fleet.Said(false, false, member.stopping() ? "this scheduler ends"
-                : "no majority of the fleet hears this scheduler; try again after " + Math.round(PAUSE_MS) + " ms"));
+            then.accept(new Fleet.Said(
+                    false,
+                    false,
+                    member.stopping()
+                            ? "this scheduler ends"
+                            : "no majority of the fleet hears this scheduler; try again after " + Math.round(PAUSE_MS)
+                                    + " ms"));
             return;
         }
-        member.wish(new Entry.Take(new By(member.name(), member.incarnation()), o.id(), o.function(), o.unique(), o.body(),
-            o.priority(), o.patienceMs(), o.again(), o.background()), then);
+        member.wish(
+                new Entry.Take(
+                        new By(member.name(), member.incarnation()),
+                        o.id(),
+                        o.function(),
+                        o.unique(),
+                        o.body(),
+                        o.priority(),
+                        o.patienceMs(),
+                        o.again(),
+                        o.background()),
+                then);
     }
 
     private static Known known(Orders.Order o, boolean kept) {
-        return new Known(o.id(), !kept ? Stage.REFUSED : switch (o.state()) {
-            case TAKEN -> Stage.HELD;
-            case SERVED -> Stage.SERVED;
-            case FAILED -> Stage.FAILED;
-            case UNKNOWN -> Stage.UNKNOWN;
-            default -> Stage.OUT;
-        }, o.result());
+        return new Known(
+                o.id(),
+                !kept
+                        ? Stage.REFUSED
+                        : switch (o.state()) {
+                            case TAKEN -> Stage.HELD;
+                            case SERVED -> Stage.SERVED;
+                            case FAILED -> Stage.FAILED;
+                            case UNKNOWN -> Stage.UNKNOWN;
+                            default -> Stage.OUT;
+                        },
+                o.result());
     }
 
     @Override
@@ -398,12 +445,17 @@
         } else if (lease == null && (word == Word.STALLED || word == Word.GIVEN_UP || word == Word.FAILED)) {
             words.put(id, new Saying(Event.GIVE_UP, 0, NOTHING));
         } else if (lease != null || word == Word.DONE) { // a worker that reports elsewhere has the latest lease
-            words.put(id, new Saying(switch (word) {
-                case HANDED_BACK -> Event.HANDED_BACK;
-                case DONE -> Event.DONE;
-                case FAILED -> Event.FAIL;
-                default -> Event.STALL;
-            }, lease != null ? lease : o.lease(), result));
+            words.put(
+                    id,
+                    new Saying(
+                            switch (word) {
+                                case HANDED_BACK -> Event.HANDED_BACK;
+                                case DONE -> Event.DONE;
+                                case FAILED -> Event.FAIL;
+                                default -> Event.STALL;
+                            },
+                            lease != null ? lease : o.lease(),
+                            result));
         }
         look();
     }
--- a/src/main/java/plumpost/fleet/Orders.java
+++ b/src/main/java/plumpost/fleet/Orders.java
@@ -21,6 +21,7 @@
 public final class Orders {
     /** Orders known at once, kept outcomes too, and bytes of bodies and results; one more is refused. */
     static final int MOST = 100_000;
+
     static final long MOST_BYTES = 64L << 20;
     /** Attempts of a repeatable order, over all schedulers. */
     static final int MOST_LEASES = 6;
@@ -36,17 +37,52 @@
      * @param lease the number of its latest lease, 0 before the first
      * @param result what its worker made, or said of its failure; empty before its end
      */
-    public record Order(String id, String function, String unique, byte[] body, int priority, double patienceMs,
-                        boolean again, boolean background, State state, String holder, long incarnation, int lease,
-                        byte[] result) {
+    public record Order(
+            String id,
+            String function,
+            String unique,
+            byte[] body,
+            int priority,
+            double patienceMs,
+            boolean again,
+            boolean background,
+            State state,
+            String holder,
+            long incarnation,
+            int lease,
+            byte[] result) {
         Order in(State next, int latest, byte[] made) {
-            return new Order(id, function, unique, body, priority, patienceMs, again, background, next, holder, incarnation,
-                latest, made);
+            return new Order(
+                    id,
+                    function,
+                    unique,
+                    body,
+                    priority,
+                    patienceMs,
+                    again,
+                    background,
+                    next,
+                    holder,
+                    incarnation,
+                    latest,
+                    made);
         }
 
         Order heldBy(String who, long life) {
-            return new Order(id, function, unique, body, priority, patienceMs, again, background, state, who, life, lease,
-                result);
+            return new Order(
+                    id,
+                    function,
+                    unique,
+                    body,
+                    priority,
+                    patienceMs,
+                    again,
+                    background,
+                    state,
+                    who,
+                    life,
+                    lease,
+                    result);
         }
 
         boolean heldBy(Entry.By by) {
@@ -96,8 +132,20 @@
         if (byId.size() >= MOST || bytes + t.body().length > MOST_BYTES) {
             return Outcome.refused("the fleet's ledger is full: " + byId.size() + " orders, " + bytes + " bytes");
         }
-        Order o = new Order(t.id(), t.function(), t.unique(), t.body(), t.priority(), t.patienceMs(), t.again(),
-            t.background(), State.TAKEN, t.by().name(), t.by().incarnation(), 0, NOTHING);
+        Order o = new Order(
+                t.id(),
+                t.function(),
+                t.unique(),
+                t.body(),
+                t.priority(),
+                t.patienceMs(),
+                t.again(),
+                t.background(),
+                State.TAKEN,
+                t.by().name(),
+                t.by().incarnation(),
+                0,
+                NOTHING);
         put(o, news);
         return new Outcome(true, 0, o.id);
     }
@@ -109,9 +157,13 @@
             return Outcome.refused("order " + t.id() + " is not known");
         }
         boolean lives = sessions.live(t.by().name(), t.by().incarnation());
-        if (t.event() == Event.LEASE && (!lives || !o.heldBy(t.by()) || t.lease() != o.lease
-            || sessions.of(o.holder).state() == Sessions.State.LEAVING)) {
-            return Outcome.refused("order " + o.id + " is not " + t.by().name() + "#" + t.by().incarnation() + "'s to lease");
+        if (t.event() == Event.LEASE
+                && (!lives
+                        || !o.heldBy(t.by())
+                        || t.lease() != o.lease
+                        || sessions.of(o.holder).state() == Sessions.State.LEAVING)) {
+            return Outcome.refused(
+                    "order " + o.id + " is not " + t.by().name() + "#" + t.by().incarnation() + "'s to lease");
         }
         if (t.event() == Event.GIVE_UP && !o.heldBy(t.by())) {
             return Outcome.refused("order " + o.id + " is not " + t.by().name() + "#" + t.by().incarnation() + "'s");
@@ -119,15 +171,17 @@
         OrderLife.Step step = OrderLife.next(o.state, o.lease, t.event(), t.lease());
         if (step == null || t.event() == Event.RECOVER) {
             return Outcome.refused("order " + o.id + " is " + o.state + " under lease " + o.lease + ": " + t.event()
-                + " under " + t.lease() + " means nothing");
+                    + " under " + t.lease() + " means nothing");
         }
         if (t.event() == Event.GIVE_UP) { // it never ran: nothing is kept, and it may be handed in anew
             remove(o);
             news.add(new News.Ordered(o.in(State.FAILED, o.lease, NOTHING), o));
             return Outcome.DONE;
         }
-        Order next = o.in(step.state(), (int) step.fence(), step.state() == State.SERVED || step.state() == State.FAILED
-            ? t.result() : o.result);
+        Order next = o.in(
+                step.state(),
+                (int) step.fence(),
+                step.state() == State.SERVED || step.state() == State.FAILED ? t.result() : o.result);
         if (t.event() == Event.STALL && o.again && o.lease < MOST_LEASES) {
             next = o.in(State.TAKEN, o.lease, o.result); // its holder may try again, under the next lease
         }
@@ -141,7 +195,7 @@
     /** Free orders become a life's, as many as are still free. */
     Outcome claim(Entry.Claim c, Sessions sessions, Collection<News> news) {
         if (!sessions.live(c.by().name(), c.by().incarnation())
-            || sessions.of(c.by().name()).state() == Sessions.State.LEAVING) {
+                || sessions.of(c.by().name()).state() == Sessions.State.LEAVING) {
             return Outcome.refused("no such life as " + c.by().name() + "#" + c.by().incarnation());
         }
         int got = 0;
@@ -176,8 +230,11 @@
         for (String id : s.given()) {
             Order o = byId.get(id);
             if (o != null && o.state == State.AWAITED) {
-                put(o.again && o.lease < MOST_LEASES ? o.in(State.TAKEN, o.lease, o.result).heldBy("", 0)
-                    : o.in(State.UNKNOWN, o.lease, o.result), news);
+                put(
+                        o.again && o.lease < MOST_LEASES
+                                ? o.in(State.TAKEN, o.lease, o.result).heldBy("", 0)
+                                : o.in(State.UNKNOWN, o.lease, o.result),
+                        news);
             }
         }
         for (String id : s.forgotten()) {
@@ -200,8 +257,9 @@
 
     /** A life ends in order: what it has not handed out is free at once. */
     void leaving(String name, long incarnation, Collection<News> news) {
-        each(o -> o.state == State.TAKEN && o.holder.equals(name) && o.incarnation == incarnation,
-            o -> put(o.heldBy("", 0), news));
+        each(
+                o -> o.state == State.TAKEN && o.holder.equals(name) && o.incarnation == incarnation,
+                o -> put(o.heldBy("", 0), news));
     }
 
     private void each(Predicate<Order> which, java.util.function.Consumer<Order> what) {
@@ -228,7 +286,7 @@
     }
 
     /** What a snapshot keeps of it. */
-    public record Image(List<Order> orders) { }
+    public record Image(List<Order> orders) {}
 
     Image image() {
         return new Image(new ArrayList<>(byId.values()));
--- a/src/main/java/plumpost/fleet/Plans.java
+++ b/src/main/java/plumpost/fleet/Plans.java
@@ -16,6 +16,7 @@
 public final class Plans {
     /** Jobs and bytes held at once; one more is refused, nothing is dropped. */
     static final int MOST = 100_000;
+
     static final long MOST_BYTES = 64L << 20;
     /** Jobs given up that are remembered for {@code fleet show}. */
     static final int MOST_GIVEN_UP = 256;
@@ -33,11 +34,31 @@
     }
 
     /** A job; {@code tries} counts how often it was begun. */
-    public record Job(String id, String function, String unique, byte[] body, double atMs, boolean again,
-                      State state, String target, long incarnation, long fence, int tries) {
+    public record Job(
+            String id,
+            String function,
+            String unique,
+            byte[] body,
+            double atMs,
+            boolean again,
+            State state,
+            String target,
+            long incarnation,
+            long fence,
+            int tries) {
         Job in(State next, String who, long life, long under) {
-            return new Job(id, function, unique, body, atMs, again, next, who, life, under,
-                tries + (next == State.BEGUN ? 1 : 0));
+            return new Job(
+                    id,
+                    function,
+                    unique,
+                    body,
+                    atMs,
+                    again,
+                    next,
+                    who,
+                    life,
+                    under,
+                    tries + (next == State.BEGUN ? 1 : 0));
         }
     }
 
@@ -85,8 +106,7 @@
         if (byId.size() >= MOST || bytes + p.body().length > MOST_BYTES) {
             return Outcome.refused("the fleet's schedule is full: " + byId.size() + " jobs, " + bytes + " bytes");
         }
-        Job j = new Job(p.id(), p.function(), p.unique(), p.body(), p.atMs(), p.again(), State.WAITING, "", 0,
-            0, 0);
+        Job j = new Job(p.id(), p.function(), p.unique(), p.body(), p.atMs(), p.again(), State.WAITING, "", 0, 0, 0);
         byId.put(j.id, j);
         if (!p.unique().isEmpty()) {
             byKey.put(key(p.function(), p.unique()), j.id);
@@ -105,7 +125,7 @@
             return Outcome.refused("job " + f.id() + " is " + (j == null ? "over" : j.state + " at " + j.target));
         }
         if (!sessions.live(f.target(), f.incarnation())
-            || sessions.of(f.target()).state() == Sessions.State.LEAVING) {
+                || sessions.of(f.target()).state() == Sessions.State.LEAVING) {
             return Outcome.refused("no such life as " + f.target() + "#" + f.incarnation());
         }
         put(j.in(State.FIRED, f.target(), f.incarnation(), f.fence()), news);
@@ -119,10 +139,13 @@
 
     Outcome begin(Entry.Begin b, Sessions sessions, Collection<News> news) {
         Job j = byId.get(b.id());
-        if (j == null || j.state != State.FIRED || !j.target.equals(b.target()) || j.incarnation != b.incarnation()
-            || !sessions.live(b.target(), b.incarnation())) {
-            return Outcome.refused("job " + b.id() + (j == null ? " is over" : " is " + j.state + " at " + j.target + "#"
-                + j.incarnation));
+        if (j == null
+                || j.state != State.FIRED
+                || !j.target.equals(b.target())
+                || j.incarnation != b.incarnation()
+                || !sessions.live(b.target(), b.incarnation())) {
+            return Outcome.refused("job " + b.id()
+                    + (j == null ? " is over" : " is " + j.state + " at " + j.target + "#" + j.incarnation));
         }
         put(j.in(State.BEGUN, j.target, j.incarnation, j.fence), news);
         return Outcome.DONE;
@@ -181,7 +204,7 @@
     }
 
     /** What a snapshot keeps of it. */
-    public record Image(List<Job> jobs, List<String> givenUp, long ended) { }
+    public record Image(List<Job> jobs, List<String> givenUp, long ended) {}
 
     Image image() {
         return new Image(new ArrayList<>(byId.values()), new ArrayList<>(givenUp), ended);
--- a/src/main/java/plumpost/fleet/ScheduleRunner.java
+++ b/src/main/java/plumpost/fleet/ScheduleRunner.java
@@ -22,22 +22,26 @@
 final class ScheduleRunner {
     /** Jobs given out and not yet begun, and jobs that one life may have begun: more wait their turn. */
     private static final int MOST_FIRED = 256;
+
     private static final int MOST_AT_ONE = 1024;
     /** A life that could not take a job is not asked again for this long. */
     private static final double FULL_MS = 1000;
 
     private final Member member;
     private final Host host;
-    private final TreeSet<Job> waiting = new TreeSet<>(Comparator.comparingDouble(Job::atMs).thenComparing(Job::id));
+    private final TreeSet<Job> waiting =
+            new TreeSet<>(Comparator.comparingDouble(Job::atMs).thenComparing(Job::id));
     private final Map<String, Job> open = new LinkedHashMap<>();
     private final Map<String, Job> mine = new LinkedHashMap<>();
     /** The schedule's jobs at each scheduler, as the log says, and those that it is about to say so of. */
     private final Map<String, Integer> load = new HashMap<>();
+
     private final Map<String, Integer> coming = new HashMap<>();
     private final Set<String> handed = new HashSet<>();
     private final Map<String, Boolean> toEnd = new LinkedHashMap<>();
     /** What it has asked to begin and that still stands as told to it: the log may yet say that it is begun here. */
     private final Set<String> beginning = new HashSet<>();
+
     private double fullUntil;
     private int fired;
 
@@ -91,8 +95,11 @@
 
     /** Whether nothing is left here that it was told to run, nor on its way: a life that leaves first gives that up. */
     boolean done() {
-        return handed.isEmpty() && toEnd.isEmpty() && beginning.isEmpty() && mine.values().stream().noneMatch(
-            j -> j.state() == State.BEGUN && j.incarnation() == member.incarnation());
+        return handed.isEmpty()
+                && toEnd.isEmpty()
+                && beginning.isEmpty()
+                && mine.values().stream()
+                        .noneMatch(j -> j.state() == State.BEGUN && j.incarnation() == member.incarnation());
     }
 
     /** A job that was handed in here has ended, or nobody has seen it. */
@@ -118,7 +125,8 @@
                 continue;
             }
             if (j.state() == State.FIRED && member.nowMs() >= fullUntil && member.mayAct()) {
-                if (member.once("begin " + j.id(), new Entry.Begin(j.id(), member.name(), member.incarnation()), o -> { })) {
+                if (member.once(
+                        "begin " + j.id(), new Entry.Begin(j.id(), member.name(), member.incarnation()), o -> {})) {
                     beginning.add(j.id());
                 }
             } else if (j.state() == State.BEGUN && !handed.contains(j.id()) && !toEnd.containsKey(j.id())) {
@@ -135,7 +143,8 @@
                 toEnd.remove(id); // recorded
                 handed.remove(id);
             } else {
-                member.once("end " + id, new Entry.End(id, member.name(), member.incarnation(), toEnd.get(id)), o -> { });
+                member.once(
+                        "end " + id, new Entry.End(id, member.name(), member.incarnation(), toEnd.get(id)), o -> {});
             }
         }
     }
@@ -163,7 +172,9 @@
         double now = member.nowMs();
         List<Job> all = new ArrayList<>();
         if (member.view().sessions().all().stream().anyMatch(s -> s.live() && s.state() != Sessions.State.ALIVE)) {
-            open.values().stream().filter(j -> Plans.stuck(j, member.view().sessions())).forEach(all::add);
+            open.values().stream()
+                    .filter(j -> Plans.stuck(j, member.view().sessions()))
+                    .forEach(all::add);
         }
         for (Job j : waiting) {
             if (j.atMs() > now || all.size() >= MOST_FIRED) {
@@ -181,8 +192,11 @@
                 return;
             }
             Session to = target(j.function());
-            if (to != null && member.once("fire " + j.id(), new Entry.Fire(j.id(), member.fence(FleetBook.SCHEDULE),
-                to.name(), to.incarnation()), o -> coming.merge(to.name(), -1, Integer::sum))) {
+            if (to != null
+                    && member.once(
+                            "fire " + j.id(),
+                            new Entry.Fire(j.id(), member.fence(FleetBook.SCHEDULE), to.name(), to.incarnation()),
+                            o -> coming.merge(to.name(), -1, Integer::sum))) {
                 asked++;
                 coming.merge(to.name(), 1, Integer::sum); // lest one gets all that is due together
             }
@@ -192,9 +206,12 @@
     /** Who has workers for a function and the least of the schedule's jobs; null while nobody has. */
     private Session target(String function) {
         List<Session> able = member.view().sessions().all().stream()
-            .filter(s -> s.state() == Sessions.State.ALIVE && s.functions().contains(function)
-                && load(s) < MOST_AT_ONE).toList();
-        return able.stream().min(Comparator.comparing(this::load).thenComparing(Session::name)).orElse(null);
+                .filter(s ->
+                        s.state() == Sessions.State.ALIVE && s.functions().contains(function) && load(s) < MOST_AT_ONE)
+                .toList();
+        return able.stream()
+                .min(Comparator.comparing(this::load).thenComparing(Session::name))
+                .orElse(null);
     }
 
     private int load(Session s) {
--- a/src/main/java/plumpost/fleet/Sessions.java
+++ b/src/main/java/plumpost/fleet/Sessions.java
@@ -32,8 +32,17 @@
     }
 
     /** One life; see {@link Entry.Join}. */
-    public record Session(String name, String site, String disk, boolean vote, String nonce, int reads,
-                          List<Offer> offers, long incarnation, State state, List<String> functions) {
+    public record Session(
+            String name,
+            String site,
+            String disk,
+            boolean vote,
+            String nonce,
+            int reads,
+            List<Offer> offers,
+            long incarnation,
+            State state,
+            List<String> functions) {
         /** Whether this life goes on, as far as the fleet has agreed. */
         public boolean live() {
             return state == State.ALIVE || state == State.SUSPECT || state == State.LEAVING;
@@ -71,8 +80,11 @@
 
     /** The newest record format that every scheduler reads which may still read the log. */
     public int reads() {
-        return byName.values().stream().filter(s -> s.state != State.REMOVED && s.state != State.LEFT)
-            .mapToInt(Session::reads).min().orElse(format);
+        return byName.values().stream()
+                .filter(s -> s.state != State.REMOVED && s.state != State.LEFT)
+                .mapToInt(Session::reads)
+                .min()
+                .orElse(format);
     }
 
     /** The record format that the fleet writes: it is only ever raised. */
@@ -91,12 +103,12 @@
     Outcome join(Entry.Join j, Collection<News> news) {
         Session old = byName.get(j.name());
         if (removed.contains(j.disk())) {
-            return Outcome.refused("the data directory of " + j.name() + " was removed from the fleet: it starts anew on an"
-                + " empty one");
+            return Outcome.refused("the data directory of " + j.name()
+                    + " was removed from the fleet: it starts anew on an" + " empty one");
         }
         if (j.reads() < format) {
             return Outcome.refused("the fleet writes record format " + format + ", the program of " + j.name()
-                + " reads 1 to " + j.reads() + ": it is too old");
+                    + " reads 1 to " + j.reads() + ": it is too old");
         }
         if (old != null && old.live() && old.nonce.equals(j.nonce())) {
             return Outcome.done(old.incarnation);
@@ -104,8 +116,17 @@
         if (old == null && byName.size() >= MOST && !forgetOne()) {
             return Outcome.refused("the fleet has " + MOST + " schedulers");
         }
-        Session s = new Session(j.name(), j.site(), j.disk(), j.vote(), j.nonce(), j.reads(), List.copyOf(j.offers()),
-            ++incarnations, State.ALIVE, List.of());
+        Session s = new Session(
+                j.name(),
+                j.site(),
+                j.disk(),
+                j.vote(),
+                j.nonce(),
+                j.reads(),
+                List.copyOf(j.offers()),
+                ++incarnations,
+                State.ALIVE,
+                List.of());
         if (old != null && old.live()) {
             news.add(new News.Changed(old.in(State.LOST), old.state));
         }
@@ -160,8 +181,19 @@
         if (!live(s.name(), s.incarnation())) {
             return Outcome.refused("no such life");
         }
-        byName.put(old.name, new Session(old.name, old.site, old.disk, old.vote, old.nonce, old.reads, old.offers,
-            old.incarnation, old.state, List.copyOf(s.functions())));
+        byName.put(
+                old.name,
+                new Session(
+                        old.name,
+                        old.site,
+                        old.disk,
+                        old.vote,
+                        old.nonce,
+                        old.reads,
+                        old.offers,
+                        old.incarnation,
+                        old.state,
+                        List.copyOf(s.functions())));
         news.add(new News.Changed(byName.get(old.name), old.state));
         return Outcome.DONE;
     }
@@ -175,7 +207,7 @@
     }
 
     /** What a snapshot keeps of it. */
-    public record Image(List<Session> sessions, List<String> removed, long incarnations, int format) { }
+    public record Image(List<Session> sessions, List<String> removed, long incarnations, int format) {}
 
     Image image() {
         return new Image(new ArrayList<>(byName.values()), new ArrayList<>(removed), incarnations, format);
--- a/src/main/java/plumpost/fleet/engine/BookMachine.java
+++ b/src/main/java/plumpost/fleet/engine/BookMachine.java
@@ -92,10 +92,13 @@
     @Override
     public void initialize(RaftServer server, RaftGroupId group, RaftStorage raft) throws IOException {
         super.initialize(server, group, raft);
-        getLifeCycle().startAndTransition(() -> {
-            storage.init(raft);
-            load(storage.getLatestSnapshot());
-        }, IOException.class);
+        getLifeCycle()
+                .startAndTransition(
+                        () -> {
+                            storage.init(raft);
+                            load(storage.getLatestSnapshot());
+                        },
+                        IOException.class);
     }
 
     /** The index of the last entry that is in the book. */
@@ -173,7 +176,8 @@
     public TransactionContext startTransaction(RaftClientRequest request) throws IOException {
         TransactionContext t = super.startTransaction(request);
         try {
-            String why = listener.refuses(FleetCodec.entry(request.getMessage().getContent().toByteArray()));
+            String why = listener.refuses(
+                    FleetCodec.entry(request.getMessage().getContent().toByteArray()));
             if (why != null) {
                 t.setException(new StateMachineException(why, null, false));
             }
@@ -220,8 +224,8 @@
     @Override
     public CompletableFuture<Message> query(Message question) {
         synchronized (this) {
-            return CompletableFuture.completedFuture(Message.valueOf(questions.apply(
-                question.getContent().toStringUtf8())));
+            return CompletableFuture.completedFuture(
+                    Message.valueOf(questions.apply(question.getContent().toStringUtf8())));
         }
     }
 }
--- a/src/main/java/plumpost/fleet/engine/Calls.java
+++ b/src/main/java/plumpost/fleet/engine/Calls.java
@@ -39,6 +39,7 @@
     private final ExecutorService threads;
     /** Owns the client. */
     private final ScheduledExecutorService own;
+
     private final Executor loop;
     private RaftClient client;
     private double madeAt;
@@ -74,18 +75,22 @@
                 madeAt = nowMs();
             }
             RaftClient used = c;
-            CompletableFuture.supplyAsync(() -> {
-                try {
-                    return what.by(used);
-                } catch (IOException x) {
-                    throw new CompletionException(x);
-                }
-            }, threads).orTimeout(longestMs, TimeUnit.MILLISECONDS).whenComplete((reply, fault) -> {
-                if (fault != null) {
-                    failed(used);
-                }
-                loop.execute(() -> then.accept(fault != null || !reply.isSuccess() ? null : reply));
-            });
+            CompletableFuture.supplyAsync(
+                            () -> {
+                                try {
+                                    return what.by(used);
+                                } catch (IOException x) {
+                                    throw new CompletionException(x);
+                                }
+                            },
+                            threads)
+                    .orTimeout(longestMs, TimeUnit.MILLISECONDS)
+                    .whenComplete((reply, fault) -> {
+                        if (fault != null) {
+                            failed(used);
+                        }
+                        loop.execute(() -> then.accept(fault != null || !reply.isSuccess() ? null : reply));
+                    });
         } catch (IOException | RuntimeException e) {
             failed(c);
             loop.execute(() -> then.accept(null));
--- a/src/main/java/plumpost/fleet/engine/DataDirectory.java
+++ b/src/main/java/plumpost/fleet/engine/DataDirectory.java
@@ -95,9 +95,9 @@
             j.writeEndObject();
         }
         Path half = file.resolveSibling(IDENTITY + ".new");
-        try (FileChannel out = FileChannel.open(half, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE)) {
-            for (ByteBuffer b = ByteBuffer.wrap(all.toByteArray()); b.hasRemaining();) {
+        try (FileChannel out = FileChannel.open(
+                half, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            for (ByteBuffer b = ByteBuffer.wrap(all.toByteArray()); b.hasRemaining(); ) {
                 out.write(b);
             }
             out.force(true);
--- a/src/main/java/plumpost/fleet/engine/Engine.java
+++ b/src/main/java/plumpost/fleet/engine/Engine.java
@@ -24,12 +24,12 @@
     /** Between two tries of a client. */
     private static final double PAUSE_MS = 100;
 
-    private Engine() { }
+    private Engine() {}
 
     /** The engine's id of a fleet's group: drawn from its name, so that two fleets never mix. */
     static RaftGroupId group(String name) {
-        return RaftGroupId.valueOf(UUID.nameUUIDFromBytes(("plumpost fleet " + name).getBytes(
-            java.nio.charset.StandardCharsets.UTF_8)));
+        return RaftGroupId.valueOf(
+                UUID.nameUUIDFromBytes(("plumpost fleet " + name).getBytes(java.nio.charset.StandardCharsets.UTF_8)));
     }
 
     private static TimeDuration ms(double ms) {
@@ -49,7 +49,8 @@
         RaftServerConfigKeys.Rpc.setTimeoutMax(p, ms(election * 2));
         RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMin(p, ms(election));
         RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMax(p, ms(election * 2));
-        // A follower answers an entry when its disk has it: sent again before that, each entry queues twice on a slow disk.
+        // A follower answers an entry when its disk has it: sent again before that, each entry queues twice on a slow
+        // disk.
         RaftServerConfigKeys.Rpc.setRequestTimeout(p, ms(Math.max(1000, 2 * c.lostMs())));
         RaftServerConfigKeys.LeaderElection.setLeaderStepDownWaitTime(p, ms(election * 2));
         RaftServerConfigKeys.LeaderElection.setPreVote(p, true);
@@ -88,8 +89,11 @@
         RaftClientConfigKeys.Rpc.setRequestTimeout(p, ms(tryMs));
         RaftClientConfigKeys.Async.Experimental.setSendDummyRequest(p, false); // fails at a leader that is not ready
         GrpcConfigKeys.setMessageSizeMax(p, SizeInBytes.valueOf(4L * FleetCodec.MOST_BYTES));
-        return RaftClient.newBuilder().setProperties(p).setRaftGroup(group).setRetryPolicy(
-            RetryPolicies.retryUpToMaximumCountWithFixedSleep(tries, ms(PAUSE_MS))).build();
+        return RaftClient.newBuilder()
+                .setProperties(p)
+                .setRaftGroup(group)
+                .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(tries, ms(PAUSE_MS)))
+                .build();
     }
 
     /** What a member says of the group: the group with its members as that one knows them, or null: it is in none. */
--- a/src/main/java/plumpost/fleet/engine/FleetMaker.java
+++ b/src/main/java/plumpost/fleet/engine/FleetMaker.java
@@ -46,10 +46,18 @@
         byte[] nonce = new byte[8];
         new SecureRandom().nextBytes(nonce);
         Trials trials = Trials.of(config.self().name(), kit.log());
-        Member member = new Member(config, HexFormat.of().formatHex(nonce), data.disk(), config.asks(),
-            trials == null ? host : trials.host(host), kit.clock(), kit.wheel(), kit.counters(), kit.log());
-        RatisLog log = new RatisLog(config, data, trials == null ? member : trials.ear(member), loop::accept, kit.log(),
-            trials);
+        Member member = new Member(
+                config,
+                HexFormat.of().formatHex(nonce),
+                data.disk(),
+                config.asks(),
+                trials == null ? host : trials.host(host),
+                kit.clock(),
+                kit.wheel(),
+                kit.counters(),
+                kit.log());
+        RatisLog log = new RatisLog(
+                config, data, trials == null ? member : trials.ear(member), loop::accept, kit.log(), trials);
         member.on(trials == null ? log : trials.log(log));
         log.start();
         return member;
@@ -87,9 +95,13 @@
         }
         Entry e;
         if (command.equals("yield")) {
-            List<?> duties = Json.object("fleet", page.getBytes(StandardCharsets.UTF_8)).list("duties");
-            Map<?, ?> duty = duties.stream().map(d -> (Map<?, ?>) d).filter(d -> argument.equals(d.get("name")))
-                .findFirst().orElseThrow(() -> new BadInput("fleet yield: no duty " + argument));
+            List<?> duties =
+                    Json.object("fleet", page.getBytes(StandardCharsets.UTF_8)).list("duties");
+            Map<?, ?> duty = duties.stream()
+                    .map(d -> (Map<?, ?>) d)
+                    .filter(d -> argument.equals(d.get("name")))
+                    .findFirst()
+                    .orElseThrow(() -> new BadInput("fleet yield: no duty " + argument));
             e = new Entry.Yield(argument, ((Number) duty.get("fence")).longValue());
         } else {
             e = new Entry.Remove(argument);
--- a/src/main/java/plumpost/fleet/engine/FleetPage.java
+++ b/src/main/java/plumpost/fleet/engine/FleetPage.java
@@ -12,7 +12,7 @@
 
 /** What {@code fleet show --json} prints: members, duties, bans and the schedule, as the fleet has agreed on them. */
 final class FleetPage {
-    private FleetPage() { }
+    private FleetPage() {}
 
     static String json(FleetBook book, String leader) {
         StringWriter text = new StringWriter();
@@ -47,8 +47,11 @@
             j.writeObjectFieldStart("schedule");
             for (Plans.State state : Plans.State.values()) {
                 if (state != Plans.State.ENDED) {
-                    j.writeNumberField(state.name().toLowerCase(java.util.Locale.ROOT),
-                        book.plans().all().stream().filter(p -> p.state() == state).count());
+                    j.writeNumberField(
+                            state.name().toLowerCase(java.util.Locale.ROOT),
+                            book.plans().all().stream()
+                                    .filter(p -> p.state() == state)
+                                    .count());
                 }
             }
             j.writeNumberField("ended", book.plans().ended());
--- a/src/main/java/plumpost/fleet/engine/Membership.java
+++ b/src/main/java/plumpost/fleet/engine/Membership.java
@@ -30,8 +30,13 @@
     private final RaftServer server;
     private final Consumer<String> say;
 
-    Membership(PeersConfig config, DataDirectory data, RaftGroupId id, RaftPeer self, RaftServer server,
-               Consumer<String> say) {
+    Membership(
+            PeersConfig config,
+            DataDirectory data,
+            RaftGroupId id,
+            RaftPeer self,
+            RaftServer server,
+            Consumer<String> say) {
         this.config = config;
         this.data = data;
         this.id = id;
@@ -42,9 +47,11 @@
 
     /** Why this directory can never be a member again, or null. */
     String lost() {
-        return !has() && data.wasMember() ? "the log of " + self.getId() + " is gone from " + data.log()
-            + " and the rest is there: it must not vote with what it forgot; remove the whole directory, and it joins as "
-            + "another" : null;
+        return !has() && data.wasMember()
+                ? "the log of " + self.getId() + " is gone from " + data.log()
+                        + " and the rest is there: it must not vote with what it forgot; remove the whole directory, and it joins as "
+                        + "another"
+                : null;
     }
 
     /** Does what comes next on the way; whether this directory is a member. */
@@ -68,7 +75,8 @@
         }
         if (group != null && !group.getPeers().isEmpty()) {
             join(group);
-        } else if (config.voters().get(0).name().equals(config.self().name()) && empty == config.voters().size() - 1) {
+        } else if (config.voters().get(0).name().equals(config.self().name())
+                && empty == config.voters().size() - 1) {
             say.accept("founding " + config.group());
             try (RaftClient c = Engine.client(RaftGroup.valueOf(id, self), 3)) {
                 c.getGroupManagementApi(self.getId()).add(RaftGroup.valueOf(id, self));
@@ -94,7 +102,7 @@
         }
         RaftConfiguration c = server.getDivision(id).getRaftConf();
         return c.getPeer(self.getId(), RaftPeerRole.FOLLOWER, RaftPeerRole.LISTENER) != null
-            && c.getPreviousPeers().isEmpty();
+                && c.getPreviousPeers().isEmpty();
     }
 
     private void join(RaftGroup group) throws IOException {
@@ -107,15 +115,19 @@
             }
         }
         if (others.isEmpty()) {
-            say.accept("joining: the fleet knows only this scheduler's lost directory; restore it, or found the fleet anew");
+            say.accept(
+                    "joining: the fleet knows only this scheduler's lost directory; restore it, or found the fleet anew");
             return;
         }
         if (others.size() + (named ? 1 : 0) < group.getPeers().size()) {
-            // The leader still feeds the old directory of this name, at this very address: two streams into one log spoil
+            // The leader still feeds the old directory of this name, at this very address: two streams into one log
+            // spoil
             // it. So the old one leaves first, while this process is in no group and takes nothing in.
             say.accept("taking the place of this name's former directory in " + config.group());
-            List<RaftPeer> without = group.getPeers().stream().filter(p -> p.getId().equals(self.getId())
-                || !PeerNames.name(p.getId()).equals(config.self().name())).toList();
+            List<RaftPeer> without = group.getPeers().stream()
+                    .filter(p -> p.getId().equals(self.getId())
+                            || !PeerNames.name(p.getId()).equals(config.self().name()))
+                    .toList();
             configure(RaftGroup.valueOf(id, without), group.getPeers(), without);
             return;
         }
@@ -135,16 +147,22 @@
 
     /** Those of a configuration that vote, or those that do not. */
     static List<RaftPeer> role(Collection<RaftPeer> peers, boolean voters) {
-        return peers.stream().filter(p -> (p.getStartupRole() != RaftPeerRole.LISTENER) == voters).toList();
+        return peers.stream()
+                .filter(p -> (p.getStartupRole() != RaftPeerRole.LISTENER) == voters)
+                .toList();
     }
 
     /** Changes the group's configuration from one that is known to another; fails where it has changed meanwhile. */
     static void configure(RaftGroup through, Collection<RaftPeer> now, Collection<RaftPeer> next) throws IOException {
         try (RaftClient c = Engine.client(through, 5)) {
-            RaftClientReply r = c.admin().setConfiguration(SetConfigurationRequest.Arguments.newBuilder()
-                .setServersInNewConf(role(next, true)).setListenersInNewConf(role(next, false))
-                .setServersInCurrentConf(role(now, true)).setListenersInCurrentConf(role(now, false))
-                .setMode(SetConfigurationRequest.Mode.COMPARE_AND_SET).build());
+            RaftClientReply r = c.admin()
+                    .setConfiguration(SetConfigurationRequest.Arguments.newBuilder()
+                            .setServersInNewConf(role(next, true))
+                            .setListenersInNewConf(role(next, false))
+                            .setServersInCurrentConf(role(now, true))
+                            .setListenersInCurrentConf(role(now, false))
+                            .setMode(SetConfigurationRequest.Mode.COMPARE_AND_SET)
+                            .build());
             if (!r.isSuccess()) {
                 throw new IOException(String.valueOf(r.getException()));
             }
--- a/src/main/java/plumpost/fleet/engine/PeerNames.java
+++ b/src/main/java/plumpost/fleet/engine/PeerNames.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
 import org.apache.ratis.protocol.RaftPeer;
 import org.apache.ratis.protocol.RaftPeerId;
-import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
 import org.apache.ratis.thirdparty.io.grpc.EquivalentAddressGroup;
 import org.apache.ratis.thirdparty.io.grpc.NameResolver;
 import org.apache.ratis.thirdparty.io.grpc.NameResolverProvider;
@@ -35,9 +35,12 @@
 
     /** A member as the engine knows it; its id names its data directory too, so that a wiped one is another. */
     static RaftPeer peer(PeersConfig.Member m, String disk) {
-        return RaftPeer.newBuilder().setId(RaftPeerId.valueOf(m.name() + "." + disk))
-            .setAddress("peer:///" + m.name() + "/" + m.address().getHostString() + ":" + m.address().getPort())
-            .setStartupRole(m.vote() ? RaftPeerRole.FOLLOWER : RaftPeerRole.LISTENER).build();
+        return RaftPeer.newBuilder()
+                .setId(RaftPeerId.valueOf(m.name() + "." + disk))
+                .setAddress("peer:///" + m.name() + "/" + m.address().getHostString() + ":"
+                        + m.address().getPort())
+                .setStartupRole(m.vote() ? RaftPeerRole.FOLLOWER : RaftPeerRole.LISTENER)
+                .build();
     }
 
     /** The scheduler's name in an engine's id. */
@@ -84,19 +87,20 @@
                 InetSocketAddress at = BY_NAME.get(parts[1]);
                 if (at == null && parts.length > 2) {
                     int colon = parts[2].lastIndexOf(':');
-                    at = new InetSocketAddress(parts[2].substring(0, colon),
-                        Integer.parseInt(parts[2].substring(colon + 1)));
+                    at = new InetSocketAddress(
+                            parts[2].substring(0, colon), Integer.parseInt(parts[2].substring(colon + 1)));
                 }
                 if (at == null) {
                     listener.onError(Status.UNAVAILABLE.withDescription("no address of " + parts[1]));
                 } else {
-                    listener.onResult(ResolutionResult.newBuilder().setAddressesOrError(StatusOr.fromValue(
-                        List.of(new EquivalentAddressGroup(at)))).build());
+                    listener.onResult(ResolutionResult.newBuilder()
+                            .setAddressesOrError(StatusOr.fromValue(List.of(new EquivalentAddressGroup(at))))
+                            .build());
                 }
             }
 
             @Override
-            public void shutdown() { }
+            public void shutdown() {}
         };
     }
 }
--- a/src/main/java/plumpost/fleet/engine/RatisLog.java
+++ b/src/main/java/plumpost/fleet/engine/RatisLog.java
@@ -50,6 +50,7 @@
     private final RaftPeer self;
     /** Becoming and staying a member may wait for others; what is proposed must not wait for that. */
     private final ScheduledExecutorService own = thread("fleet");
+
     private final Calls proposals;
     private final Calls beating;
     private final BookMachine machine;
@@ -61,6 +62,7 @@
     private int beats;
     /** The oldest word of the leader on how far the log is applied that has not come true here, and since when. */
     private long behind;
+
     private double behindSince;
     private boolean settled;
     private String said = "";
@@ -75,10 +77,18 @@
         this.self = PeerNames.peer(config.self(), data.disk());
         this.ears = new Beats(config.lostMs() * 2 / 3, config.lostMs(), 5 * LOOK_MS);
         this.machine = new BookMachine(this, this::answer, trials);
-        this.proposals = new Calls(() -> Engine.own(members(), config, LONGEST_MS), WRITERS, LONGEST_MS,
-            r -> named(r, "fleet-proposal"), loop);
-        this.beating = new Calls(() -> Engine.own(members(), config, 0), MOST_BEATS, Math.round(2 * config.lostMs()),
-            r -> named(r, "fleet-beat"), loop);
+        this.proposals = new Calls(
+                () -> Engine.own(members(), config, LONGEST_MS),
+                WRITERS,
+                LONGEST_MS,
+                r -> named(r, "fleet-proposal"),
+                loop);
+        this.beating = new Calls(
+                () -> Engine.own(members(), config, 0),
+                MOST_BEATS,
+                Math.round(2 * config.lostMs()),
+                r -> named(r, "fleet-beat"),
+                loop);
         PeerNames.know(config);
     }
 
@@ -97,8 +107,12 @@
     void start() {
         own.execute(() -> {
             try {
-                server = RaftServer.newBuilder().setServerId(self.getId()).setProperties(Engine.server(config, data))
-                    .setStateMachineRegistry(g -> machine).setOption(RaftStorage.StartupOption.RECOVER).build();
+                server = RaftServer.newBuilder()
+                        .setServerId(self.getId())
+                        .setProperties(Engine.server(config, data))
+                        .setStateMachineRegistry(g -> machine)
+                        .setOption(RaftStorage.StartupOption.RECOVER)
+                        .build();
                 server.start();
                 membership = new Membership(config, data, id, self, server, this::say);
                 loop.execute(ear::started);
@@ -165,7 +179,7 @@
                 return;
             }
             if (server.getLifeCycleState() != LifeCycle.State.RUNNING
-                || server.getDivision(id).getInfo().getLifeCycleState().isClosingOrClosed()) {
+                    || server.getDivision(id).getInfo().getLifeCycleState().isClosingOrClosed()) {
                 halted("the engine has stopped");
                 return;
             }
@@ -178,17 +192,22 @@
             List<Entry> due;
             List<String> gone = new ArrayList<>();
             synchronized (machine) {
-                due = ears.look(machine.book().sessions().all(), server.getDivision(id).getInfo().getCurrentTerm(), nowMs());
+                due = ears.look(
+                        machine.book().sessions().all(),
+                        server.getDivision(id).getInfo().getCurrentTerm(),
+                        nowMs());
                 for (Sessions.Session s : machine.book().sessions().all()) {
                     if (s.state() == Sessions.State.REMOVED) {
                         gone.add(s.name() + "." + s.disk());
                     }
                 }
             }
-            due.forEach(e -> propose(e, o -> { }));
+            due.forEach(e -> propose(e, o -> {}));
             Collection<RaftPeer> now = server.getDivision(id).getGroup().getPeers();
             raise(now);
-            List<RaftPeer> next = now.stream().filter(p -> !gone.contains(p.getId().toString())).toList();
+            List<RaftPeer> next = now.stream()
+                    .filter(p -> !gone.contains(p.getId().toString()))
+                    .toList();
             if (next.size() < now.size() && !Membership.role(next, true).isEmpty()) {
                 Membership.configure(RaftGroup.valueOf(id, now), now, next);
             }
@@ -203,8 +222,10 @@
         synchronized (machine) {
             Sessions all = machine.book().sessions();
             newest = Math.min(FleetCodec.FORMAT, all.reads());
-            if (newest <= all.format() || !members.stream().map(p -> all.of(PeerNames.name(p.getId()))).allMatch(
-                s -> s != null && s.live())) {
+            if (newest <= all.format()
+                    || !members.stream()
+                            .map(p -> all.of(PeerNames.name(p.getId())))
+                            .allMatch(s -> s != null && s.live())) {
                 return;
             }
         }
@@ -260,7 +281,11 @@
         Message m = Message.valueOf(ByteString.copyFrom(FleetCodec.bytes(e, format)));
         proposals.call(c -> c.io().send(m), reply -> {
             try {
-                then.accept(reply == null ? null : FleetCodec.outcome(reply.getMessage().getContent().toByteArray()));
+                then.accept(
+                        reply == null
+                                ? null
+                                : FleetCodec.outcome(
+                                        reply.getMessage().getContent().toByteArray()));
             } catch (FleetCodec.Unreadable x) {
                 log.accept("fleet: " + x.getMessage());
                 then.accept(null);
@@ -275,23 +300,26 @@
             return;
         }
         beats++; // on the loop only
-        Message m = Message.valueOf("beat " + name + " " + incarnation + " " + Math.round(deafMs) + " "
-            + Math.round(behindMs()));
-        beating.call(c -> {
-            RaftPeerId leader = leader();
-            RaftClientReply r = leader == null ? c.io().sendReadOnly(m) : c.io().sendReadOnly(m, leader);
-            String[] words = words(r);
-            return words[0].equals("elsewhere") && words.length > 1
-                ? c.io().sendReadOnly(m, RaftPeerId.valueOf(words[1])) : r;
-        }, reply -> {
-            beats--;
-            String[] words = reply == null || words(reply)[0].equals("elsewhere") ? null : words(reply);
-            if (words != null && behindMs() == 0) {
-                behind = Long.parseLong(words[1]);
-                behindSince = nowMs();
-            }
-            then.accept(words == null ? null : words[0].equals("live"));
-        });
+        Message m = Message.valueOf(
+                "beat " + name + " " + incarnation + " " + Math.round(deafMs) + " " + Math.round(behindMs()));
+        beating.call(
+                c -> {
+                    RaftPeerId leader = leader();
+                    RaftClientReply r = leader == null ? c.io().sendReadOnly(m) : c.io().sendReadOnly(m, leader);
+                    String[] words = words(r);
+                    return words[0].equals("elsewhere") && words.length > 1
+                            ? c.io().sendReadOnly(m, RaftPeerId.valueOf(words[1]))
+                            : r;
+                },
+                reply -> {
+                    beats--;
+                    String[] words = reply == null || words(reply)[0].equals("elsewhere") ? null : words(reply);
+                    if (words != null && behindMs() == 0) {
+                        behind = Long.parseLong(words[1]);
+                        behindSince = nowMs();
+                    }
+                    then.accept(words == null ? null : words[0].equals("live"));
+                });
     }
 
     private static String[] words(RaftClientReply r) {
@@ -345,7 +373,7 @@
                 if (alive && !p.getId().equals(self.getId())) {
                     RaftClientReply r = c.admin().transferLeadership(p.getId(), HAND_OVER_MS);
                     say("leadership is passed on to " + PeerNames.name(p.getId())
-                        + (r.isSuccess() ? "" : ", but " + r.getException()));
+                            + (r.isSuccess() ? "" : ", but " + r.getException()));
                     if (r.isSuccess()) {
                         return;
                     }
@@ -390,8 +418,10 @@
         try {
             RaftConfiguration c = server.getDivision(id).getRaftConf();
             int in = c.getCurrentPeers().size();
-            return c.getPreviousPeers().isEmpty() && in >= config.voters().size() ? null
-                : "the fleet is being founded: " + in + " of " + config.voters().size() + " voters are in";
+            return c.getPreviousPeers().isEmpty() && in >= config.voters().size()
+                    ? null
+                    : "the fleet is being founded: " + in + " of "
+                            + config.voters().size() + " voters are in";
         } catch (IOException x) {
             return cause(x);
         }
--- a/src/main/java/plumpost/fleet/engine/Trials.java
+++ b/src/main/java/plumpost/fleet/engine/Trials.java
@@ -64,7 +64,9 @@
     }
 
     private static String kind(Entry e) {
-        return e instanceof Entry.Leave l ? l.last() ? "Left" : "Leave" : e.getClass().getSimpleName();
+        return e instanceof Entry.Leave l
+                ? l.last() ? "Left" : "Leave"
+                : e.getClass().getSimpleName();
     }
 
     /** A log whose entries are halted on their way in, once whoever proposes has checked all that it checks. */
@@ -171,7 +173,8 @@
     CompletableFuture<Void> synced() {
         String ms = read(disk);
         CompletableFuture<Void> done = new CompletableFuture<>();
-        return ms.isEmpty() ? CompletableFuture.completedFuture(null)
-            : done.completeOnTimeout(null, Long.parseLong(ms), TimeUnit.MILLISECONDS);
+        return ms.isEmpty()
+                ? CompletableFuture.completedFuture(null)
+                : done.completeOnTimeout(null, Long.parseLong(ms), TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/plumpost/front/Front.java
+++ b/src/main/java/plumpost/front/Front.java
@@ -9,10 +9,10 @@
     String open(Listeners listeners) throws IOException;
 
     /** All is warm: from here on it may say that it is ready. */
-    default void ready() { }
+    default void ready() {}
 
     /** Takes over what may change while jobs are open. */
-    default void reload(NodeConfig now) { }
+    default void reload(NodeConfig now) {}
 
     /** The scheduler stops: at once what is announced, and from {@code goingMs} later on nothing new. */
     void stop(double goingMs);
--- a/src/main/java/plumpost/front/Listeners.java
+++ b/src/main/java/plumpost/front/Listeners.java
@@ -16,6 +16,12 @@
      * @param unreadBytes what a peer may leave unread before its connection is cut
      * @param shed ends the connection that matters least, and says whether there was one
      */
-    InetSocketAddress listen(InetSocketAddress at, Function<Connection, ConnectionHandler> users, int most, boolean batched,
-                             long unreadBytes, BooleanSupplier shed) throws IOException;
+    InetSocketAddress listen(
+            InetSocketAddress at,
+            Function<Connection, ConnectionHandler> users,
+            int most,
+            boolean batched,
+            long unreadBytes,
+            BooleanSupplier shed)
+            throws IOException;
 }
--- a/src/main/java/plumpost/gearman/AdminLines.java
+++ b/src/main/java/plumpost/gearman/AdminLines.java
@@ -10,8 +10,8 @@
 /** The admin's text lines: what is asked in a line, and the answer to it. What can harm is off until it is allowed. */
 final class AdminLines {
     private static final String OK = "OK\n";
-    private static final String ARGUMENTS = "ERR INVALID_ARGUMENTS An+incomplete+set+of+arguments+was+sent+to+this+"
-        + "command\n";
+    private static final String ARGUMENTS =
+            "ERR INVALID_ARGUMENTS An+incomplete+set+of+arguments+was+sent+to+this+" + "command\n";
 
     private final GearmanDoor door;
     private final String version;
@@ -24,10 +24,21 @@
     /** Answers a line, at once but for a call that a fleet has to agree on. */
     void answer(String line, Consumer<String> to) {
         String[] w = line.split("\\s+");
-        if (door.fleet != null && w.length == 3 && w[0].equalsIgnoreCase("cancel") && w[1].equalsIgnoreCase("job")
-            && door.config.allowed().contains("cancel") && door.fleet.fleet().planned(w[2]) != null) {
-            door.fleet.fleet().callOff(w[2], said -> to.accept(said.agreed() ? OK
-                : "ERR JOB_NOT_CALLED_OFF " + said.words().replace(' ', '+') + "\n"));
+        if (door.fleet != null
+                && w.length == 3
+                && w[0].equalsIgnoreCase("cancel")
+                && w[1].equalsIgnoreCase("job")
+                && door.config.allowed().contains("cancel")
+                && door.fleet.fleet().planned(w[2]) != null) {
+            door.fleet
+                    .fleet()
+                    .callOff(
+                            w[2],
+                            said -> to.accept(
+                                    said.agreed()
+                                            ? OK
+                                            : "ERR JOB_NOT_CALLED_OFF "
+                                                    + said.words().replace(' ', '+') + "\n"));
         } else {
             to.accept(answer(line));
         }
@@ -61,8 +72,14 @@
         StringBuilder all = new StringBuilder();
         for (Function f : door.functions.all()) {
             Tallies.Tally t = door.room.tally(f.kind);
-            all.append(f.name).append('\t').append(t.open()).append('\t').append(t.running()).append('\t')
-                .append(f.workers).append('\n');
+            all.append(f.name)
+                    .append('\t')
+                    .append(t.open())
+                    .append('\t')
+                    .append(t.running())
+                    .append('\t')
+                    .append(f.workers)
+                    .append('\n');
         }
         return all.append(".\n").toString();
     }
@@ -71,25 +88,40 @@
         StringBuilder all = new StringBuilder();
         for (Function f : door.functions.all()) {
             Tallies.Tally t = door.room.tally(f.kind);
-            all.append(f.name).append('\t').append(t.waiting(1)).append('\t').append(t.waiting(0)).append('\t')
-                .append(t.waiting(-1)).append('\t').append(f.workers).append('\n');
+            all.append(f.name)
+                    .append('\t')
+                    .append(t.waiting(1))
+                    .append('\t')
+                    .append(t.waiting(0))
+                    .append('\t')
+                    .append(t.waiting(-1))
+                    .append('\t')
+                    .append(f.workers)
+                    .append('\n');
         }
         return all.append(".\n").toString();
     }
 
     private String workers() {
         StringBuilder all = new StringBuilder();
-        door.callers().stream().filter(c -> c.seat() != null || c.clientId() != null)
-            .forEach(c -> all.append(c.describe()));
+        door.callers().stream()
+                .filter(c -> c.seat() != null || c.clientId() != null)
+                .forEach(c -> all.append(c.describe()));
         return all.append(".\n").toString();
     }
 
     private String show(String[] w) {
         if (w.length == 2 && w[1].equalsIgnoreCase("jobs")) {
             StringBuilder all = new StringBuilder();
-            door.room.each(e -> all.append(door.handle(e.sheet().id())).append('\t')
-                .append(Math.max(0, e.tries() - 1)).append("\t0\t").append(e.running() ? 0 : 1).append('\n'));
-            door.schedule.all().forEach(e -> all.append(door.handle(e.sheet().id())).append("\t0\t0\t0\n"));
+            door.room.each(e -> all.append(door.handle(e.sheet().id()))
+                    .append('\t')
+                    .append(Math.max(0, e.tries() - 1))
+                    .append("\t0\t")
+                    .append(e.running() ? 0 : 1)
+                    .append('\n'));
+            door.schedule
+                    .all()
+                    .forEach(e -> all.append(door.handle(e.sheet().id())).append("\t0\t0\t0\n"));
             if (door.fleet != null) {
                 door.fleet.handles().forEach(h -> all.append(h).append("\t0\t0\t0\n"));
             }
@@ -124,8 +156,10 @@
     }
 
     private String create(String name) {
-        return door.functions.find(name) != null ? OK : "ERR CREATE_FUNCTION " + name + (door.functions.full()
-            ? ":+limits.functions+is+used+up\n" : "+belongs+to+no+class\n");
+        return door.functions.find(name) != null
+                ? OK
+                : "ERR CREATE_FUNCTION " + name
+                        + (door.functions.full() ? ":+limits.functions+is+used+up\n" : "+belongs+to+no+class\n");
     }
 
     private String drop(String name) {
@@ -133,10 +167,10 @@
         if (f == null) {
             return "ERR function not found\n";
         }
-        boolean used = f.workers > 0 || door.room.tally(f.kind).open() > 0
-            || door.schedule.all().stream().anyMatch(e -> e.sheet().work().kind() == f.kind);
-        return !used && door.functions.drop(f) ? OK
-            : "ERR there are still connected workers or executing clients\n";
+        boolean used = f.workers > 0
+                || door.room.tally(f.kind).open() > 0
+                || door.schedule.all().stream().anyMatch(e -> e.sheet().work().kind() == f.kind);
+        return !used && door.functions.drop(f) ? OK : "ERR there are still connected workers or executing clients\n";
     }
 
     /** Without a limit, 0 or a negative number: no limit. One limit is for each priority, three for each its own. */
--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/Caller.java
@@ -10,6 +10,7 @@
 final class Caller implements ConnectionHandler {
     /** A packet on its way for longer than this, and than its size at a slow link's pace, ends the connection. */
     private static final double SLOW_MS = 10_000;
+
     private static final double SLOW_BYTES_A_MS = 16;
 
     /** Bytes of a long answer that are written at a time. */
@@ -70,8 +71,8 @@
     }
 
     String describe() {
-        StringBuilder all = new StringBuilder(number + " " + wire.peer() + ' ' + (clientId == null ? "-" : clientId)
-            + " :");
+        StringBuilder all =
+                new StringBuilder(number + " " + wire.peer() + ' ' + (clientId == null ? "-" : clientId) + " :");
         if (seat != null) {
             seat.functions().forEach(f -> all.append(' ').append(f.name));
         }
@@ -129,8 +130,8 @@
         if (listing.remaining() > PIECE) {
             if (door.lister != null && door.lister != this) {
                 listing = null;
-                wire.write(ByteBuffer.wrap("ERR BUSY Another+long+list+is+being+read\n".getBytes(
-                    StandardCharsets.US_ASCII)));
+                wire.write(ByteBuffer.wrap(
+                        "ERR BUSY Another+long+list+is+being+read\n".getBytes(StandardCharsets.US_ASCII)));
                 return;
             }
             door.lister = this;
@@ -168,24 +169,46 @@
 
     private void packet(Packet p) {
         switch (p.type()) {
-            case SUBMIT_JOB, SUBMIT_JOB_HIGH, SUBMIT_JOB_LOW, SUBMIT_JOB_BG, SUBMIT_JOB_HIGH_BG, SUBMIT_JOB_LOW_BG,
-                SUBMIT_REDUCE_JOB, SUBMIT_REDUCE_JOB_BACKGROUND, SUBMIT_JOB_SCHED, SUBMIT_JOB_EPOCH, GET_STATUS,
-                GET_STATUS_UNIQUE, OPTION_REQ -> {
-                    if (client == null) {
-                        client = new ClientSide(door, this);
-                    }
-                    client.packet(p);
+            case SUBMIT_JOB,
+                    SUBMIT_JOB_HIGH,
+                    SUBMIT_JOB_LOW,
+                    SUBMIT_JOB_BG,
+                    SUBMIT_JOB_HIGH_BG,
+                    SUBMIT_JOB_LOW_BG,
+                    SUBMIT_REDUCE_JOB,
+                    SUBMIT_REDUCE_JOB_BACKGROUND,
+                    SUBMIT_JOB_SCHED,
+                    SUBMIT_JOB_EPOCH,
+                    GET_STATUS,
+                    GET_STATUS_UNIQUE,
+                    OPTION_REQ -> {
+                if (client == null) {
+                    client = new ClientSide(door, this);
                 }
+                client.packet(p);
+            }
             case ECHO_REQ -> write(Type.ECHO_RES, p.parts().get(0));
             case SET_CLIENT_ID -> clientId(p.text(0));
-            case ALL_YOURS -> { } // the same for one server and its workers
-            case CAN_DO, CAN_DO_TIMEOUT, CANT_DO, RESET_ABILITIES, PRE_SLEEP, GRAB_JOB, GRAB_JOB_UNIQ, GRAB_JOB_ALL,
-                WORK_STATUS, WORK_COMPLETE, WORK_FAIL, WORK_EXCEPTION, WORK_DATA, WORK_WARNING -> {
-                    if (seat == null) {
-                        seat = new WorkerSeat(door, this);
-                    }
-                    seat.packet(p);
+            case ALL_YOURS -> {} // the same for one server and its workers
+            case CAN_DO,
+                    CAN_DO_TIMEOUT,
+                    CANT_DO,
+                    RESET_ABILITIES,
+                    PRE_SLEEP,
+                    GRAB_JOB,
+                    GRAB_JOB_UNIQ,
+                    GRAB_JOB_ALL,
+                    WORK_STATUS,
+                    WORK_COMPLETE,
+                    WORK_FAIL,
+                    WORK_EXCEPTION,
+                    WORK_DATA,
+                    WORK_WARNING -> {
+                if (seat == null) {
+                    seat = new WorkerSeat(door, this);
                 }
+                seat.packet(p);
+            }
             default -> error("malformed", p.type() + " is not for a server");
         }
     }
--- a/src/main/java/plumpost/gearman/ClientSide.java
+++ b/src/main/java/plumpost/gearman/ClientSide.java
@@ -85,8 +85,13 @@
     private void status(Packet p) {
         Ledger.Known k = door.orders == null ? null : door.orders.known(p.text(0));
         if (k != null) {
-            caller.write(Type.STATUS_RES, p.parts().get(0), k.ended() ? 0 : 1, k.stage() == Ledger.Stage.OUT ? 1 : 0,
-                Math.round(door.orders.share(k.id()) * 100), 100);
+            caller.write(
+                    Type.STATUS_RES,
+                    p.parts().get(0),
+                    k.ended() ? 0 : 1,
+                    k.stage() == Ledger.Stage.OUT ? 1 : 0,
+                    Math.round(door.orders.share(k.id()) * 100),
+                    100);
             return;
         }
         String id = door.id(p.text(0));
@@ -96,12 +101,18 @@
             return;
         }
         if (e == null && door.fleet != null && door.fleet.fleet().planned(p.text(0)) != null) {
-            caller.write(Type.STATUS_RES, p.parts().get(0), 1, door.fleet.fleet().fired(p.text(0)) ? 1 : 0, 0, 0);
+            caller.write(
+                    Type.STATUS_RES, p.parts().get(0), 1, door.fleet.fleet().fired(p.text(0)) ? 1 : 0, 0, 0);
             return;
         }
         boolean running = e != null && e.running();
-        caller.write(Type.STATUS_RES, p.parts().get(0), e == null ? 0 : 1, running ? 1 : 0,
-            e == null ? 0 : Math.round(e.share() * 100), e == null ? 0 : 100);
+        caller.write(
+                Type.STATUS_RES,
+                p.parts().get(0),
+                e == null ? 0 : 1,
+                running ? 1 : 0,
+                e == null ? 0 : Math.round(e.share() * 100),
+                e == null ? 0 : 100);
     }
 
     private void statusUnique(Packet p) {
@@ -111,19 +122,31 @@
             String key = key(f, p.text(0));
             e = e == null ? door.room.entryOf(key) : e;
             later |= door.schedule.ofUnique(key) != null
-                || door.fleet != null && door.fleet.fleet().planned(f.name, p.text(0)) != null;
+                    || door.fleet != null && door.fleet.fleet().planned(f.name, p.text(0)) != null;
         }
         for (Function f : door.orders == null ? List.<Function>of() : door.functions.all()) {
             Ledger.Known k = door.orders.known(f.name, p.text(0));
             if (k != null) {
-                caller.write(Type.STATUS_RES_UNIQUE, p.parts().get(0), k.ended() ? 0 : 1,
-                    k.stage() == Ledger.Stage.OUT ? 1 : 0, Math.round(door.orders.share(k.id()) * 100), 100, 0);
+                caller.write(
+                        Type.STATUS_RES_UNIQUE,
+                        p.parts().get(0),
+                        k.ended() ? 0 : 1,
+                        k.stage() == Ledger.Stage.OUT ? 1 : 0,
+                        Math.round(door.orders.share(k.id()) * 100),
+                        100,
+                        0);
                 return;
             }
         }
         boolean running = e != null && e.running();
-        caller.write(Type.STATUS_RES_UNIQUE, p.parts().get(0), e == null && !later ? 0 : 1, running ? 1 : 0,
-            e == null ? 0 : Math.round(e.share() * 100), e == null ? 0 : 100, e == null ? 0 : e.clients());
+        caller.write(
+                Type.STATUS_RES_UNIQUE,
+                p.parts().get(0),
+                e == null && !later ? 0 : 1,
+                running ? 1 : 0,
+                e == null ? 0 : Math.round(e.share() * 100),
+                e == null ? 0 : 100,
+                e == null ? 0 : e.clients());
     }
 
     static String key(Function f, String unique) {
@@ -161,10 +184,29 @@
             return null;
         }
         String said = unique.equals("-") ? digest(data) : unique;
-        double patience = inBackground ? door.config.backgroundMs() : door.set.classes().get(f.cls).deadlineMs();
-        return new JobSheet(door.newId(), f.cls, null, data, patience, Double.NaN, 1, Double.NaN, 0, null, false,
-            said.isEmpty() ? null : key(f, said), new JobSheet.Work(f.kind, f.name, said.isEmpty() ? null : said,
-                reducer, priority, inBackground ? patience : Double.NaN));
+        double patience = inBackground
+                ? door.config.backgroundMs()
+                : door.set.classes().get(f.cls).deadlineMs();
+        return new JobSheet(
+                door.newId(),
+                f.cls,
+                null,
+                data,
+                patience,
+                Double.NaN,
+                1,
+                Double.NaN,
+                0,
+                null,
+                false,
+                said.isEmpty() ? null : key(f, said),
+                new JobSheet.Work(
+                        f.kind,
+                        f.name,
+                        said.isEmpty() ? null : said,
+                        reducer,
+                        priority,
+                        inBackground ? patience : Double.NaN));
     }
 
     private void submit(Packet p, int dataAt, String reducer, int priority, boolean inBackground) {
@@ -191,13 +233,17 @@
             if (inBackground) {
                 caller.write(Type.JOB_CREATED, planned.id());
             } else {
-                not("scheduled", planned.id() + (door.fleet.fleet().fired(planned.id()) ? " runs at another scheduler"
-                    : " is to run at " + Math.round(planned.atMs() / 1000)));
+                not(
+                        "scheduled",
+                        planned.id()
+                                + (door.fleet.fleet().fired(planned.id())
+                                        ? " runs at another scheduler"
+                                        : " is to run at " + Math.round(planned.atMs() / 1000)));
             }
             return;
         }
         boolean joins = sheet.unique() != null
-            && (door.room.entryOf(sheet.unique()) != null || door.room.keeps(sheet.unique()));
+                && (door.room.entryOf(sheet.unique()) != null || door.room.keeps(sheet.unique()));
         if (!joins && full(sheet)) {
             return;
         }
@@ -286,8 +332,7 @@
 
     private void sched(Packet p) {
         try {
-            later(p, 7, Schedule.next(door.kit.clock().nowMs(), p.text(2), p.text(3), p.text(4), p.text(5),
-                p.text(6)));
+            later(p, 7, Schedule.next(door.kit.clock().nowMs(), p.text(2), p.text(3), p.text(4), p.text(5), p.text(6)));
         } catch (IllegalArgumentException | DateTimeException e) {
             not("bad_time", clip(e.getMessage()));
         }
--- a/src/main/java/plumpost/gearman/FleetJobs.java
+++ b/src/main/java/plumpost/gearman/FleetJobs.java
@@ -34,13 +34,17 @@
         sheet.body().duplicate().get(body);
         String unique = sheet.work().unique();
         boolean again = door.set.classes().get(sheet.cls()).effect() != Dispatcher.Effect.SINGLE_SHOT;
-        fleet.plan(new Fleet.Job(door.handle(sheet.id()), sheet.work().name(), unique == null ? "" : unique, body, atMs,
-            again), then);
+        fleet.plan(
+                new Fleet.Job(
+                        door.handle(sheet.id()), sheet.work().name(), unique == null ? "" : unique, body, atMs, again),
+                then);
     }
 
     /** The planned job under a function and key, or null. */
     Fleet.Job under(JobSheet sheet) {
-        return sheet.work().unique() == null ? null : fleet.planned(sheet.work().name(), sheet.work().unique());
+        return sheet.work().unique() == null
+                ? null
+                : fleet.planned(sheet.work().name(), sheet.work().unique());
     }
 
     /** Hands a job in that is this scheduler's to run now; false where it cannot be taken. */
@@ -51,9 +55,20 @@
         }
         String unique = job.unique().isEmpty() ? null : job.unique();
         double patience = door.config.backgroundMs();
-        JobSheet sheet = new JobSheet(door.newId(), f.cls, null, ByteBuffer.wrap(job.body()), patience, Double.NaN, 1,
-            Double.NaN, 0, null, false, unique == null ? null : ClientSide.key(f, unique),
-            new JobSheet.Work(f.kind, f.name, unique, null, 0, patience));
+        JobSheet sheet = new JobSheet(
+                door.newId(),
+                f.cls,
+                null,
+                ByteBuffer.wrap(job.body()),
+                patience,
+                Double.NaN,
+                1,
+                Double.NaN,
+                0,
+                null,
+                false,
+                unique == null ? null : ClientSide.key(f, unique),
+                new JobSheet.Work(f.kind, f.name, unique, null, 0, patience));
         Reply reply = new Reply(job.id());
         LedgerEntry e = door.room.take(sheet, reply);
         if (e != null && !reply.over) {
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -24,6 +24,7 @@
 final class FleetOrders implements Ledger.Holder, Rights {
     /** Orders of the fleet in this core at once: more wait where they are, or with nobody. */
     private static final int MOST_HERE = 256;
+
     private static final double AGAIN_MS = 1000;
     /** The core's own word on an order whose time is up has so long to come through the log. */
     private static final double GRACE_MS = 100;
@@ -71,8 +72,17 @@
         sheet.body().duplicate().get(body);
         String unique = sheet.work().unique();
         boolean again = door.set.classes().get(sheet.cls()).effect() != Effect.SINGLE_SHOT;
-        ledger.take(new Ledger.Order(door.handle(sheet.id()), sheet.work().name(), unique == null ? "" : unique, body,
-            sheet.work().priority(), sheet.patienceMs(), again, background), then);
+        ledger.take(
+                new Ledger.Order(
+                        door.handle(sheet.id()),
+                        sheet.work().name(),
+                        unique == null ? "" : unique,
+                        body,
+                        sheet.work().priority(),
+                        sheet.patienceMs(),
+                        again,
+                        background),
+                then);
     }
 
     /**
@@ -142,9 +152,21 @@
             return false;
         }
         String unique = o.unique().isEmpty() ? null : o.unique();
-        JobSheet sheet = new JobSheet(o.id(), f.cls, null, ByteBuffer.wrap(o.body()), o.patienceMs(), Double.NaN, 1,
-            Double.NaN, 0, null, false, null, new JobSheet.Work(f.kind, f.name, unique, null, o.priority(),
-            o.background() ? o.patienceMs() : Double.NaN));
+        JobSheet sheet = new JobSheet(
+                o.id(),
+                f.cls,
+                null,
+                ByteBuffer.wrap(o.body()),
+                o.patienceMs(),
+                Double.NaN,
+                1,
+                Double.NaN,
+                0,
+                null,
+                false,
+                null,
+                new JobSheet.Work(
+                        f.kind, f.name, unique, null, o.priority(), o.background() ? o.patienceMs() : Double.NaN));
         Reply reply = new Reply(o.id(), o.background());
         replies.put(o.id(), reply);
         LedgerEntry e = door.room.take(sheet, reply, this);
--- a/src/main/java/plumpost/gearman/FunctionTable.java
+++ b/src/main/java/plumpost/gearman/FunctionTable.java
@@ -55,8 +55,13 @@
     /** The function of a name, made known if a rule gives it a class and there is room; else null. */
     Function find(String name) {
         Function f = byName.get(name);
-        return f != null || full() ? f : rules.stream().filter(r -> r.match().matcher(name).matches()).findFirst()
-            .map(r -> add(name, r.cls())).orElse(null);
+        return f != null || full()
+                ? f
+                : rules.stream()
+                        .filter(r -> r.match().matcher(name).matches())
+                        .findFirst()
+                        .map(r -> add(name, r.cls()))
+                        .orElse(null);
     }
 
     /** The function of a kind of work. */
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanDoor.java
@@ -17,9 +17,9 @@
 import plumpost.dispatch.NodeList;
 import plumpost.front.Front;
 import plumpost.front.Listeners;
-import plumpost.net.Kit;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Kit;
 import plumpost.peers.Fleet;
 import plumpost.time.TimerWheel;
 
@@ -100,8 +100,10 @@
         if (fleet != null) {
             fleet.callBackAll();
         }
-        long lost = schedule.all().size() + room.drop(e -> e.sheet().work().name() != null && e.background()
-            && (orders == null || !orders.has(e.sheet().id())));
+        long lost = schedule.all().size()
+                + room.drop(e -> e.sheet().work().name() != null
+                        && e.background()
+                        && (orders == null || !orders.has(e.sheet().id())));
         kit.counters().add("gearman.lost_at_stop", lost);
         if (lost > 0) {
             kit.log().accept("stopping: " + lost + " background and scheduled jobs that no worker has are lost");
@@ -115,7 +117,7 @@
 
     /** Its workers tell of themselves: there is nothing to ask for. */
     @Override
-    public void watch() { }
+    public void watch() {}
 
     boolean stopping() {
         return stopping;
@@ -156,7 +158,10 @@
 
     /** The functions that have workers here. */
     public List<String> served() {
-        return functions.all().stream().filter(f -> f.workers > 0).map(f -> f.name).toList();
+        return functions.all().stream()
+                .filter(f -> f.workers > 0)
+                .map(f -> f.name)
+                .toList();
     }
 
     /** Runs a planned job for the fleet; false where it cannot be taken now. */
@@ -180,7 +185,9 @@
         if (next != null) {
             next.cancel();
         }
-        double first = schedule.all().isEmpty() ? atMs : Math.min(atMs, schedule.all().iterator().next().atMs());
+        double first = schedule.all().isEmpty()
+                ? atMs
+                : Math.min(atMs, schedule.all().iterator().next().atMs());
         next = kit.wheel().at(Math.max(first, kit.clock().nowMs()), this::due);
     }
 
--- a/src/main/java/plumpost/gearman/PacketReader.java
+++ b/src/main/java/plumpost/gearman/PacketReader.java
@@ -163,8 +163,10 @@
         if (!budget.take(to - body.length)) {
             end();
             skip = size - got;
-            throw new BadPacket("memory", type + " of " + size + " bytes: limits.readingBytes " + budget.most
-                + " is used up", false);
+            throw new BadPacket(
+                    "memory",
+                    type + " of " + size + " bytes: limits.readingBytes " + budget.most + " is used up",
+                    false);
         }
         body = Arrays.copyOf(body, to);
     }
@@ -195,9 +197,12 @@
         int first = Math.min(size, FIRST_BYTES);
         if (size > limit || !budget.take(first)) {
             skip = size;
-            throw size > limit ? new BadPacket("too_large", type + " of " + size + " bytes: limits.packetBytes is "
-                + limit, false) : new BadPacket("memory", type + " of " + size + " bytes: limits.readingBytes "
-                + budget.most + " is used up", false);
+            throw size > limit
+                    ? new BadPacket("too_large", type + " of " + size + " bytes: limits.packetBytes is " + limit, false)
+                    : new BadPacket(
+                            "memory",
+                            type + " of " + size + " bytes: limits.readingBytes " + budget.most + " is used up",
+                            false);
         }
         body = new byte[first];
     }
--- a/src/main/java/plumpost/gearman/Schedule.java
+++ b/src/main/java/plumpost/gearman/Schedule.java
@@ -14,12 +14,12 @@
 /** Jobs that wait for their time, bounded in number and bytes; does no I/O and keeps no clock. */
 final class Schedule {
     /** A job and its time in Unix milliseconds. */
-    record Entry(JobSheet sheet, double atMs, long order) { }
+    record Entry(JobSheet sheet, double atMs, long order) {}
 
     private final int most;
     private final long mostBytes;
-    private final TreeSet<Entry> byTime = new TreeSet<>(
-        Comparator.comparingDouble(Entry::atMs).thenComparingLong(Entry::order));
+    private final TreeSet<Entry> byTime =
+            new TreeSet<>(Comparator.comparingDouble(Entry::atMs).thenComparingLong(Entry::order));
     private final Map<String, Entry> byId = new HashMap<>();
     private final Map<String, Entry> byUnique = new HashMap<>();
     private long bytes;
@@ -32,8 +32,9 @@
 
     /** Why one more job with so much data cannot be held, or null. */
     String lack(int data) {
-        return byId.size() >= most ? "limits.scheduled " + most
-            : bytes + data > mostBytes ? "limits.scheduledBytes " + mostBytes : null;
+        return byId.size() >= most
+                ? "limits.scheduled " + most
+                : bytes + data > mostBytes ? "limits.scheduledBytes " + mostBytes : null;
     }
 
     void add(JobSheet sheet, double atMs) {
@@ -85,21 +86,25 @@
         for (int i = 0; i < 5; i++) {
             wanted[i] = -1;
             if (!fields[i].equals("*") && !fields[i].isEmpty()) {
-                if (!fields[i].matches("[0-9]{1,2}") || Integer.parseInt(fields[i]) < least[i]
-                    || Integer.parseInt(fields[i]) > last[i]) {
-                    throw new IllegalArgumentException(names[i] + " is " + fields[i] + ", not from " + least[i]
-                        + " to " + last[i] + " or *");
+                if (!fields[i].matches("[0-9]{1,2}")
+                        || Integer.parseInt(fields[i]) < least[i]
+                        || Integer.parseInt(fields[i]) > last[i]) {
+                    throw new IllegalArgumentException(
+                            names[i] + " is " + fields[i] + ", not from " + least[i] + " to " + last[i] + " or *");
                 }
                 wanted[i] = Integer.parseInt(fields[i]);
             }
         }
         LocalDateTime t = LocalDateTime.ofInstant(Instant.ofEpochMilli((long) nowMs), ZoneOffset.UTC)
-            .withSecond(0).withNano(0).plusMinutes(1);
+                .withSecond(0)
+                .withNano(0)
+                .plusMinutes(1);
         LocalDateTime end = t.plusYears(8).plusDays(1); // a 29th of February comes within 8 years
         while (t.isBefore(end)) {
             if (off(wanted[3], t.getMonthValue())) {
                 t = t.plusMonths(1).withDayOfMonth(1).withHour(0).withMinute(0);
-            } else if (off(wanted[2], t.getDayOfMonth()) || off(wanted[4], t.getDayOfWeek().getValue() - 1)) {
+            } else if (off(wanted[2], t.getDayOfMonth())
+                    || off(wanted[4], t.getDayOfWeek().getValue() - 1)) {
                 t = t.plusDays(1).withHour(0).withMinute(0);
             } else if (off(wanted[1], t.getHour())) {
                 t = t.plusHours(1).withMinute(0);
--- a/src/main/java/plumpost/gearman/Submission.java
+++ b/src/main/java/plumpost/gearman/Submission.java
@@ -84,8 +84,8 @@
     public void refused(double retryAfterMs) {
         last(() -> {
             if (client.exceptions()) {
-                client.write(Type.WORK_EXCEPTION, handle, "refused, try again after " + Math.round(retryAfterMs)
-                    + " ms");
+                client.write(
+                        Type.WORK_EXCEPTION, handle, "refused, try again after " + Math.round(retryAfterMs) + " ms");
             } else {
                 client.write(Type.WORK_FAIL, handle);
             }
--- a/src/main/java/plumpost/gearman/WorkerBook.java
+++ b/src/main/java/plumpost/gearman/WorkerBook.java
@@ -48,8 +48,9 @@
     /** How long a worker waits before it is listed: nothing, or longer with each strike in a row. */
     double delayMs(String clientId) {
         Page p = clientId == null ? null : pages.get(clientId);
-        return p == null || p.strikes == 0 ? 0
-            : Math.min(MOST_DELAY_MS, FIRST_DELAY_MS * (1 << Math.min(p.strikes - 1, 10)));
+        return p == null || p.strikes == 0
+                ? 0
+                : Math.min(MOST_DELAY_MS, FIRST_DELAY_MS * (1 << Math.min(p.strikes - 1, 10)));
     }
 
     void left(String clientId, double now) {
