--- a/src/main/java/plumpost/gearman/WorkerSeat.java
+++ b/src/main/java/plumpost/gearman/WorkerSeat.java
@@ -65,10 +65,11 @@
         listed = true;
         BitSet runs = new BitSet();
         limits.keySet().forEach(f -> runs.set(f.kind));
-        told = lost ? Phase.DELETED : limits.isEmpty() || absent || busy && running == null ? Phase.DRAINING
-            : Phase.SERVING;
-        door.listed(new ListedNode(new WorkerEntry(id, door.config.plant(), door.config.model(), 0, told, 1, upSince,
-            runs, 1), this));
+        told = lost
+                ? Phase.DELETED
+                : limits.isEmpty() || absent || busy && running == null ? Phase.DRAINING : Phase.SERVING;
+        door.listed(new ListedNode(
+                new WorkerEntry(id, door.config.plant(), door.config.model(), 0, told, 1, upSince, runs, 1), this));
     }
 
     /** Lists it anew where it has become or ceased to be fit for something new. */
@@ -83,7 +84,8 @@
     private void here() {
         if (!ready) {
             ready = true;
-            upSince = door.book.come(caller.clientId(), caller.since(), door.kit.clock().nowMs());
+            upSince = door.book.come(
+                    caller.clientId(), caller.since(), door.kit.clock().nowMs());
             double delay = door.book.delayMs(caller.clientId());
             if (delay > 0) {
                 door.kit.counters().count("gearman.flapping");
@@ -157,8 +159,10 @@
             boolean full = door.functions.full();
             door.kit.counters().count(full ? "gearman.not.functions" : "gearman.unknown_function");
             if (full) { // else no job of such a function will ever come
-                caller.write(Type.ERROR, "functions", p.text(0) + ": limits.functions " + door.functions.limit()
-                    + " is used up");
+                caller.write(
+                        Type.ERROR,
+                        "functions",
+                        p.text(0) + ": limits.functions " + door.functions.limit() + " is used up");
             }
             return;
         }
@@ -293,8 +297,14 @@
         switch (type) {
             case GRAB_JOB -> caller.write(Type.JOB_ASSIGN, handle, f.name, s.body());
             case GRAB_JOB_UNIQ -> caller.write(Type.JOB_ASSIGN_UNIQ, handle, f.name, unique, s.body());
-            default -> caller.write(Type.JOB_ASSIGN_ALL, handle, f.name, unique,
-                s.work().reducer() == null ? "" : s.work().reducer(), s.body());
+            default ->
+                caller.write(
+                        Type.JOB_ASSIGN_ALL,
+                        handle,
+                        f.name,
+                        unique,
+                        s.work().reducer() == null ? "" : s.work().reducer(),
+                        s.body());
         }
         a.whole(); // handed to the worker's connection whole: its write is batched for the turn, not held back
         double limit = limits.getOrDefault(f, 0.0);
@@ -367,7 +377,9 @@
 
     @Override
     public void send(Attempt attempt) {
-        if (lost || told != Phase.SERVING || !limits.containsKey(door.functions.of(attempt.sheet().work().kind()))) {
+        if (lost
+                || told != Phase.SERVING
+                || !limits.containsKey(door.functions.of(attempt.sheet().work().kind()))) {
             attempt.ended(Ending.FULL, null);
             return;
         }
@@ -386,10 +398,17 @@
 
     @Override
     public void probe(Probe probe) {
-        probe.ended(lost ? Ending.CONNECT_FAILED : Ending.OK, new LoadReport(busy ? 1 : 0, waiting.size(), Double.NaN,
-            Double.NaN, 1 - (busy ? 1 : 0) - waiting.size(), Double.NaN));
+        probe.ended(
+                lost ? Ending.CONNECT_FAILED : Ending.OK,
+                new LoadReport(
+                        busy ? 1 : 0,
+                        waiting.size(),
+                        Double.NaN,
+                        Double.NaN,
+                        1 - (busy ? 1 : 0) - waiting.size(),
+                        Double.NaN));
     }
 
     @Override
-    public void leave() { }
+    public void leave() {}
 }
--- a/src/main/java/plumpost/http/Answers.java
+++ b/src/main/java/plumpost/http/Answers.java
@@ -6,16 +6,34 @@
 
 /** Words heads of answers and plain text as bytes. */
 public final class Answers {
-    private static final Map<Integer, String> REASONS = Map.of(200, "OK", 400, "Bad Request", 404, "Not Found",
-        405, "Method Not Allowed", 409, "Conflict", 408, "Request Timeout", 413, "Content Too Large", 431,
-        "Request Header Fields Too Large", 500, "Internal Server Error", 503, "Service Unavailable");
+    private static final Map<Integer, String> REASONS = Map.of(
+            200,
+            "OK",
+            400,
+            "Bad Request",
+            404,
+            "Not Found",
+            405,
+            "Method Not Allowed",
+            409,
+            "Conflict",
+            408,
+            "Request Timeout",
+            413,
+            "Content Too Large",
+            431,
+            "Request Header Fields Too Large",
+            500,
+            "Internal Server Error",
+            503,
+            "Service Unavailable");
 
-    private Answers() { }
+    private Answers() {}
 
     /** The head of an answer with a body of the given length; {@code fields} are whole lines. */
     public static ByteBuffer head(int status, int length, boolean close, String fields) {
         return ascii("HTTP/1.1 " + status + ' ' + REASONS.getOrDefault(status, "Status") + "\r\nContent-Length: "
-            + length + "\r\n" + fields + (close ? "Connection: close\r\n\r\n" : "\r\n"));
+                + length + "\r\n" + fields + (close ? "Connection: close\r\n\r\n" : "\r\n"));
     }
 
     /** Text as the bytes of a message. */
--- a/src/main/java/plumpost/http/BodyReader.java
+++ b/src/main/java/plumpost/http/BodyReader.java
@@ -5,7 +5,17 @@
 
 /** Takes a message's body out of its framing: a stated length, chunks, or all until the connection ends. */
 final class BodyReader {
-    private enum Step { SIZE, EXTENSION, SIZE_END, DATA, DATA_END, DATA_END_2, TRAILER, TRAILER_END, DONE }
+    private enum Step {
+        SIZE,
+        EXTENSION,
+        SIZE_END,
+        DATA,
+        DATA_END,
+        DATA_END_2,
+        TRAILER,
+        TRAILER_END,
+        DONE
+    }
 
     private static final int TRAILER_LIMIT = 4096;
 
--- a/src/main/java/plumpost/http/Head.java
+++ b/src/main/java/plumpost/http/Head.java
@@ -10,8 +10,17 @@
 public final class Head {
     private static final int LIMIT = 16 * 1024;
     private static final int MOST_FIELDS = 96;
-    private static final Set<String> OF_THE_CONNECTION = Set.of("connection", "keep-alive", "proxy-connection", "te",
-        "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "host");
+    private static final Set<String> OF_THE_CONNECTION = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "content-length",
+            "host");
     private static final boolean[] TOKEN = new boolean[128];
 
     static {
--- a/src/main/java/plumpost/http/RequestReader.java
+++ b/src/main/java/plumpost/http/RequestReader.java
@@ -48,8 +48,7 @@
 
     /** True where the client waits for a word before it sends the body. */
     public boolean awaitsContinue() {
-        return body != null && !body.whole() && body.taken().remaining() == 0
-            && head.lists("Expect", "100-continue");
+        return body != null && !body.whole() && body.taken().remaining() == 0 && head.lists("Expect", "100-continue");
     }
 
     /** The request's head. */
--- a/src/main/java/plumpost/lab/LabMain.java
+++ b/src/main/java/plumpost/lab/LabMain.java
@@ -29,7 +29,7 @@
 public final class LabMain {
     private static final String USAGE = "plumpost lab conformance|gearman|fleet [options]";
 
-    private LabMain() { }
+    private LabMain() {}
 
     /** Runs a command of the laboratory; 0 where all holds, 1 where it does not, 2 for bad arguments. */
     public static int run(String[] args, PrintStream out, PrintStream err) throws IOException {
@@ -40,8 +40,12 @@
         options.addOption("t", "target", true, "the server's address, 127.0.0.1:4730 where it is not given");
         options.addOption(null, "on", true, "conformance: the server's set-up, usual, open or tight (usual)");
         options.addOption(null, "only", true, "conformance: cases whose title holds this");
-        options.addOption(null, "patience", true, "conformance: ms to wait for what is expected (3000); "
-            + "gearman: s to wait for the last answers (30)");
+        options.addOption(
+                null,
+                "patience",
+                true,
+                "conformance: ms to wait for what is expected (3000); "
+                        + "gearman: s to wait for the last answers (30)");
         options.addOption(null, "seed", true, "for all draws (1)");
         options.addOption(null, "clients", true, "connections that submit (16)");
         options.addOption(null, "workers", true, "connections that work (64)");
@@ -61,13 +65,14 @@
         options.addOption(null, "json", true, "file for the result as JSON; - for standard output");
         options.addOption(null, "html", true, "file for the result as a page with plots");
         try {
-            CommandLine line = new DefaultParser().parse(options,
-                args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length));
+            CommandLine line = new DefaultParser()
+                    .parse(options, args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length));
             if (!line.getArgList().isEmpty()) {
-                throw new ParseException("unexpected argument " + line.getArgList().get(0));
+                throw new ParseException(
+                        "unexpected argument " + line.getArgList().get(0));
             }
-            InetSocketAddress target = NodeListReader.address("--target", line.getOptionValue("target",
-                "127.0.0.1:4730"));
+            InetSocketAddress target =
+                    NodeListReader.address("--target", line.getOptionValue("target", "127.0.0.1:4730"));
             if (target.getAddress() == null || !target.getAddress().isLoopbackAddress()) {
                 throw new ParseException("--target " + target + " is not a loopback address");
             }
@@ -87,7 +92,7 @@
     }
 
     private static double number(CommandLine line, String option, double otherwise, double least, double most)
-        throws ParseException {
+            throws ParseException {
         String given = line.getOptionValue(option);
         try {
             double v = given == null ? otherwise : Double.parseDouble(given);
@@ -124,17 +129,26 @@
         return results.stream().allMatch(r -> r.failure() == null) ? 0 : 1;
     }
 
-    private static int gearman(CommandLine line, InetSocketAddress target, PrintStream out) throws ParseException,
-        IOException {
-        LoadPlan plan = new LoadPlan(target, (long) number(line, "seed", 1, 0, 1e15),
-            (int) number(line, "clients", 16, 1, 10_000), (int) number(line, "workers", 64, 0, 20_000),
-            (int) number(line, "jobs", 10_000, 1, 10_000_000), (int) number(line, "warmup", 0, 0, 10_000_000),
-            number(line, "rate", 0, 0, 1_000_000),
-            (int) number(line, "outstanding", 8, 1, 100_000), number(line, "orders", 0, 0, 1),
-            number(line, "background", 0, 0, 1), (int) number(line, "bytes", 16, 0, 1 << 25),
-            ServiceTime.parse(line.getOptionValue("service", "none")), number(line, "faults", 0, 0, 1),
-            line.getOptionValue("plan", "route-plan"), line.getOptionValue("order", "pickup-order"),
-            number(line, "patience", 30, 0, 3600), (int) number(line, "threads", 2, 1, 64));
+    private static int gearman(CommandLine line, InetSocketAddress target, PrintStream out)
+            throws ParseException, IOException {
+        LoadPlan plan = new LoadPlan(
+                target,
+                (long) number(line, "seed", 1, 0, 1e15),
+                (int) number(line, "clients", 16, 1, 10_000),
+                (int) number(line, "workers", 64, 0, 20_000),
+                (int) number(line, "jobs", 10_000, 1, 10_000_000),
+                (int) number(line, "warmup", 0, 0, 10_000_000),
+                number(line, "rate", 0, 0, 1_000_000),
+                (int) number(line, "outstanding", 8, 1, 100_000),
+                number(line, "orders", 0, 0, 1),
+                number(line, "background", 0, 0, 1),
+                (int) number(line, "bytes", 16, 0, 1 << 25),
+                ServiceTime.parse(line.getOptionValue("service", "none")),
+                number(line, "faults", 0, 0, 1),
+                line.getOptionValue("plan", "route-plan"),
+                line.getOptionValue("order", "pickup-order"),
+                number(line, "patience", 30, 0, 3600),
+                (int) number(line, "threads", 2, 1, 64));
         LoadResult r = new LoadRun(plan).run(out, new LoadRun.ServerMeter((long) number(line, "pid", 0, 0, 1e9)));
         String json = line.getOptionValue("json");
         if ("-".equals(json)) {
@@ -145,8 +159,10 @@
         if (line.hasOption("html")) {
             Files.writeString(Path.of(line.getOptionValue("html")), LoadPage.html(r));
         }
-        out.printf("%d jobs, %.0f a second, p50 %.2f ms, p99 %.2f ms, %.1f us of the server's CPU a job, %d rules "
-            + "broken%n", r.ended(), r.ratePerS(), r.percentileMs(50), r.percentileMs(99), r.cpuMicros(), r.broken());
+        out.printf(
+                "%d jobs, %.0f a second, p50 %.2f ms, p99 %.2f ms, %.1f us of the server's CPU a job, %d rules "
+                        + "broken%n",
+                r.ended(), r.ratePerS(), r.percentileMs(50), r.percentileMs(99), r.cpuMicros(), r.broken());
         return r.broken() == 0 && r.ended() >= r.begun() ? 0 : 1;
     }
 }
--- a/src/main/java/plumpost/lab/fleet/FaultNet.java
+++ b/src/main/java/plumpost/lab/fleet/FaultNet.java
@@ -31,7 +31,7 @@
         private volatile double bytesAMs = Double.POSITIVE_INFINITY;
     }
 
-    private record Chunk(ByteBuffer bytes, double dueMs) { }
+    private record Chunk(ByteBuffer bytes, double dueMs) {}
 
     private final Selector selector = Selector.open();
     private final Map<String, Way> ways = new HashMap<>();
@@ -149,8 +149,8 @@
         private void up() {
             try {
                 if (far.isConnected() || far.finishConnect()) {
-                    near.register(selector, SelectionKey.OP_READ, (Runnable) () -> { });
-                    far.register(selector, SelectionKey.OP_READ, (Runnable) () -> { });
+                    near.register(selector, SelectionKey.OP_READ, (Runnable) () -> {});
+                    far.register(selector, SelectionKey.OP_READ, (Runnable) () -> {});
                 }
             } catch (IOException e) {
                 end();
@@ -242,7 +242,8 @@
                     open.removeIf(c -> c.dead);
                 }
                 if (!open.isEmpty()) {
-                    Thread.sleep(1); // connections that are cut stay readable: without this they would be asked all the time
+                    Thread.sleep(
+                            1); // connections that are cut stay readable: without this they would be asked all the time
                 }
             }
             for (SelectionKey k : selector.keys()) {
--- a/src/main/java/plumpost/lab/fleet/FleetCheck.java
+++ b/src/main/java/plumpost/lab/fleet/FleetCheck.java
@@ -14,10 +14,11 @@
  * a fence has one owner, whoever says so; in each process's words fences only rise; nothing got stuck.
  */
 public final class FleetCheck {
-    private static final Pattern OWNED = Pattern.compile("fleet: (\\S+) under fence (\\d+) is (\\w+)'s, incarnation (\\d+)");
+    private static final Pattern OWNED =
+            Pattern.compile("fleet: (\\S+) under fence (\\d+) is (\\w+)'s, incarnation (\\d+)");
     private static final Pattern NOBODY = Pattern.compile("fleet: (\\S+) under fence (\\d+) is nobody's");
 
-    private FleetCheck() { }
+    private FleetCheck() {}
 
     /** Who owned what, by fence, as the processes tell it; two words on one fence come apart by a blank and "and". */
     public static Map<Long, String> owners(History history) {
@@ -47,7 +48,8 @@
         Map<String, String> handles = words(history, "handle");
         for (History.Seen s : history.of("taken")) {
             if (!runs.containsKey(s.words()) && !givenUp.contains(handles.get(s.words()))) {
-                broken.add("the job " + s.words() + ", " + handles.get(s.words()) + ", was taken, never ran and is not given up");
+                broken.add("the job " + s.words() + ", " + handles.get(s.words())
+                        + ", was taken, never ran and is not given up");
             }
         }
         Map<String, String> functions = words(history, "function");
--- a/src/main/java/plumpost/lab/fleet/FleetLab.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLab.java
@@ -33,11 +33,12 @@
 public final class FleetLab implements Closeable {
     /** Ports of laboratories that run side by side: each has a range of its own. */
     private static final int RANGE = 4_000;
+
     private static final int LOWEST_PORT = 20_000 + Integer.getInteger("plumpost.lab.fork", 1) % 3 * RANGE;
 
     /** What a fleet is made of. */
-    public record Plan(Path jar, Path like, Path folder, int voters, int followers, int sites, String peersMore,
-                       String more) { }
+    public record Plan(
+            Path jar, Path like, Path folder, int voters, int followers, int sites, String peersMore, String more) {}
 
     private final Plan plan;
     private final FaultNet net = new FaultNet();
@@ -126,24 +127,36 @@
         /** Starts its process by a command before java's, for instance one that sets limits. */
         public void start(List<String> before) throws IOException {
             List<String> command = new ArrayList<>(before);
-            command.addAll(List.of(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss256k", "-Djava.net.preferIPv4Stack=true",
-                "-Dplumpost.lab=" + plan.folder, "-Dplumpost.lab.format=" + format, "-jar",
-                plan.jar.toString(), "serve", "--config", file.toString()));
+            command.addAll(List.of(
+                    ProcessHandle.current().info().command().orElse("java"),
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Xmx96m",
+                    "-Xss256k",
+                    "-Djava.net.preferIPv4Stack=true",
+                    "-Dplumpost.lab=" + plan.folder,
+                    "-Dplumpost.lab.format=" + format,
+                    "-jar",
+                    plan.jar.toString(),
+                    "serve",
+                    "--config",
+                    file.toString()));
             ProcessBuilder b = new ProcessBuilder(command);
             b.environment().keySet().removeIf(n -> n.startsWith("NODE_"));
             process = b.redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
             history.add(name, "start", Long.toString(process.pid()));
             BufferedReader log = process.errorReader(StandardCharsets.UTF_8);
             Process mine = process;
-            Thread reader = new Thread(() -> {
-                log.lines().forEach(l -> history.add(name, "log", l));
-                try {
-                    history.add(name, "end", Integer.toString(mine.waitFor()));
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }, "log of " + name);
+            Thread reader = new Thread(
+                    () -> {
+                        log.lines().forEach(l -> history.add(name, "log", l));
+                        try {
+                            history.add(name, "end", Integer.toString(mine.waitFor()));
+                        } catch (InterruptedException e) {
+                            Thread.currentThread().interrupt();
+                        }
+                    },
+                    "log of " + name);
             reader.setDaemon(true);
             reader.start();
         }
@@ -174,7 +187,9 @@
         /** Sends its process a signal by name: KILL, STOP, CONT or TERM. */
         public void signal(String signal) throws IOException, InterruptedException {
             history.add(name, "signal", signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
         }
 
         /** Waits for its process's end; false where that does not come in time. */
@@ -195,12 +210,16 @@
         }
 
         private String config(String members) throws IOException {
-            String text = Files.readString(plan.like).replace("127.0.0.1:8000", "127.0.0.1:" + http)
-                .replace("127.0.0.1:4730", "127.0.0.1:" + gearman)
-                .replaceFirst("\"name\": \"[^\"]*\"", "\"name\": \"" + name + "\"");
-            return text.replaceFirst("\"seed\": \"[^\"]*\"", "\"seed\": \"" + Integer.toHexString(name.hashCode()) + "\", "
-                + plan.more.replace("$site", site) + "\"ops\": \"127.0.0.1:" + ops + "\", \"peers\": {\"group\": \"lab\", "
-                + "\"data\": \"" + data() + "\", " + plan.peersMore + "\"members\": [" + members + "]}");
+            String text = Files.readString(plan.like)
+                    .replace("127.0.0.1:8000", "127.0.0.1:" + http)
+                    .replace("127.0.0.1:4730", "127.0.0.1:" + gearman)
+                    .replaceFirst("\"name\": \"[^\"]*\"", "\"name\": \"" + name + "\"");
+            return text.replaceFirst(
+                    "\"seed\": \"[^\"]*\"",
+                    "\"seed\": \"" + Integer.toHexString(name.hashCode()) + "\", "
+                            + plan.more.replace("$site", site) + "\"ops\": \"127.0.0.1:" + ops
+                            + "\", \"peers\": {\"group\": \"lab\", "
+                            + "\"data\": \"" + data() + "\", " + plan.peersMore + "\"members\": [" + members + "]}");
         }
     }
 
@@ -216,8 +235,8 @@
             List<String> members = new ArrayList<>();
             for (One m : all.values()) {
                 int port = m == o ? m.peers : net.link(o.name, m.name, m.peers);
-                members.add("{\"name\": \"" + m.name + "\", \"address\": \"127.0.0.1:" + port + "\", \"site\": \"" + m.site
-                    + "\", \"vote\": " + m.vote + "}");
+                members.add("{\"name\": \"" + m.name + "\", \"address\": \"127.0.0.1:" + port + "\", \"site\": \""
+                        + m.site + "\", \"vote\": " + m.vote + "}");
             }
             Files.writeString(o.file, o.config(String.join(", ", members)));
         }
@@ -284,8 +303,11 @@
 
     /** Runs a command, show, yield or remove, through one member's file. */
     public String call(One through, String command, String argument) throws IOException {
-        return maker.call(PeersConfig.of(NodeConfig.from(Json.object("configuration", Files.readAllBytes(through.file)),
-            Map.of())), command, argument);
+        return maker.call(
+                PeersConfig.of(
+                        NodeConfig.from(Json.object("configuration", Files.readAllBytes(through.file)), Map.of())),
+                command,
+                argument);
     }
 
     /** The owner of a duty by what the fleet says, or an empty text. */
@@ -295,14 +317,26 @@
 
     /** A field of a duty by what the fleet says, or null. */
     public static Object duty(Fields page, String duty, String field) {
-        return page == null ? null : page.list("duties").stream().map(d -> (Map<?, ?>) d)
-            .filter(d -> duty.equals(d.get("name"))).findFirst().<Object>map(d -> d.get(field)).orElse(null);
+        return page == null
+                ? null
+                : page.list("duties").stream()
+                        .map(d -> (Map<?, ?>) d)
+                        .filter(d -> duty.equals(d.get("name")))
+                        .findFirst()
+                        .<Object>map(d -> d.get(field))
+                        .orElse(null);
     }
 
     /** A member's state by what the fleet says, or an empty text. */
     public static String state(Fields page, String name) {
-        return page == null ? "" : page.list("members").stream().map(m -> (Map<?, ?>) m)
-            .filter(m -> name.equals(m.get("name"))).findFirst().map(m -> (String) m.get("state")).orElse("");
+        return page == null
+                ? ""
+                : page.list("members").stream()
+                        .map(m -> (Map<?, ?>) m)
+                        .filter(m -> name.equals(m.get("name")))
+                        .findFirst()
+                        .map(m -> (String) m.get("state"))
+                        .orElse("");
     }
 
     private void killAll() {
--- a/src/main/java/plumpost/lab/fleet/FleetLabMain.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLabMain.java
@@ -17,9 +17,10 @@
 public final class FleetLabMain {
     /** A fleet that has just come together is let alone for so long before it is measured. */
     private static final int SETTLE_S = 20;
+
     private static final String COVERS = "\"covers\": [\"pickup-order\"], \"awaitMs\": 3000, \"keepMs\": 120000, ";
 
-    private FleetLabMain() { }
+    private FleetLabMain() {}
 
     /** Runs it; 0 where no rule was broken, 1 where one was, 2 for bad arguments. */
     public static int run(String[] args, PrintStream out, PrintStream err) throws IOException {
@@ -30,9 +31,11 @@
         options.addOption(null, "seconds", true, "time after which it ends all the same (3600)");
         options.addOption(null, "seed", true, "for all draws (1)");
         options.addOption(null, "script", true, "file with a schedule of faults, played in place of a drawn one");
-        options.addOption(null, "kills", true, "faults on any process whose orders are covered, in place of changes of owner");
+        options.addOption(
+                null, "kills", true, "faults on any process whose orders are covered, in place of changes of owner");
         options.addOption(null, "rest", true, "measures for so many seconds what it costs at rest, without faults");
-        options.addOption(null, "like", true, "configuration that the processes' files are made from (deploy/gearman.json)");
+        options.addOption(
+                null, "like", true, "configuration that the processes' files are made from (deploy/gearman.json)");
         options.addOption(null, "folder", true, "folder for files, data and the history (target/fleet-test)");
         options.addOption(null, "html", true, "file for the result as a page with a plot");
         options.addOption("h", "help", false, "tells this");
@@ -43,7 +46,8 @@
                 return 0;
             }
             if (!line.getArgList().isEmpty()) {
-                throw new ParseException("unexpected argument " + line.getArgList().get(0));
+                throw new ParseException(
+                        "unexpected argument " + line.getArgList().get(0));
             }
             int voters = whole(line, "processes", 5, 1, 5);
             if (voters % 2 == 0) {
@@ -51,20 +55,31 @@
             }
             LinesProvider.begin("lab", false);
             long seed = whole(line, "seed", 1, 0, Integer.MAX_VALUE);
-            Path folder = Path.of(line.getOptionValue("folder", "target/fleet-test")).resolve("seed-" + seed + "-"
-                + System.currentTimeMillis()).toAbsolutePath();
-            Path jar = Path.of(FleetLabMain.class.getProtectionDomain().getCodeSource().getLocation().getPath());
-            try (FleetLab lab = new FleetLab(new FleetLab.Plan(jar, Path.of(line.getOptionValue("like",
-                "deploy/gearman.json")).toAbsolutePath(), folder, voters, whole(line, "followers", 0, 0, 95), 3,
-                line.hasOption("kills") ? COVERS : "", ""))) {
+            Path folder = Path.of(line.getOptionValue("folder", "target/fleet-test"))
+                    .resolve("seed-" + seed + "-" + System.currentTimeMillis())
+                    .toAbsolutePath();
+            Path jar = Path.of(FleetLabMain.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .getPath());
+            try (FleetLab lab = new FleetLab(new FleetLab.Plan(
+                    jar,
+                    Path.of(line.getOptionValue("like", "deploy/gearman.json")).toAbsolutePath(),
+                    folder,
+                    voters,
+                    whole(line, "followers", 0, 0, 95),
+                    3,
+                    line.hasOption("kills") ? COVERS : "",
+                    ""))) {
                 if (line.hasOption("rest")) {
                     new FleetRest(lab).run(SETTLE_S, whole(line, "rest", 20, 1, 3600), out);
                     return 0;
                 }
                 if (line.hasOption("kills")) {
                     KillRun kills = new KillRun(lab, seed, out);
-                    KillRun.Result k = kills.run(whole(line, "kills", 100, 1, 100_000), whole(line, "seconds", 3600, 1,
-                        86_400));
+                    KillRun.Result k =
+                            kills.run(whole(line, "kills", 100, 1, 100_000), whole(line, "seconds", 3600, 1, 86_400));
                     Files.writeString(folder.resolve("schedule.txt"), kills.schedule());
                     write(lab, folder);
                     out.print(k.table());
@@ -72,9 +87,10 @@
                 }
                 FleetRun run = new FleetRun(lab, seed, out);
                 FleetRun.Result r = line.hasOption("script")
-                    ? run.replay(Script.parse(line.getOptionValue("script"), Files.readString(Path.of(
-                        line.getOptionValue("script")))))
-                    : run.run(whole(line, "changes", 100, 1, 100_000), whole(line, "seconds", 3600, 1, 86_400));
+                        ? run.replay(Script.parse(
+                                line.getOptionValue("script"),
+                                Files.readString(Path.of(line.getOptionValue("script")))))
+                        : run.run(whole(line, "changes", 100, 1, 100_000), whole(line, "seconds", 3600, 1, 86_400));
                 Files.writeString(folder.resolve("schedule.txt"), run.schedule());
                 write(lab, folder);
                 if (line.hasOption("html")) {
@@ -94,12 +110,14 @@
 
     private static void write(FleetLab lab, Path folder) throws IOException {
         StringBuilder seen = new StringBuilder();
-        lab.history().all().forEach(s -> seen.append(String.format("%9.0f %s %s %s%n", s.atMs(), s.who(), s.what(),
-            s.words())));
+        lab.history()
+                .all()
+                .forEach(s -> seen.append(String.format("%9.0f %s %s %s%n", s.atMs(), s.who(), s.what(), s.words())));
         Files.writeString(folder.resolve("history.txt"), seen);
     }
 
-    private static int whole(CommandLine line, String option, int otherwise, int least, int most) throws ParseException {
+    private static int whole(CommandLine line, String option, int otherwise, int least, int most)
+            throws ParseException {
         String given = line.getOptionValue(option);
         try {
             int v = given == null ? otherwise : Integer.parseInt(given);
--- a/src/main/java/plumpost/lab/fleet/FleetPlayer.java
+++ b/src/main/java/plumpost/lab/fleet/FleetPlayer.java
@@ -63,8 +63,12 @@
             if (words.size() != 5 || !words.get(0).equals("plan") || lab.one(words.get(1)) == null) {
                 throw new BadInput(s.place() + ": " + s.words() + " is not plan PROCESS FUNCTION KEY SECONDS");
             }
-            Hands.plan(lab.one(words.get(1)), lab.history(), words.get(2), words.get(3),
-                System.currentTimeMillis() / 1000 + Long.parseLong(words.get(4)));
+            Hands.plan(
+                    lab.one(words.get(1)),
+                    lab.history(),
+                    words.get(2),
+                    words.get(3),
+                    System.currentTimeMillis() / 1000 + Long.parseLong(words.get(4)));
             return;
         }
         boolean repairs = List.of("cont", "start", "heal", "go").contains(words.get(0));
@@ -108,11 +112,20 @@
         } else if (s.words().equals("replaced")) {
             History.Seen other = lab.history().await(struckMs, REPLACED_MS, x -> {
                 Matcher m = x.what().equals("log") ? OWNED.matcher(x.words()) : null;
-                return m != null && m.find() && m.group(2).equals(x.who()) && !x.who().equals(one.name());
+                return m != null
+                        && m.find()
+                        && m.group(2).equals(x.who())
+                        && !x.who().equals(one.name());
             });
             return other == null ? Double.POSITIVE_INFINITY : other.atMs() - struckMs;
-        } else if (lab.history().await(struckMs, PATIENCE_MS, x -> x.who().equals(one.name()) && x.what().equals("log")
-            && x.words().contains(s.words())) == null) {
+        } else if (lab.history()
+                        .await(
+                                struckMs,
+                                PATIENCE_MS,
+                                x -> x.who().equals(one.name())
+                                        && x.what().equals("log")
+                                        && x.words().contains(s.words()))
+                == null) {
             lab.history().add(one.name(), "stuck", "it does not say: " + s.words());
         }
         return Double.NaN;
--- a/src/main/java/plumpost/lab/fleet/FleetRun.java
+++ b/src/main/java/plumpost/lab/fleet/FleetRun.java
@@ -4,8 +4,8 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -28,8 +28,14 @@
 
     /** Kinds of fault, each with the owner as what it happens to. */
     public enum Kind {
-        KILL("kill"), STOP("stop"), CUT("cut sends hears"), CUT_SENDS("cut sends"), CUT_HEARS("cut hears"), TERM("term"),
-        YIELD("yield"), OTHER("");
+        KILL("kill"),
+        STOP("stop"),
+        CUT("cut sends hears"),
+        CUT_SENDS("cut sends"),
+        CUT_HEARS("cut hears"),
+        TERM("term"),
+        YIELD("yield"),
+        OTHER("");
 
         private final String words;
 
@@ -39,12 +45,15 @@
 
         /** The kind of a fault by its words in a script. */
         static Kind of(String fault) {
-            return Arrays.stream(values()).filter(k -> k.words.equals(fault)).findFirst().orElse(OTHER);
+            return Arrays.stream(values())
+                    .filter(k -> k.words.equals(fault))
+                    .findFirst()
+                    .orElse(OTHER);
         }
     }
 
     /** A change: the time from the fault until another process said that it owned the duty. */
-    public record Change(Kind kind, double gapMs) { }
+    public record Change(Kind kind, double gapMs) {}
 
     /**
      * What a run came to.
@@ -53,12 +62,21 @@
      * @param fences how many ownerships the history shows, those by levelling and return too
      * @param broken rules that the history breaks, in words
      */
-    public record Result(long seed, int processes, double tookS, List<Change> changes, int fences, int taken, int runs,
-                         int givenUp, List<String> broken) {
+    public record Result(
+            long seed,
+            int processes,
+            double tookS,
+            List<Change> changes,
+            int fences,
+            int taken,
+            int runs,
+            int givenUp,
+            List<String> broken) {
         /** The times without an owner by kind of fault. */
         public Map<Kind, Histogram> gaps() {
             Map<Kind, Histogram> all = new TreeMap<>();
-            changes.forEach(c -> all.computeIfAbsent(c.kind, k -> new Histogram(3)).recordValue(Math.round(c.gapMs)));
+            changes.forEach(
+                    c -> all.computeIfAbsent(c.kind, k -> new Histogram(3)).recordValue(Math.round(c.gapMs)));
             return all;
         }
     }
@@ -72,6 +90,7 @@
     private final Map<Kind, Integer> missed = new LinkedHashMap<>();
     /** Handles of jobs that the fleet says it gave up: it remembers the latest, so they are gathered all along. */
     private final Set<String> givenUp = new HashSet<>();
+
     private final StringBuilder schedule = new StringBuilder();
     private final FleetPlayer player;
     private int jobs;
@@ -93,7 +112,9 @@
             Kind kind = Kind.values()[random.nextInt(Kind.OTHER.ordinal())];
             round(kind);
             if (changes.size() % 10 == 0) {
-                out.printf("%d changes after %.0f s%n", changes.size(), lab.history().nowMs() / 1000);
+                out.printf(
+                        "%d changes after %.0f s%n",
+                        changes.size(), lab.history().nowMs() / 1000);
             }
         }
         return end();
@@ -114,14 +135,27 @@
         hands.forEach(Hands::close);
         List<String> broken = FleetCheck.broken(lab.history(), givenUp);
         missed.forEach((k, n) -> out.printf("%d faults of kind %s changed no owner in time%n", n, k));
-        return new Result(seed, lab.all().size(), lab.history().nowMs() / 1000, List.copyOf(changes),
-            FleetCheck.owners(lab.history()).size(), lab.history().of("taken").size(), lab.history().of("run").size(),
-            givenUp.size(), broken);
+        return new Result(
+                seed,
+                lab.all().size(),
+                lab.history().nowMs() / 1000,
+                List.copyOf(changes),
+                FleetCheck.owners(lab.history()).size(),
+                lab.history().of("taken").size(),
+                lab.history().of("run").size(),
+                givenUp.size(),
+                broken);
     }
 
     private void heard(One o) throws InterruptedException {
-        if (lab.history().await(0, PATIENCE_MS, x -> x.who().equals(o.name()) && x.what().equals("log")
-            && x.words().contains("takes part")) == null) {
+        if (lab.history()
+                        .await(
+                                0,
+                                PATIENCE_MS,
+                                x -> x.who().equals(o.name())
+                                        && x.what().equals("log")
+                                        && x.words().contains("takes part"))
+                == null) {
             lab.history().add(o.name(), "stuck", "it does not take part");
         }
     }
@@ -130,17 +164,25 @@
     private String draw(Kind kind) {
         StringBuilder text = new StringBuilder();
         for (int i = 0; i < 4; i++) {
-            text.append("desk send plan ").append(lab.all().get(random.nextInt(lab.all().size())).name()).append(' ')
-                .append(random.nextBoolean() ? "order-lab" : "plan-lab").append(" j").append(jobs++).append(' ')
-                .append(random.nextInt(3)).append('\n');
+            text.append("desk send plan ")
+                    .append(lab.all().get(random.nextInt(lab.all().size())).name())
+                    .append(' ')
+                    .append(random.nextBoolean() ? "order-lab" : "plan-lab")
+                    .append(" j")
+                    .append(jobs++)
+                    .append(' ')
+                    .append(random.nextInt(3))
+                    .append('\n');
         }
         text.append("owner send ").append(kind.words).append("\nowner expect replaced\n");
-        return text.append(switch (kind) {
-            case KILL, TERM -> "owner expect ended\nowner send start\n" + BACK;
-            case STOP -> "owner send cont\n" + BACK;
-            case CUT, CUT_SENDS, CUT_HEARS -> "owner send heal\n" + BACK;
-            default -> "";
-        }).toString();
+        return text.append(
+                        switch (kind) {
+                            case KILL, TERM -> "owner expect ended\nowner send start\n" + BACK;
+                            case STOP -> "owner send cont\n" + BACK;
+                            case CUT, CUT_SENDS, CUT_HEARS -> "owner send heal\n" + BACK;
+                            default -> "";
+                        })
+                .toString();
     }
 
     private void round(Kind kind) throws IOException, InterruptedException {
--- a/src/main/java/plumpost/lab/fleet/Hands.java
+++ b/src/main/java/plumpost/lab/fleet/Hands.java
@@ -83,7 +83,10 @@
             if (taken) {
                 history.add(at.name(), "handle", key + " " + got.text(0));
             }
-            history.add(at.name(), taken ? "taken" : "not taken", key + (taken ? "" : " " + got.text(0) + " " + got.text(1)));
+            history.add(
+                    at.name(),
+                    taken ? "taken" : "not taken",
+                    key + (taken ? "" : " " + got.text(0) + " " + got.text(1)));
             return taken ? got.text(0) : null;
         } catch (IOException e) {
             history.add(at.name(), "unanswered", key);
@@ -113,10 +116,13 @@
             if (got.type() == Type.JOB_CREATED) {
                 history.add(at.name(), "joined", key + " " + got.text(0));
             }
-            while (got.type() == Type.JOB_CREATED || got.type() == Type.WORK_STATUS || got.type() == Type.WORK_WARNING) {
+            while (got.type() == Type.JOB_CREATED
+                    || got.type() == Type.WORK_STATUS
+                    || got.type() == Type.WORK_WARNING) {
                 got = p.next();
             }
-            history.add(at.name(), "answered", key + " " + got.type() + (first.equals("ERROR") ? " " + got.text(1) : ""));
+            history.add(
+                    at.name(), "answered", key + " " + got.type() + (first.equals("ERROR") ? " " + got.text(1) : ""));
             return got.type().name();
         } catch (IOException e) {
             history.add(at.name(), "unanswered", key);
--- a/src/main/java/plumpost/lab/fleet/History.java
+++ b/src/main/java/plumpost/lab/fleet/History.java
@@ -7,7 +7,7 @@
 /** All that was seen of a fleet, with times: what was done to it, what its processes said, each answer and each run. */
 public final class History {
     /** One thing seen, so many milliseconds after the start. */
-    public record Seen(double atMs, String who, String what, String words) { }
+    public record Seen(double atMs, String who, String what, String words) {}
 
     private final long began = System.nanoTime();
     private final List<Seen> all = new ArrayList<>();
@@ -34,7 +34,8 @@
     }
 
     /** Waits until something that was seen after a time fits; returns it, or null when the patience is over. */
-    public synchronized Seen await(double afterMs, double patienceMs, Predicate<Seen> fits) throws InterruptedException {
+    public synchronized Seen await(double afterMs, double patienceMs, Predicate<Seen> fits)
+            throws InterruptedException {
         double until = nowMs() + patienceMs;
         int from = 0;
         while (true) {
--- a/src/main/java/plumpost/lab/fleet/KillRun.java
+++ b/src/main/java/plumpost/lab/fleet/KillRun.java
@@ -30,19 +30,34 @@
     private static final double PATIENCE_MS = 60_000;
 
     /** What a run came to. */
-    public record Result(long seed, int processes, double tookS, Map<String, Integer> faults, int taken, int done, int failed,
-                         List<String> broken) {
+    public record Result(
+            long seed,
+            int processes,
+            double tookS,
+            Map<String, Integer> faults,
+            int taken,
+            int done,
+            int failed,
+            List<String> broken) {
         /** For people. */
         public String table() {
-            StringBuilder all = new StringBuilder(String.format("%d processes, seed %d, %.0f s: %d faults %s, %d orders "
-                + "acknowledged, %d done, %d given up as may-have-run%n", processes, seed, tookS,
-                faults.values().stream().mapToInt(Integer::intValue).sum(), faults, taken, done, failed));
+            StringBuilder all = new StringBuilder(String.format(
+                    "%d processes, seed %d, %.0f s: %d faults %s, %d orders "
+                            + "acknowledged, %d done, %d given up as may-have-run%n",
+                    processes,
+                    seed,
+                    tookS,
+                    faults.values().stream().mapToInt(Integer::intValue).sum(),
+                    faults,
+                    taken,
+                    done,
+                    failed));
             broken.forEach(b -> all.append("BROKEN ").append(b).append('\n'));
             return all.append(broken.isEmpty() ? "no rule broken\n" : "").toString();
         }
     }
 
-    private record Left(String key, double atMs) { }
+    private record Left(String key, double atMs) {}
 
     private final FleetLab lab;
     private final Random random;
@@ -71,8 +86,12 @@
             o.start();
         }
         for (One o : lab.all()) {
-            if (lab.history().await(0, PATIENCE_MS, s -> s.who().equals(o.name()) && s.words().contains("takes part"))
-                == null) {
+            if (lab.history()
+                            .await(
+                                    0,
+                                    PATIENCE_MS,
+                                    s -> s.who().equals(o.name()) && s.words().contains("takes part"))
+                    == null) {
                 lab.history().add(o.name(), "stuck", "it does not take part");
             }
             hands.add(new Hands(o, lab.history(), 3, 20, FUNCTION));
@@ -163,7 +182,8 @@
 
     /** The final answer under a key, asked for at one after the other until there is one; null where none came. */
     private String ask(String key, Random mine) {
-        for (double until = lab.history().nowMs() + 2 * PATIENCE_MS; lab.history().nowMs() < until;) {
+        for (double until = lab.history().nowMs() + 2 * PATIENCE_MS;
+                lab.history().nowMs() < until; ) {
             String answer = Hands.call(any(mine), lab.history(), FUNCTION, key, ANSWER_MS);
             if ("WORK_COMPLETE".equals(answer) || "WORK_FAIL".equals(answer)) {
                 return answer;
@@ -200,11 +220,16 @@
                 broken.add("the order " + key + " ran " + n + " times");
             }
         });
-        // What was acknowledged and forgotten would be another order when its client comes again: it has one handle for good.
+        // What was acknowledged and forgotten would be another order when its client comes again: it has one handle for
+        // good.
         Map<String, Set<String>> handles = new HashMap<>();
-        lab.history().of("taken").forEach(s -> handles.computeIfAbsent(key(s), k -> new TreeSet<>()).add(s.words()));
-        lab.history().of("joined").stream().filter(s -> handles.containsKey(key(s))).forEach(
-            s -> handles.get(key(s)).add(s.words()));
+        lab.history()
+                .of("taken")
+                .forEach(s ->
+                        handles.computeIfAbsent(key(s), k -> new TreeSet<>()).add(s.words()));
+        lab.history().of("joined").stream()
+                .filter(s -> handles.containsKey(key(s)))
+                .forEach(s -> handles.get(key(s)).add(s.words()));
         handles.forEach((key, all) -> {
             if (all.size() > 1) {
                 broken.add("the order " + key + " was acknowledged and then forgotten: " + all);
@@ -215,9 +240,17 @@
                 broken.add("the order " + key + " is answered as done and never ran");
             }
         });
-        int done = (int) answers.values().stream().filter("WORK_COMPLETE"::equals).count();
+        int done =
+                (int) answers.values().stream().filter("WORK_COMPLETE"::equals).count();
         int failed = (int) answers.values().stream().filter("WORK_FAIL"::equals).count();
-        return new Result(seed, lab.all().size(), lab.history().nowMs() / 1000, faults, answers.size(), done, failed,
-            List.copyOf(broken));
+        return new Result(
+                seed,
+                lab.all().size(),
+                lab.history().nowMs() / 1000,
+                faults,
+                answers.size(),
+                done,
+                failed,
+                List.copyOf(broken));
     }
 }
--- a/src/main/java/plumpost/lab/gearman/Audit.java
+++ b/src/main/java/plumpost/lab/gearman/Audit.java
@@ -83,7 +83,9 @@
     }
 
     synchronized int brokenRules() {
-        return counts.entrySet().stream().filter(e -> e.getKey().startsWith("broken: ")).mapToInt(Map.Entry::getValue)
-            .sum();
+        return counts.entrySet().stream()
+                .filter(e -> e.getKey().startsWith("broken: "))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
     }
 }
--- a/src/main/java/plumpost/lab/gearman/LoadClient.java
+++ b/src/main/java/plumpost/lab/gearman/LoadClient.java
@@ -62,9 +62,12 @@
             yard.audit.waits(out.number);
         }
         unnamed.add(out);
-        wire.write(Packet.bytes(Packet.REQUEST, type, order ? plan.order() : plan.plan(),
-            order || plan.faults() > 0 ? "k" + plan.seed() + "-" + out.number : "",
-            ByteBuffer.wrap(Work.bytes(out.number, run.serviceMs(out.number), order, plan.bytes()))));
+        wire.write(Packet.bytes(
+                Packet.REQUEST,
+                type,
+                order ? plan.order() : plan.plan(),
+                order || plan.faults() > 0 ? "k" + plan.seed() + "-" + out.number : "",
+                ByteBuffer.wrap(Work.bytes(out.number, run.serviceMs(out.number), order, plan.bytes()))));
     }
 
     /** Ends the connection; what was out comes again under the same keys. */
@@ -150,9 +153,10 @@
                 }
             }
             case WORK_FAIL -> last(p).forEach(o -> run.ended(o, "WORK_FAIL", this));
-            case WORK_EXCEPTION -> last(p).forEach(o -> run.ended(o, p.text(1).startsWith("refused") ? "refused"
-                : "WORK_EXCEPTION", this));
-            case OPTION_RES, WORK_STATUS, WORK_WARNING -> { }
+            case WORK_EXCEPTION ->
+                last(p).forEach(o ->
+                        run.ended(o, p.text(1).startsWith("refused") ? "refused" : "WORK_EXCEPTION", this));
+            case OPTION_RES, WORK_STATUS, WORK_WARNING -> {}
             default -> yard.audit.count("client got " + p.type());
         }
     }
@@ -184,5 +188,4 @@
         live = false;
         again();
     }
-
 }
--- a/src/main/java/plumpost/lab/gearman/LoadPage.java
+++ b/src/main/java/plumpost/lab/gearman/LoadPage.java
@@ -13,13 +13,14 @@
 
 /** A load run's result as one HTML page with its plots inside. */
 public final class LoadPage {
-    private LoadPage() { }
+    private LoadPage() {}
 
     /** The page. */
     public static String html(LoadResult r) throws IOException {
         System.setProperty("java.awt.headless", "true");
-        StringBuilder all = new StringBuilder("<!doctype html><meta charset=\"utf-8\"><title>plumpost lab</title>"
-            + "<style>body{font:15px sans-serif;margin:2em}td{padding:0 1em 0 0}</style><h1>Gearman load</h1><table>");
+        StringBuilder all = new StringBuilder(
+                "<!doctype html><meta charset=\"utf-8\"><title>plumpost lab</title>"
+                        + "<style>body{font:15px sans-serif;margin:2em}td{padding:0 1em 0 0}</style><h1>Gearman load</h1><table>");
         row(all, "jobs", r.begun() + " begun, " + r.ended() + " ended, " + Math.round(r.ratePerS()) + " a second");
         row(all, "clients, workers", r.plan().clients() + ", " + r.plan().workers());
         row(all, "seed", String.valueOf(r.plan().seed()));
@@ -28,8 +29,12 @@
             row(all, "p" + p, String.format("%.2f ms", r.percentileMs(p)));
         }
         if (!Double.isNaN(r.meter().cpuS())) {
-            row(all, "server", String.format("%.1f us CPU a job, %d KiB resident", r.cpuMicros(),
-                r.meter().residentKb()));
+            row(
+                    all,
+                    "server",
+                    String.format(
+                            "%.1f us CPU a job, %d KiB resident",
+                            r.cpuMicros(), r.meter().residentKb()));
         }
         r.endings().forEach((k, v) -> row(all, k, String.valueOf(v)));
         for (Map.Entry<String, Integer> e : r.counts().entrySet()) {
@@ -65,17 +70,27 @@
     }
 
     private static XYChart chart(String title, String x, String y) {
-        return new XYChartBuilder().width(900).height(340).title(title).xAxisTitle(x).yAxisTitle(y).build();
+        return new XYChartBuilder()
+                .width(900)
+                .height(340)
+                .title(title)
+                .xAxisTitle(x)
+                .yAxisTitle(y)
+                .build();
     }
 
     private static void series(XYChart chart, String name, LoadResult r, ToDoubleFunction<LoadRun.Second> value) {
-        chart.addSeries(name, r.seconds().stream().map(LoadRun.Second::atS).toList(),
-            r.seconds().stream().map(s -> value.applyAsDouble(s)).toList()).setMarker(SeriesMarkers.NONE);
+        chart.addSeries(
+                        name,
+                        r.seconds().stream().map(LoadRun.Second::atS).toList(),
+                        r.seconds().stream().map(s -> value.applyAsDouble(s)).toList())
+                .setMarker(SeriesMarkers.NONE);
     }
 
     private static String image(XYChart chart) throws IOException {
         return "<p><img alt=\"" + chart.getTitle() + "\" src=\"data:image/png;base64,"
-            + Base64.getEncoder().encodeToString(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG))
-            + "\">";
+                + Base64.getEncoder()
+                        .encodeToString(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG))
+                + "\">";
     }
 }
--- a/src/main/java/plumpost/lab/gearman/LoadPlan.java
+++ b/src/main/java/plumpost/lab/gearman/LoadPlan.java
@@ -23,9 +23,24 @@
  * @param patienceS when a job without a final answer is counted as lost, after the last one was submitted
  * @param threads threads on which workers run
  */
-public record LoadPlan(InetSocketAddress target, long seed, int clients, int workers, int jobs, int warmup, double ratePerS,
-                       int outstanding, double orders, double background, int bytes, ServiceTime service,
-                       double faults, String plan, String order, double patienceS, int threads) {
+public record LoadPlan(
+        InetSocketAddress target,
+        long seed,
+        int clients,
+        int workers,
+        int jobs,
+        int warmup,
+        double ratePerS,
+        int outstanding,
+        double orders,
+        double background,
+        int bytes,
+        ServiceTime service,
+        double faults,
+        String plan,
+        String order,
+        double patienceS,
+        int threads) {
     /** All jobs, those of the warm-up first. */
     public int all() {
         return warmup + jobs;
--- a/src/main/java/plumpost/lab/gearman/LoadResult.java
+++ b/src/main/java/plumpost/lab/gearman/LoadResult.java
@@ -9,9 +9,19 @@
 import org.HdrHistogram.Histogram;
 
 /** What came of a load run, as JSON and as a page. Times are in milliseconds from when a job was meant to start. */
-public record LoadResult(LoadPlan plan, double tookMs, int begun, int ended, int counted, Map<String, Integer> endings,
-                         Map<String, Integer> counts, List<String> examples, int broken, Histogram times,
-                         List<LoadRun.Second> seconds, LoadRun.ServerMeter meter) {
+public record LoadResult(
+        LoadPlan plan,
+        double tookMs,
+        int begun,
+        int ended,
+        int counted,
+        Map<String, Integer> endings,
+        Map<String, Integer> counts,
+        List<String> examples,
+        int broken,
+        Histogram times,
+        List<LoadRun.Second> seconds,
+        LoadRun.ServerMeter meter) {
 
     /** Jobs that ended a second. */
     public double ratePerS() {
@@ -43,7 +53,8 @@
             j.writeNumberField("orders", plan.orders());
             j.writeNumberField("background", plan.background());
             j.writeNumberField("bytes", plan.bytes());
-            j.writeStringField("service", plan.service().kind() + ":" + plan.service().ms());
+            j.writeStringField(
+                    "service", plan.service().kind() + ":" + plan.service().ms());
             j.writeNumberField("faults", plan.faults());
             j.writeEndObject();
             j.writeNumberField("tookMs", tookMs);
@@ -60,8 +71,8 @@
             j.writeEndArray();
             j.writeObjectFieldStart("timesMs");
             for (double p : new double[] {50, 90, 99, 99.9, 100}) {
-                j.writeNumberField("p" + (p == Math.rint(p) ? String.valueOf((int) p) : String.valueOf(p)),
-                    percentileMs(p));
+                j.writeNumberField(
+                        "p" + (p == Math.rint(p) ? String.valueOf((int) p) : String.valueOf(p)), percentileMs(p));
             }
             j.writeEndObject();
             if (!Double.isNaN(meter.cpuS())) {
--- a/src/main/java/plumpost/lab/gearman/LoadRun.java
+++ b/src/main/java/plumpost/lab/gearman/LoadRun.java
@@ -29,7 +29,7 @@
     private static final double SECOND_MS = 1000;
 
     /** A second of the run. */
-    record Second(double atS, long ended, double p50Ms, double p99Ms, long out) { }
+    record Second(double atS, long ended, double p50Ms, double p99Ms, long out) {}
 
     private final LoadPlan plan;
     private final Audit audit;
@@ -138,22 +138,42 @@
             y.stop();
         }
         audit.close();
-        return new LoadResult(plan, tookMs, begun, ended, ended - uncounted, new TreeMap<>(endings), audit.counts(), audit.examples(),
-            audit.brokenRules(), all, List.copyOf(seconds), meter);
+        return new LoadResult(
+                plan,
+                tookMs,
+                begun,
+                ended,
+                ended - uncounted,
+                new TreeMap<>(endings),
+                audit.counts(),
+                audit.examples(),
+                audit.brokenRules(),
+                all,
+                List.copyOf(seconds),
+                meter);
     }
 
     private void turnFor(double ms) throws IOException {
-        for (double end = yard.clock.nowMs() + ms; yard.clock.nowMs() < end;) {
+        for (double end = yard.clock.nowMs() + ms; yard.clock.nowMs() < end; ) {
             yard.loop.turn(5);
         }
     }
 
     private void tick(PrintStream progress, double atMs) {
-        seconds.add(new Second(atMs / 1000, ended - endedAtSecond, second.getValueAtPercentile(50) / 1000.0,
-            second.getValueAtPercentile(99) / 1000.0, begun + extra - ended));
-        progress.printf("%6.1f s  %8d begun  %8d ended  p50 %.2f ms  p99 %.2f ms  broken %d%n", atMs / 1000, begun,
-            ended, second.getValueAtPercentile(50) / 1000.0, second.getValueAtPercentile(99) / 1000.0,
-            audit.brokenRules());
+        seconds.add(new Second(
+                atMs / 1000,
+                ended - endedAtSecond,
+                second.getValueAtPercentile(50) / 1000.0,
+                second.getValueAtPercentile(99) / 1000.0,
+                begun + extra - ended));
+        progress.printf(
+                "%6.1f s  %8d begun  %8d ended  p50 %.2f ms  p99 %.2f ms  broken %d%n",
+                atMs / 1000,
+                begun,
+                ended,
+                second.getValueAtPercentile(50) / 1000.0,
+                second.getValueAtPercentile(99) / 1000.0,
+                audit.brokenRules());
         second.reset();
         endedAtSecond = ended;
     }
@@ -174,8 +194,8 @@
             case LEAVE, HALF -> yard.later(serviceMs(number) / 2 + 2, () -> client.leave(f == Fault.HALF));
             case RESUBMIT -> {
                 extra++;
-                clients.get((at + 1) % clients.size()).submit(new LoadClient.Out(number, meantAt,
-                    clients.size() == 1 || isBackground(number)));
+                clients.get((at + 1) % clients.size())
+                        .submit(new LoadClient.Out(number, meantAt, clients.size() == 1 || isBackground(number)));
             }
             case MUTE -> mute();
             default -> storm();
@@ -228,7 +248,7 @@
                 }
 
                 @Override
-                public void ended() { }
+                public void ended() {}
             });
         }
     }
--- a/src/main/java/plumpost/lab/gearman/LoadWorker.java
+++ b/src/main/java/plumpost/lab/gearman/LoadWorker.java
@@ -112,12 +112,13 @@
                     }
                 });
             }
-            case STALL -> yard.later(ms + STALL_MS, () -> {
-                if (handle == mine) {
-                    yard.audit.count("fault STALL");
-                    reconnect();
-                }
-            });
+            case STALL ->
+                yard.later(ms + STALL_MS, () -> {
+                    if (handle == mine) {
+                        yard.audit.count("fault STALL");
+                        reconnect();
+                    }
+                });
             default -> {
                 if (ms <= 0) {
                     end(w, f);
--- a/src/main/java/plumpost/lab/gearman/ServiceTime.java
+++ b/src/main/java/plumpost/lab/gearman/ServiceTime.java
@@ -11,12 +11,13 @@
         try {
             double ms = w.length > 1 ? Double.parseDouble(w[1]) : 0;
             double sigma = w.length > 2 ? Double.parseDouble(w[2]) : 0;
-            int wanted = switch (w[0]) {
-                case "none" -> 1;
-                case "const", "exp" -> 2;
-                case "lognormal" -> 3;
-                default -> -1;
-            };
+            int wanted =
+                    switch (w[0]) {
+                        case "none" -> 1;
+                        case "const", "exp" -> 2;
+                        case "lognormal" -> 3;
+                        default -> -1;
+                    };
             if (w.length == wanted && ms >= 0 && ms <= 600_000 && sigma >= 0 && sigma <= 5) {
                 return new ServiceTime(w[0], ms, sigma);
             }
@@ -28,12 +29,14 @@
 
     /** Draws a time in milliseconds; at most ten minutes. */
     public double draw(SplittableRandom random) {
-        return Math.min(600_000, switch (kind) {
-            case "const" -> ms;
-            case "exp" -> -ms * Math.log(1 - random.nextDouble());
-            case "lognormal" -> ms * Math.exp(sigma * gauss(random));
-            default -> 0;
-        });
+        return Math.min(
+                600_000,
+                switch (kind) {
+                    case "const" -> ms;
+                    case "exp" -> -ms * Math.log(1 - random.nextDouble());
+                    case "lognormal" -> ms * Math.exp(sigma * gauss(random));
+                    default -> 0;
+                });
     }
 
     private static double gauss(SplittableRandom random) {
--- a/src/main/java/plumpost/lab/gearman/Yard.java
+++ b/src/main/java/plumpost/lab/gearman/Yard.java
@@ -34,19 +34,21 @@
     }
 
     void start(String name) {
-        thread = new Thread(() -> {
-            try {
-                loop.run(() -> over);
-            } catch (IOException | RuntimeException e) {
-                fault = e;
-            }
-        }, name);
+        thread = new Thread(
+                () -> {
+                    try {
+                        loop.run(() -> over);
+                    } catch (IOException | RuntimeException e) {
+                        fault = e;
+                    }
+                },
+                name);
         thread.start();
     }
 
     void stop() throws IOException {
         over = true;
-        loop.onLoop(() -> { });
+        loop.onLoop(() -> {});
         try {
             thread.join(5000);
         } catch (InterruptedException e) {
--- a/src/main/java/plumpost/lab/script/Player.java
+++ b/src/main/java/plumpost/lab/script/Player.java
@@ -164,8 +164,9 @@
     private void packet(Script.Step step) {
         String who = step.who();
         int size = 12;
-        for (byte[] have = unread.getOrDefault(who, new byte[0]); have.length < size;
-             have = unread.getOrDefault(who, new byte[0])) {
+        for (byte[] have = unread.getOrDefault(who, new byte[0]);
+                have.length < size;
+                have = unread.getOrDefault(who, new byte[0])) {
             size = have.length < 12 ? 12 : 12 + ByteBuffer.wrap(have).getInt(8);
             if (have.length < size && !grow(who, patienceMs)) {
                 check(step, false, have.length == 0 ? "nothing" : shown(have));
@@ -179,11 +180,15 @@
         }
         unread.put(who, java.util.Arrays.copyOfRange(have, size, have.length));
         Packet.Type type = Packet.Type.of(ByteBuffer.wrap(have).getInt(4));
-        String got = type + (size == 12 && (type == null || type.arguments() == 0) ? "" : "|" + new String(have, 12, size - 12, StandardCharsets.ISO_8859_1)
-            .replace('\0', '|'));
+        String got = type
+                + (size == 12 && (type == null || type.arguments() == 0)
+                        ? ""
+                        : "|" + new String(have, 12, size - 12, StandardCharsets.ISO_8859_1).replace('\0', '|'));
         Matcher m = pattern(step, step.words()).matcher(got);
-        check(step, ByteBuffer.wrap(have).getInt(0) == Packet.RESPONSE && m.matches(), shown(got.getBytes(
-            StandardCharsets.ISO_8859_1)));
+        check(
+                step,
+                ByteBuffer.wrap(have).getInt(0) == Packet.RESPONSE && m.matches(),
+                shown(got.getBytes(StandardCharsets.ISO_8859_1)));
         Matcher named = NAMED.matcher(step.words());
         while (named.find()) {
             String n = named.group(1);
@@ -202,9 +207,14 @@
             regex.append(Pattern.quote(words.substring(at, m.start())));
             at = m.end();
             String n = m.group(1);
-            regex.append(m.group(2) != null ? "x{" + m.group(2) + "}" : n == null ? ".*"
-                : names.containsKey(n) ? Pattern.quote(names.get(n))
-                : taken.add(n) ? "(?<" + n + ">[^|]*)" : "\\k<" + n + ">");
+            regex.append(
+                    m.group(2) != null
+                            ? "x{" + m.group(2) + "}"
+                            : n == null
+                                    ? ".*"
+                                    : names.containsKey(n)
+                                            ? Pattern.quote(names.get(n))
+                                            : taken.add(n) ? "(?<" + n + ">[^|]*)" : "\\k<" + n + ">");
         }
         return Pattern.compile(regex.append(Pattern.quote(words.substring(at))).toString(), Pattern.DOTALL);
     }
--- a/src/main/java/plumpost/lab/script/Script.java
+++ b/src/main/java/plumpost/lab/script/Script.java
@@ -22,7 +22,13 @@
     }
 
     /** What a step does. */
-    public enum Verb { SEND, EXPECT, CLOSE, HOLD, PASS }
+    public enum Verb {
+        SEND,
+        EXPECT,
+        CLOSE,
+        HOLD,
+        PASS
+    }
 
     /**
      * One step.
@@ -32,17 +38,17 @@
      * @param words what is sent or expected, or a number
      * @param place file, line and column, for messages
      */
-    public record Step(String who, Verb verb, String words, String place) { }
+    public record Step(String who, Verb verb, String words, String place) {}
 
     /** A named case: the packet types and admin lines that it covers, the set-up that it needs, its steps. */
-    public record Case(String title, List<String> covers, String on, List<Step> steps) { }
+    public record Case(String title, List<String> covers, String on, List<Step> steps) {}
 
     /** Reads a text; {@code where} names it in messages. */
     public static Script parse(String where, String text) {
         BaseErrorListener strict = new BaseErrorListener() {
             @Override
-            public void syntaxError(Recognizer<?, ?> by, Object symbol, int line, int column, String words,
-                                    RecognitionException e) {
+            public void syntaxError(
+                    Recognizer<?, ?> by, Object symbol, int line, int column, String words, RecognitionException e) {
                 throw new BadScript(where, line, column + 1, words);
             }
         };
@@ -69,7 +75,10 @@
         List<String> values = new ArrayList<>();
         for (ScriptParser.TopicContext t : e.topic()) {
             (t.getStart().getTokenIndex() < each ? covers : values)
-                .add(t.NAME() != null ? t.NAME().getText() : string(t.STRING().getText()));
+                    .add(
+                            t.NAME() != null
+                                    ? t.NAME().getText()
+                                    : string(t.STRING().getText()));
         }
         String on = "usual";
         String variable = null;
@@ -86,8 +95,13 @@
         }
         for (String value : values) {
             String mark = "$" + variable;
-            cases.add(new Case(title + ": " + value, covers.stream().map(c -> c.replace(mark, value)).toList(), on,
-                steps.stream().map(s -> new Step(s.who, s.verb, s.words.replace(mark, value), s.place)).toList()));
+            cases.add(new Case(
+                    title + ": " + value,
+                    covers.stream().map(c -> c.replace(mark, value)).toList(),
+                    on,
+                    steps.stream()
+                            .map(s -> new Step(s.who, s.verb, s.words.replace(mark, value), s.place))
+                            .toList()));
         }
     }
 
@@ -101,17 +115,25 @@
         if (step instanceof ScriptParser.SayContext s) {
             into.add(new Step(s.NAME().getText(), Verb.SEND, s.TEXT().getText().stripTrailing(), place));
         } else if (step instanceof ScriptParser.HearContext s) {
-            into.add(new Step(s.NAME().getText(), Verb.EXPECT, s.TEXT().getText().stripTrailing(), place));
+            into.add(
+                    new Step(s.NAME().getText(), Verb.EXPECT, s.TEXT().getText().stripTrailing(), place));
         } else if (step instanceof ScriptParser.HangUpContext s) {
             into.add(new Step(s.NAME().getText(), Verb.CLOSE, "", place));
         } else if (step instanceof ScriptParser.HoldContext s) {
-            into.add(new Step(s.NAME().getText(), Verb.HOLD, s.NUMBER() == null ? "" : s.NUMBER().getText(), place));
+            into.add(new Step(
+                    s.NAME().getText(),
+                    Verb.HOLD,
+                    s.NUMBER() == null ? "" : s.NUMBER().getText(),
+                    place));
         } else if (step instanceof ScriptParser.PassContext s) {
             into.add(new Step(null, Verb.PASS, s.NUMBER().getText(), place));
         } else if (step instanceof ScriptParser.AgainContext s) {
             if (!s.NUMBER().getText().matches("[0-9]{1,6}")) {
-                throw new BadScript(where, at.getLine(), at.getCharPositionInLine() + 1,
-                    "repeat " + s.NUMBER().getText() + ", not a whole number up to 999999");
+                throw new BadScript(
+                        where,
+                        at.getLine(),
+                        at.getCharPositionInLine() + 1,
+                        "repeat " + s.NUMBER().getText() + ", not a whole number up to 999999");
             }
             for (int n = Integer.parseInt(s.NUMBER().getText()); n > 0; n--) {
                 s.line().forEach(l -> line(where, l, into));
--- a/src/main/java/plumpost/log/Lines.java
+++ b/src/main/java/plumpost/log/Lines.java
@@ -15,6 +15,7 @@
     private static final long serialVersionUID = 1L;
     /** The fleet's engine tells at length of each connection: of it only errors are printed. */
     private final boolean library;
+
     private static volatile String who = "plumpost";
     private static volatile boolean json;
     private static final long LIBRARY_NS = 10_000_000_000L;
@@ -54,13 +55,12 @@
     }
 
     @Override
-    protected void handleNormalizedLoggingCall(Level level, Marker marker, String pattern, Object[] arguments,
-                                               Throwable thrown) {
+    protected void handleNormalizedLoggingCall(
+            Level level, Marker marker, String pattern, Object[] arguments, Throwable thrown) {
         if (library && !dueAgain()) {
             return;
         }
-        System.err.println(line(who, json, level, name, MessageFormatter.basicArrayFormat(pattern, arguments),
-            thrown));
+        System.err.println(line(who, json, level, name, MessageFormatter.basicArrayFormat(pattern, arguments), thrown));
     }
 
     /** Of a library's errors, which come by the hundred where a peer is gone, one in so many seconds is told. */
--- a/src/main/java/plumpost/log/LinesProvider.java
+++ b/src/main/java/plumpost/log/LinesProvider.java
@@ -40,5 +40,5 @@
     }
 
     @Override
-    public void initialize() { }
+    public void initialize() {}
 }
--- a/src/main/java/plumpost/log/Logs.java
+++ b/src/main/java/plumpost/log/Logs.java
@@ -6,7 +6,7 @@
 
 /** Where a scheduler's log lines go. */
 public final class Logs {
-    private Logs() { }
+    private Logs() {}
 
     /**
      * Takes lines to standard error: through SLF4J in the given form, or, where none is given, as plain text without
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -15,8 +15,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import plumpost.time.Clock;
 import plumpost.count.Counters;
+import plumpost.time.Clock;
 import plumpost.time.TimerWheel;
 
 /** The thin driver: one thread, one selector, all sockets, and the timer wheel turned between them. */
@@ -40,6 +40,7 @@
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
     /** Those of listeners that end in order, until they are closed. */
     private final Set<Socket> ending = new LinkedHashSet<>();
+
     private final ConcurrentLinkedQueue<Runnable> fromOutside = new ConcurrentLinkedQueue<>();
     private double lookedAt;
 
@@ -59,7 +60,7 @@
      */
     public void run(BooleanSupplier until) throws IOException {
         double over = Double.NaN;
-        for (boolean still = false; !still;) {
+        for (boolean still = false; !still; ) {
             while (!until.getAsBoolean()) {
                 over = Double.NaN;
                 turn(LONGEST_SLEEP_MS);
@@ -119,7 +120,7 @@
         } catch (RuntimeException fault) {
             counters.count("net.fault");
             log.accept("fault on the loop: " + fault + " at "
-                + (fault.getStackTrace().length == 0 ? "?" : fault.getStackTrace()[0]));
+                    + (fault.getStackTrace().length == 0 ? "?" : fault.getStackTrace()[0]));
         }
     }
 
@@ -131,14 +132,20 @@
      * Listens; the returned handle ends that. Where a newcomer finds all places taken, {@code shed} may end one of the
      * connections that matter least, and says whether it did.
      */
-    public Listener listen(InetSocketAddress at, Function<Connection, ConnectionHandler> users, int most, BooleanSupplier shed)
-        throws IOException {
+    public Listener listen(
+            InetSocketAddress at, Function<Connection, ConnectionHandler> users, int most, BooleanSupplier shed)
+            throws IOException {
         return listen(at, users, most, MOST_UNREAD, shed);
     }
 
     /** The same with a bound on the bytes that a peer may leave unread. */
-    public Listener listen(InetSocketAddress at, Function<Connection, ConnectionHandler> users, int most, long unreadBytes,
-                       BooleanSupplier shed) throws IOException {
+    public Listener listen(
+            InetSocketAddress at,
+            Function<Connection, ConnectionHandler> users,
+            int most,
+            long unreadBytes,
+            BooleanSupplier shed)
+            throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(at, 512);
@@ -149,8 +156,13 @@
      * Serves a socket that listens already, such as one inherited from the platform and shared with another process:
      * closing it here ends only this process's hold on it.
      */
-    public Listener adopt(ServerSocketChannel channel, Function<Connection, ConnectionHandler> users, int most, long unreadBytes,
-                      BooleanSupplier shed) throws IOException {
+    public Listener adopt(
+            ServerSocketChannel channel,
+            Function<Connection, ConnectionHandler> users,
+            int most,
+            long unreadBytes,
+            BooleanSupplier shed)
+            throws IOException {
         channel.configureBlocking(false);
         return new Listener(channel, users, most, unreadBytes, shed);
     }
@@ -170,8 +182,13 @@
         private int open;
         private boolean batched;
 
-        private Listener(ServerSocketChannel channel, Function<Connection, ConnectionHandler> users, int most, long unreadBytes,
-                     BooleanSupplier shed) throws IOException {
+        private Listener(
+                ServerSocketChannel channel,
+                Function<Connection, ConnectionHandler> users,
+                int most,
+                long unreadBytes,
+                BooleanSupplier shed)
+                throws IOException {
             this.channel = channel;
             this.users = users;
             this.most = most;
@@ -341,7 +358,9 @@
 
         private void take() {
             // A user may look at another connection while it reads: each reading has a buffer of its own.
-            ByteBuffer in = buffers.isEmpty() ? ByteBuffer.allocateDirect(BUFFER) : buffers.pop().clear();
+            ByteBuffer in = buffers.isEmpty()
+                    ? ByteBuffer.allocateDirect(BUFFER)
+                    : buffers.pop().clear();
             try {
                 int n;
                 try {
@@ -437,7 +456,7 @@
 
         private void sent(int bytes) {
             unread -= bytes;
-            for (int left = bytes; left > 0;) {
+            for (int left = bytes; left > 0; ) {
                 ByteBuffer b = out.peek();
                 int n = Math.min(left, b.remaining());
                 b.position(b.position() + n);
@@ -463,7 +482,9 @@
 
         /** A close over unread bytes resets the peer, which then may not read what it was sent. */
         private void readAway() {
-            ByteBuffer in = buffers.isEmpty() ? ByteBuffer.allocateDirect(BUFFER) : buffers.pop().clear();
+            ByteBuffer in = buffers.isEmpty()
+                    ? ByteBuffer.allocateDirect(BUFFER)
+                    : buffers.pop().clear();
             try {
                 for (int i = 0; i < MOST_AWAY && channel.read(in) > 0; i++) {
                     in.clear();
@@ -482,7 +503,9 @@
 
         @Override
         public String peer() {
-            return channel.socket().getInetAddress() == null ? "-" : channel.socket().getInetAddress().getHostAddress();
+            return channel.socket().getInetAddress() == null
+                    ? "-"
+                    : channel.socket().getInetAddress().getHostAddress();
         }
 
         @Override
--- a/src/main/java/plumpost/peers/Fleet.java
+++ b/src/main/java/plumpost/peers/Fleet.java
@@ -17,10 +17,10 @@
      * @param atMs Unix milliseconds
      * @param again whether it may run twice
      */
-    record Job(String id, String function, String unique, byte[] body, double atMs, boolean again) { }
+    record Job(String id, String function, String unique, byte[] body, double atMs, boolean again) {}
 
     /** What became of a wish: agreed on, refused by the fleet, or not known: there is no majority, or none in time. */
-    record Said(boolean agreed, boolean known, String words) { }
+    record Said(boolean agreed, boolean known, String words) {}
 
     /** Makes fleets; found by name, since what it stands on is on no class path while peers are off. */
     interface Maker {
--- a/src/main/java/plumpost/peers/Ledger.java
+++ b/src/main/java/plumpost/peers/Ledger.java
@@ -16,8 +16,15 @@
      * @param again whether it may run twice
      * @param background whether nobody waits for its answer
      */
-    record Order(String id, String function, String unique, byte[] body, int priority, double patienceMs, boolean again,
-                 boolean background) { }
+    record Order(
+            String id,
+            String function,
+            String unique,
+            byte[] body,
+            int priority,
+            double patienceMs,
+            boolean again,
+            boolean background) {}
 
     /** Where an order stands, as far as is known here. */
     enum Stage {
--- a/src/main/java/plumpost/peers/Peers.java
+++ b/src/main/java/plumpost/peers/Peers.java
@@ -19,12 +19,16 @@
     private static final String MAKER = "plumpost.fleet.engine.FleetMaker";
     private static final String PART = "plumpost.fleet.";
 
-    private Peers() { }
+    private Peers() {}
 
     /** The maker of fleets; bad input where the libraries are not there. */
     public static Fleet.Maker maker() {
         try {
-            Path jar = Path.of(Peers.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            Path jar = Path.of(Peers.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .toURI());
             Path libraries = jar.resolveSibling("lib").resolve("fleet");
             ClassLoader from = Peers.class.getClassLoader();
             if (Files.isRegularFile(jar) && Files.isDirectory(libraries)) {
--- a/src/main/java/plumpost/platform/DiscoveryCall.java
+++ b/src/main/java/plumpost/platform/DiscoveryCall.java
@@ -30,6 +30,7 @@
     private static final double NO_CHANGES_MS = 250;
     /** One object of a list may take up this part of the heap, so that reading it cannot exhaust the process. */
     private static final long HEAP_PARTS = 8;
+
     private static final int SMALLEST_LIST_LIMIT = 1 << 20;
 
     /** Why a call is over. */
@@ -86,7 +87,9 @@
         this.service = service;
         this.since = since;
         this.listener = listener;
-        int limit = (int) Math.min(Integer.MAX_VALUE, Math.max(SMALLEST_LIST_LIMIT, Runtime.getRuntime().maxMemory() / HEAP_PARTS));
+        int limit = (int) Math.min(
+                Integer.MAX_VALUE,
+                Math.max(SMALLEST_LIST_LIMIT, Runtime.getRuntime().maxMemory() / HEAP_PARTS));
         answer = new AnswerReader(limit);
         objects = new ObjectStream("a list", limit);
         connection = kit.network().dial(service, opened -> this);
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/FrontDoor.java
@@ -14,27 +14,30 @@
 import plumpost.dispatch.JobSheet;
 import plumpost.dispatch.LedgerEntry;
 import plumpost.dispatch.ReplyTo;
-import plumpost.time.TimerWheel;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
-import plumpost.net.Kit;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Kit;
+import plumpost.time.TimerWheel;
 
 /** The thin front for the platform's protocol: front desks hand jobs in by HTTP and wait for the answer. */
 final class FrontDoor {
     /** Fields that a link to a route node words itself; all others pass on, such as the key under which it drops repeats. */
     private static final Set<String> REWORDED = Set.of("x-txn", "x-lane", "x-remaining-ms");
+
     private static final int BODY_LIMIT = 64 * 1024;
     private static final double MOST_SLOTS = 64;
     /** A whole request is due so long after its first byte, and a first byte so long after connecting. */
     private static final double SLOW_MS = 2_000;
+
     private static final double UNREAD_MS = 10_000;
     private static final double IDLE_MS = 60_000;
     private static final double SWEEP_MS = 250;
     /** A request follows its connection at once: while places run short, one without is a stranger's after this. */
     private static final double NEWCOMER_MS = 100;
+
     private static final double HALF_MS = 300;
     /** After SIGTERM new connections keep coming for less than this; what is taken later may be asked for an answer. */
     private static final double GOING_MS = 700;
@@ -53,6 +56,7 @@
     private boolean ready;
     /** Whether anybody was told that this process is ready. */
     private boolean saidReady;
+
     private boolean stopping;
     private boolean leaving;
     private boolean called;
@@ -84,7 +88,10 @@
     void stop() {
         stopping = true;
         double at = kit.clock().nowMs();
-        double longest = room.settings().classes().stream().mapToDouble(JobClass::deadlineMs).max().orElse(0);
+        double longest = room.settings().classes().stream()
+                .mapToDouble(JobClass::deadlineMs)
+                .max()
+                .orElse(0);
         double kill = at + Math.min(longest, LONGEST_MS) + GOING_MS;
         kit.wheel().at(Math.max(at + GOING_MS, kill - LEAVE_MS), this::leave);
         kit.wheel().at(Math.max(at + GOING_MS, kill - LAST_CALL_MS), () -> lastCall(at + GOING_MS));
@@ -164,8 +171,8 @@
         ClientConnection least = null;
         for (ClientConnection d : desks) {
             int rank = d.rank(now);
-            if (rank >= 0 && (least == null || rank < least.rank(now)
-                || rank == least.rank(now) && d.since < least.since)) {
+            if (rank >= 0
+                    && (least == null || rank < least.rank(now) || rank == least.rank(now) && d.since < least.since)) {
                 least = d;
             }
         }
@@ -180,6 +187,7 @@
         private ByteBuffer ahead = ByteBuffer.allocate(0);
         /** What is being read. */
         private ByteBuffer from = ahead;
+
         private double since = kit.clock().nowMs();
         private boolean working;
         private boolean reading;
@@ -216,9 +224,9 @@
                 return -1;
             }
             double age = now - since;
-            return reader.midway() ? age > HALF_MS ? 2 : -1
-                : answered ? wire.flushed() ? knownDesk ? 3 : 0 : -1
-                : age > NEWCOMER_MS ? 1 : -1;
+            return reader.midway()
+                    ? age > HALF_MS ? 2 : -1
+                    : answered ? wire.flushed() ? knownDesk ? 3 : 0 : -1 : age > NEWCOMER_MS ? 1 : -1;
         }
 
         @Override
@@ -236,7 +244,10 @@
                 wire.cut();
                 return;
             }
-            ahead = ByteBuffer.allocate(ahead.remaining() + in.remaining()).put(ahead).put(in).flip();
+            ahead = ByteBuffer.allocate(ahead.remaining() + in.remaining())
+                    .put(ahead)
+                    .put(in)
+                    .flip();
         }
 
         private void read(ByteBuffer in) {
@@ -300,7 +311,8 @@
             switch (path) {
                 case "/health/ready" -> get(this::answerReady);
                 case "/health/live" -> get(() -> answer(200, Answers.ascii(""), "", false));
-                case "/counters" -> get(() -> answer(200, Answers.ascii(kit.counters().toString()), "", false));
+                case "/counters" ->
+                    get(() -> answer(200, Answers.ascii(kit.counters().toString()), "", false));
                 default -> job(path);
             }
         }
@@ -357,7 +369,8 @@
                 takenAt = kit.clock().nowMs();
                 entry = room.take(sheet, this);
                 if (over && entry != null) {
-                    room.gone(entry, this); // it left while its job was being taken, before there was an entry to tell of
+                    room.gone(
+                            entry, this); // it left while its job was being taken, before there was an entry to tell of
                 }
             }
         }
@@ -376,19 +389,30 @@
             String left = head.field("X-Remaining-Ms");
             String estimate = head.field("X-Estimate");
             String labels = head.field("X-Labels");
-            Fields more = new Fields("X-Labels", labels == null || labels.isBlank() ? Map.of()
-                : LoadReports.pairs(labels.toLowerCase(Locale.ROOT)));
+            Fields more = new Fields(
+                    "X-Labels",
+                    labels == null || labels.isBlank() ? Map.of() : LoadReports.pairs(labels.toLowerCase(Locale.ROOT)));
             double unread = lag.ms();
             double patience = left == null ? c.deadlineMs() : Math.min(Long.parseLong(left), c.deadlineMs());
             double slots = more.number("slots", more.number("needs", 1));
             if (!(slots > 0 && slots <= MOST_SLOTS)) {
                 throw new BadInput("X-Labels");
             }
-            return new JobSheet(id, cls, reader.target(), head.passedOn(REWORDED), reader.body(),
-                unread > TimerWheel.TICK_MS ? patience - unread : patience,
-                estimate == null ? Double.NaN : Math.min(Long.parseLong(estimate) / 1000.0, c.deadlineMs()), slots,
-                more.number("memory", Double.NaN), 0, key(),
-                "1".equals(head.field("X-Resent")), null, new JobSheet.Work(cls, null, null, null, 0, Double.NaN));
+            return new JobSheet(
+                    id,
+                    cls,
+                    reader.target(),
+                    head.passedOn(REWORDED),
+                    reader.body(),
+                    unread > TimerWheel.TICK_MS ? patience - unread : patience,
+                    estimate == null ? Double.NaN : Math.min(Long.parseLong(estimate) / 1000.0, c.deadlineMs()),
+                    slots,
+                    more.number("memory", Double.NaN),
+                    0,
+                    key(),
+                    "1".equals(head.field("X-Resent")),
+                    null,
+                    new JobSheet.Work(cls, null, null, null, 0, Double.NaN));
         }
 
         private String key() {
@@ -410,8 +434,9 @@
 
         @Override
         public void refused(double retryAfterMs) {
-            String after = retryAfterMs <= 0 ? ""
-                : "Retry-After: " + String.format(Locale.ROOT, "%.3f", retryAfterMs / 1000) + "\r\n";
+            String after = retryAfterMs <= 0
+                    ? ""
+                    : "Retry-After: " + String.format(Locale.ROOT, "%.3f", retryAfterMs / 1000) + "\r\n";
             answer(503, Answers.ascii(""), after, false);
         }
 
--- a/src/main/java/plumpost/platform/Gone.java
+++ b/src/main/java/plumpost/platform/Gone.java
@@ -15,7 +15,7 @@
     }
 
     @Override
-    public void giveUp(Attempt attempt) { }
+    public void giveUp(Attempt attempt) {}
 
     @Override
     public void probe(Probe probe) {
@@ -23,5 +23,5 @@
     }
 
     @Override
-    public void leave() { }
+    public void leave() {}
 }
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -75,10 +75,16 @@
     private String lastFailure;
     /** In a fleet: who hears of each line, and whether this process is the one to ask. */
     private Listener fleet;
+
     private boolean asks = true;
 
-    NodeListWatch(Kit kit, InetSocketAddress discovery, long seed, NodeListReader reader, RouteNodes nodes,
-                  DispatchRoom room) {
+    NodeListWatch(
+            Kit kit,
+            InetSocketAddress discovery,
+            long seed,
+            NodeListReader reader,
+            RouteNodes nodes,
+            DispatchRoom room) {
         this.random = new SplittableRandom(seed);
         this.kit = kit;
         this.service = discovery;
@@ -130,7 +136,8 @@
             return 0; // each scheduler has an agent of its own
         }
         double others = room.settings().balancers() - 1;
-        return Math.min(others * SPREAD_MS_PER_SCHEDULER, room.settings().rules().mustAskInMs() * MOST_SPREAD_PART);
+        return Math.min(
+                others * SPREAD_MS_PER_SCHEDULER, room.settings().rules().mustAskInMs() * MOST_SPREAD_PART);
     }
 
     private void serveByFile(String why) {
@@ -195,7 +202,8 @@
     /** A line that another scheduler has heard from discovery. */
     void told(String line) {
         try {
-            NodeListReader.Listing listing = reader.read(Json.object("a list line", line.getBytes(StandardCharsets.UTF_8)));
+            NodeListReader.Listing listing =
+                    reader.read(Json.object("a list line", line.getBytes(StandardCharsets.UTF_8)));
             version = listing.seq();
             kit.counters().count("list.followed");
             tell(listing);
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -7,9 +7,9 @@
 import plumpost.dispatch.DispatchRoom;
 import plumpost.front.Front;
 import plumpost.front.Listeners;
-import plumpost.net.Kit;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Kit;
 
 /** The platform's side of a scheduler: its front, its links to route nodes and its watch on the node list. */
 public final class Platform implements Front {
@@ -49,8 +49,11 @@
 
     @Override
     public String open(Listeners listeners) throws IOException {
-        String where = config.listen() == null ? ""
-            : "http " + listeners.listen(config.listen(), this::accept, connections(config), false, UNREAD, this::shed);
+        String where = config.listen() == null
+                ? ""
+                : "http "
+                        + listeners.listen(
+                                config.listen(), this::accept, connections(config), false, UNREAD, this::shed);
         begin();
         return where;
     }
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/RouteNodes.java
@@ -17,13 +17,13 @@
 import plumpost.dispatch.Attempt;
 import plumpost.dispatch.NodeLink;
 import plumpost.dispatch.Probe;
-import plumpost.time.TimerWheel;
 import plumpost.http.AnswerReader;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
-import plumpost.net.Kit;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Kit;
+import plumpost.time.TimerWheel;
 
 /** The route nodes that speak HTTP: one link each, with its pool of connections. */
 final class RouteNodes {
@@ -165,6 +165,7 @@
         private boolean kept;
         /** The job that it carried last. */
         private String carried;
+
         private boolean gone;
         private boolean running;
         private double heardAt;
@@ -230,11 +231,12 @@
             }
             var job = attempt.sheet();
             ByteBuffer target = job.target() == null
-                ? Answers.ascii('/' + attempt.jobClass().name()) : job.target().duplicate();
+                    ? Answers.ascii('/' + attempt.jobClass().name())
+                    : job.target().duplicate();
             ByteBuffer fields = Answers.ascii(" HTTP/1.1\r\nHost: " + host() + "\r\nX-Txn: "
-                + job.id() + "\r\nX-Lane: " + attempt.jobClass().name() + "\r\nX-Remaining-Ms: "
-                + (long) Math.max(1, attempt.leftMs()) + "\r\n" + job.fields() + "Content-Length: "
-                + job.body().remaining() + "\r\n\r\n");
+                    + job.id() + "\r\nX-Lane: " + attempt.jobClass().name() + "\r\nX-Remaining-Ms: "
+                    + (long) Math.max(1, attempt.leftMs()) + "\r\n" + job.fields() + "Content-Length: "
+                    + job.body().remaining() + "\r\n\r\n");
             if (repeatable(attempt)) {
                 given = true;
                 wire.write(Answers.ascii("POST "), target, fields, job.body());
@@ -275,8 +277,11 @@
                 if (attempt != a) {
                     return;
                 }
-                double most = !reader.hasHead() || reader.status() != 200 ? TAKEN_PROBES * probeMs()
-                    : running && settings.get().progressMs() > 0 ? INTERVALS * settings.get().progressMs() : Double.POSITIVE_INFINITY;
+                double most = !reader.hasHead() || reader.status() != 200
+                        ? TAKEN_PROBES * probeMs()
+                        : running && settings.get().progressMs() > 0
+                                ? INTERVALS * settings.get().progressMs()
+                                : Double.POSITIVE_INFINITY;
                 if (kit.clock().nowMs() - heardAt >= most) {
                     kit.counters().count("nodes.silent");
                     end(Ending.TIMEOUT);
@@ -349,7 +354,9 @@
                 if (!f.text("id").equals(a.sheet().id())) {
                     throw new BadInput("a line about another job");
                 }
-                LoadReport load = f.has("load") ? LoadReports.read(f.object("load"), settings.get().reportsFreeSlots()) : null;
+                LoadReport load = f.has("load")
+                        ? LoadReports.read(f.object("load"), settings.get().reportsFreeSlots())
+                        : null;
                 switch (f.text("state")) {
                     case "started" -> {
                         running = true;
@@ -383,16 +390,20 @@
             Attempt a = attempt;
             if (probe != null) {
                 Probe p = probe;
-                LoadReport load = status == 200 ? LoadReports.read(reader.body(), settings.get().reportsFreeSlots()) : null;
+                LoadReport load = status == 200
+                        ? LoadReports.read(reader.body(), settings.get().reportsFreeSlots())
+                        : null;
                 return () -> p.ended(status == 200 ? Ending.OK : status == 503 ? Ending.FULL : Ending.ERROR, load);
             }
             if (a == null) {
                 return null;
             }
             String pressure = reader.head().field("X-Pressure");
-            LoadReport load = pressure == null ? null
-                : LoadReports.read(Answers.ascii(pressure), settings.get().reportsFreeSlots());
-            boolean turnedAway = (status == 503 || status == 504) && "1".equals(reader.head().field("X-Turned-Away"));
+            LoadReport load = pressure == null
+                    ? null
+                    : LoadReports.read(Answers.ascii(pressure), settings.get().reportsFreeSlots());
+            boolean turnedAway =
+                    (status == 503 || status == 504) && "1".equals(reader.head().field("X-Turned-Away"));
             return () -> a.ended(status == 200 ? Ending.RESET : turnedAway ? Ending.FULL : Ending.ERROR, load);
         }
 
--- a/src/main/java/plumpost/time/TimerWheel.java
+++ b/src/main/java/plumpost/time/TimerWheel.java
@@ -8,6 +8,7 @@
 public final class TimerWheel {
     /** Length of a tick. */
     public static final double TICK_MS = 2;
+
     private static final int SLOTS = 8192;
 
     /** A timer that was set; it can be called off. */
--- a/src/test/java/plumpost/CrowdedPeersTest.java
+++ b/src/test/java/plumpost/CrowdedPeersTest.java
@@ -20,10 +20,10 @@
 import plumpost.http.AnswerReader;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
-import plumpost.net.Kit;
-import plumpost.net.SelectorLoop;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Kit;
+import plumpost.net.SelectorLoop;
 import plumpost.platform.Platform;
 import plumpost.time.TimerWheel;
 
@@ -73,8 +73,10 @@
                 } else if (call == 2) {
                     wire.write(wired("HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n"));
                 } else {
-                    wheel.at(now + 950, () -> say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        + chunk("{\"seq\":2,\"whole\":true,\"hosts\":[" + hosts + "]}\n")));
+                    wheel.at(
+                            now + 950,
+                            () -> say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    + chunk("{\"seq\":2,\"whole\":true,\"hosts\":[" + hosts + "]}\n")));
                 }
             }
 
@@ -119,7 +121,8 @@
                     wheel.at(now + 20, () -> {
                         if (!gone) {
                             wire.write(wired("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                + chunk("{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"x\"}\n") + "0\r\n\r\n"));
+                                    + chunk("{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"x\"}\n")
+                                    + "0\r\n\r\n"));
                         }
                     });
                 }
@@ -152,7 +155,7 @@
             @Override
             public void opened() {
                 wire.write(wired("POST /" + path + " HTTP/1.1\r\nHost: h\r\nX-Txn: j" + n + "\r\nX-Lane: " + path
-                    + "\r\nX-Remaining-Ms: " + (n % 3 == 0 ? 20_000 : 8_000) + "\r\nContent-Length: 1\r\n\r\nx"));
+                        + "\r\nX-Remaining-Ms: " + (n % 3 == 0 ? 20_000 : 8_000) + "\r\nContent-Length: 1\r\n\r\nx"));
             }
 
             @Override
@@ -164,7 +167,7 @@
             }
 
             @Override
-            public void ended() { }
+            public void ended() {}
         });
     }
 
@@ -182,19 +185,30 @@
     @Test
     void jobsAreServedOnceThoughEveryPeerIsCrowded() throws IOException {
         for (int i = 0; i < 3; i++) {
-            InetSocketAddress at = loop.listen(anywhere(), new Node()::accept, 100, () -> false).address();
+            InetSocketAddress at = loop.listen(anywhere(), new Node()::accept, 100, () -> false)
+                    .address();
             hosts += (i > 0 ? "," : "") + "{\"host\":\"n" + i + "\",\"dial\":\"127.0.0.1:" + at.getPort()
-                + "\",\"site\":\"p\",\"class\":\"k\",\"health\":\"up\"}";
+                    + "\",\"site\":\"p\",\"class\":\"k\",\"health\":\"up\"}";
         }
-        InetSocketAddress discovery = loop.listen(anywhere(), this::discovery, 100, () -> false).address();
+        InetSocketAddress discovery =
+                loop.listen(anywhere(), this::discovery, 100, () -> false).address();
         Json.Fields raw = Json.object("settings", Scenario.SETTINGS.getBytes(StandardCharsets.UTF_8));
-        Json.Fields known = Json.object("known", "{\"seq\":1,\"whole\":true,\"hosts\":[]}".getBytes(StandardCharsets.UTF_8));
-        NodeConfig config = new NodeConfig("t", anywhere(), discovery, 7, 1024, SettingsReader.settings(raw), raw, known,
-            null, null, null);
-        DispatchRoom room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
-            new DispatchRoom.Bounds(1000, 1 << 24, JOBS, 1 << 24), log::add);
-        Platform platform = new Platform(config, room, new Kit(loop, () -> now, wheel, counters, log::add), loop::lagMs);
-        InetSocketAddress front = loop.listen(anywhere(), platform::accept, 100, () -> false).address();
+        Json.Fields known =
+                Json.object("known", "{\"seq\":1,\"whole\":true,\"hosts\":[]}".getBytes(StandardCharsets.UTF_8));
+        NodeConfig config = new NodeConfig(
+                "t", anywhere(), discovery, 7, 1024, SettingsReader.settings(raw), raw, known, null, null, null);
+        DispatchRoom room = new DispatchRoom(
+                config.settings(),
+                7,
+                () -> now,
+                wheel,
+                counters,
+                new DispatchRoom.Bounds(1000, 1 << 24, JOBS, 1 << 24),
+                log::add);
+        Platform platform =
+                new Platform(config, room, new Kit(loop, () -> now, wheel, counters, log::add), loop::lagMs);
+        InetSocketAddress front =
+                loop.listen(anywhere(), platform::accept, 100, () -> false).address();
         platform.begin();
         turn(12_000);
         assertThat(calls).as("calls until the list came").isEqualTo(3);
@@ -207,10 +221,12 @@
         assertThat(turnedOff).as("connections over what nodes hold").isPositive();
         assertThat(answers).hasSize(JOBS);
         assertThat(answers.values()).as("answers a job").containsOnly(1);
-        assertThat(runs.entrySet()).as("orders that ran twice").noneMatch(
-            e -> number(e.getKey()) % 3 == 0 && e.getValue() > 1);
-        assertThat(answers.keySet()).as("plans are served, an order that found no place never ran and is refused")
-            .allMatch(a -> a.endsWith(" 200") || number(a.split(" ")[0]) % 3 == 0 && a.endsWith(" 503"));
+        assertThat(runs.entrySet())
+                .as("orders that ran twice")
+                .noneMatch(e -> number(e.getKey()) % 3 == 0 && e.getValue() > 1);
+        assertThat(answers.keySet())
+                .as("plans are served, an order that found no place never ran and is refused")
+                .allMatch(a -> a.endsWith(" 200") || number(a.split(" ")[0]) % 3 == 0 && a.endsWith(" 503"));
         loop.run(() -> true);
     }
 }
--- a/src/test/java/plumpost/LoopbackTest.java
+++ b/src/test/java/plumpost/LoopbackTest.java
@@ -19,18 +19,18 @@
 import plumpost.config.SettingsReader;
 import plumpost.count.Counters;
 import plumpost.dispatch.DispatchRoom;
-import plumpost.time.TimerWheel;
 import plumpost.gearman.GearmanDoor;
 import plumpost.gearman.Packet;
 import plumpost.gearman.PacketReader;
 import plumpost.http.AnswerReader;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
-import plumpost.net.Kit;
-import plumpost.net.SelectorLoop;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Kit;
+import plumpost.net.SelectorLoop;
 import plumpost.platform.Platform;
+import plumpost.time.TimerWheel;
 
 /** Both fronts at once on real loopback sockets, at ports that the system gives and by a clock that the test turns. */
 class LoopbackTest {
@@ -120,7 +120,7 @@
                 }
                 String line = "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"did " + body + "\"}\n";
                 wire.write(wired("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n0\r\n\r\n"));
+                        + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n0\r\n\r\n"));
             });
         }
     }
@@ -213,7 +213,7 @@
             }
             job = begin("http");
             wire.write(wired("POST /" + cls(job) + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + begun + "\r\nX-Remaining-Ms: "
-                + "20000\r\nContent-Length: " + job.length() + "\r\n\r\n" + job));
+                    + "20000\r\nContent-Length: " + job.length() + "\r\n\r\n" + job));
             if (chance(2)) {
                 String left = job;
                 wheel.at(now + 4, () -> {
@@ -318,21 +318,39 @@
         loop = new SelectorLoop(() -> now, wheel, counters, log::add);
         StringBuilder hosts = new StringBuilder();
         for (int i = 0; i < 4; i++) {
-            InetSocketAddress at = loop.listen(anywhere(), w -> new HttpNode().on(w), 100, () -> false).address();
-            hosts.append(i > 0 ? "," : "").append("{\"host\":\"n" + i + "\",\"dial\":\"127.0.0.1:" + at.getPort()
-                + "\",\"site\":\"p\",\"class\":\"k\",\"health\":\"up\"}");
+            InetSocketAddress at = loop.listen(anywhere(), w -> new HttpNode().on(w), 100, () -> false)
+                    .address();
+            hosts.append(i > 0 ? "," : "")
+                    .append("{\"host\":\"n" + i + "\",\"dial\":\"127.0.0.1:" + at.getPort()
+                            + "\",\"site\":\"p\",\"class\":\"k\",\"health\":\"up\"}");
         }
-        Json.Fields raw = Json.object("settings", Scenario.SETTINGS.replace("on_request", "pushed")
-            .getBytes(StandardCharsets.UTF_8));
-        Json.Fields known = Json.object("known", ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}")
-            .getBytes(StandardCharsets.UTF_8));
-        NodeConfig config = new NodeConfig("t", anywhere(), anywhere(), 7, 1024, SettingsReader.settings(raw), raw,
-            known, GearmanConfig.usual(anywhere()), null, null);
-        DispatchRoom room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
-            new DispatchRoom.Bounds(1000, 1 << 24, JOBS, 1 << 24), log::add);
+        Json.Fields raw = Json.object(
+                "settings", Scenario.SETTINGS.replace("on_request", "pushed").getBytes(StandardCharsets.UTF_8));
+        Json.Fields known = Json.object(
+                "known", ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}").getBytes(StandardCharsets.UTF_8));
+        NodeConfig config = new NodeConfig(
+                "t",
+                anywhere(),
+                anywhere(),
+                7,
+                1024,
+                SettingsReader.settings(raw),
+                raw,
+                known,
+                GearmanConfig.usual(anywhere()),
+                null,
+                null);
+        DispatchRoom room = new DispatchRoom(
+                config.settings(),
+                7,
+                () -> now,
+                wheel,
+                counters,
+                new DispatchRoom.Bounds(1000, 1 << 24, JOBS, 1 << 24),
+                log::add);
         Kit kit = new Kit(loop, () -> now, wheel, counters, log::add);
         Platform platform = new Platform(config, room, kit, loop::lagMs);
-        GearmanDoor door = new GearmanDoor(config, "0", room, kit, () -> { });
+        GearmanDoor door = new GearmanDoor(config, "0", room, kit, () -> {});
         front = loop.listen(anywhere(), platform::accept, 100, () -> false).address();
         gearman = loop.listen(anywhere(), door::accept, 100, () -> false).address();
         platform.begin();
@@ -352,13 +370,21 @@
         assertThat(answers).hasSize(JOBS);
         assertThat(answers.values()).as("answers a job").containsOnly(1);
         assertThat(runs.entrySet().stream().filter(e -> cls(e.getKey()).equals("pickup-order") && e.getValue() > 1))
-            .as("orders that ran twice").isEmpty();
-        assertThat(counters.of("guard.unanswered") + counters.of("guard.repeat")).isZero();
-        assertThat(List.of("node drops", "worker drops", "desk hangs up", "client resubmits",
-            "resubmits of what is done")).allMatch(what -> seen.of(what) > 20);
+                .as("orders that ran twice")
+                .isEmpty();
+        assertThat(counters.of("guard.unanswered") + counters.of("guard.repeat"))
+                .isZero();
+        assertThat(List.of(
+                        "node drops", "worker drops", "desk hangs up", "client resubmits", "resubmits of what is done"))
+                .allMatch(what -> seen.of(what) > 20);
         assertThat(counters.of("jobs.joined")).isPositive();
-        assertThat(runs.values().stream().filter(n -> n > 1)).as("route plans that went again").isNotEmpty();
-        assertThat(outcomes.values().stream().filter(o -> o.startsWith("did ") || o.equals("200")).count())
-            .as("served").isGreaterThan(JOBS * 9 / 10);
+        assertThat(runs.values().stream().filter(n -> n > 1))
+                .as("route plans that went again")
+                .isNotEmpty();
+        assertThat(outcomes.values().stream()
+                        .filter(o -> o.startsWith("did ") || o.equals("200"))
+                        .count())
+                .as("served")
+                .isGreaterThan(JOBS * 9 / 10);
     }
 }
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -13,23 +13,23 @@
 import java.util.Map;
 import java.util.function.Function;
 import plumpost.config.GearmanConfig;
-import plumpost.control.Console;
-import plumpost.control.ControlDoor;
 import plumpost.config.Json;
 import plumpost.config.NodeConfig;
 import plumpost.config.NodeListReader;
 import plumpost.config.SettingsReader;
+import plumpost.control.Console;
+import plumpost.control.ControlDoor;
 import plumpost.count.Counters;
 import plumpost.dispatch.DispatchRoom;
-import plumpost.time.TimerWheel;
 import plumpost.gearman.GearmanDoor;
 import plumpost.gearman.Packet;
 import plumpost.lab.script.Rig;
 import plumpost.lab.script.Script;
-import plumpost.net.Kit;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Kit;
 import plumpost.platform.Platform;
+import plumpost.time.TimerWheel;
 
 /**
  * The one helper of the scenarios: a whole scheduler in memory, with a clock that stands still between steps. A
@@ -65,6 +65,7 @@
     public final ControlDoor control;
     /** What the operators' ready call says. */
     public boolean serving = true;
+
     public final DispatchRoom room;
     private final NodeConfig config;
     public boolean stopped;
@@ -96,18 +97,38 @@
             hosts.append(i > 1 ? "," : "").append(host(i, "up", 0));
         }
         Json.Fields raw = Json.object("settings", settings.getBytes(StandardCharsets.UTF_8));
-        Json.Fields known = Json.object("known",
-            ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}").getBytes(StandardCharsets.UTF_8));
-        config = new NodeConfig("t", new InetSocketAddress("127.0.0.1", 1),
-            new InetSocketAddress("127.0.0.1", 8500), 7, sockets, SettingsReader.settings(raw), raw, known,
-            gearmanConfig, null, null);
-        room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
-            new DispatchRoom.Bounds(openJobs, Math.max(1 << 20, openJobs * 2048L), 64, 1 << 20, gearmanConfig.limits().packetBytes()), log::add);
+        Json.Fields known = Json.object(
+                "known", ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}").getBytes(StandardCharsets.UTF_8));
+        config = new NodeConfig(
+                "t",
+                new InetSocketAddress("127.0.0.1", 1),
+                new InetSocketAddress("127.0.0.1", 8500),
+                7,
+                sockets,
+                SettingsReader.settings(raw),
+                raw,
+                known,
+                gearmanConfig,
+                null,
+                null);
+        room = new DispatchRoom(
+                config.settings(),
+                7,
+                () -> now,
+                wheel,
+                counters,
+                new DispatchRoom.Bounds(
+                        openJobs,
+                        Math.max(1 << 20, openJobs * 2048L),
+                        64,
+                        1 << 20,
+                        gearmanConfig.limits().packetBytes()),
+                log::add);
         Kit kit = new Kit(this::dial, () -> now, wheel, counters, log::add);
         platform = new Platform(config, room, kit, () -> 0);
         gearman = new GearmanDoor(config, "0", room, kit, () -> stopped = true);
-        control = new ControlDoor(new InetSocketAddress("127.0.0.1", 9600), 16, kit,
-            new Console(room, counters, null, () -> serving));
+        control = new ControlDoor(
+                new InetSocketAddress("127.0.0.1", 9600), 16, kit, new Console(room, counters, null, () -> serving));
         platform.begin();
         platform.ready();
         if (config.settings().listOnRequest()) {
@@ -124,14 +145,24 @@
 
     /** The configuration read anew, with discovery at another address. */
     public NodeConfig config(String discovery) {
-        return new NodeConfig(config.name(), config.listen(), NodeListReader.address("discovery", discovery),
-            config.seed(), config.sockets(), config.settings(), config.raw(), config.known(), config.gearman(), null, config.ops());
+        return new NodeConfig(
+                config.name(),
+                config.listen(),
+                NodeListReader.address("discovery", discovery),
+                config.seed(),
+                config.sockets(),
+                config.settings(),
+                config.raw(),
+                config.known(),
+                config.gearman(),
+                null,
+                config.ops());
     }
 
     /** A host of the node list in discovery's words. */
     public static String host(int node, String health, double born) {
         return "{\"host\":\"node" + node + "\",\"dial\":\"127.0.0.1:" + (9000 + node) + "\",\"site\":\"p\",\"class\":"
-            + "\"k\",\"block\":0,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + born + "}";
+                + "\"k\",\"block\":0,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + born + "}";
     }
 
     /** This scheduler's Gearman front as a rig of the scenario language; its clock moves while a peer waits. */
@@ -171,8 +202,18 @@
     /** Plays a scenario; each step names itself where it fails. */
     public Scenario play(String steps) {
         for (Script.Step s : Script.parse("scenario", steps).steps()) {
-            step(s.who() == null ? "wait " + s.words() : (s.who() + ' ' + s.verb().name().toLowerCase(Locale.ROOT)
-                .replace("hold", "wait") + ' ' + s.words()).strip());
+            step(
+                    s.who() == null
+                            ? "wait " + s.words()
+                            : (s.who()
+                                            + ' '
+                                            + s.verb()
+                                                    .name()
+                                                    .toLowerCase(Locale.ROOT)
+                                                    .replace("hold", "wait")
+                                            + ' '
+                                            + s.words())
+                                    .strip());
             settle();
         }
         return this;
@@ -237,14 +278,17 @@
             p = new Pipe(who);
             pipes.put(who, p);
             p.up = true;
-            p.user = who.startsWith("desk") ? platform.accept(p) : who.startsWith("ops") ? control.accept(p)
-                : gearman.accept(p);
+            p.user = who.startsWith("desk")
+                    ? platform.accept(p)
+                    : who.startsWith("ops") ? control.accept(p) : gearman.accept(p);
         }
         return p;
     }
 
     private Connection dial(InetSocketAddress to, Function<Connection, ConnectionHandler> user) {
-        String who = to.getPort() < 9000 ? "list" + (to.getPort() == 8500 ? "" : to.getPort()) : "node" + (to.getPort() - 9000);
+        String who = to.getPort() < 9000
+                ? "list" + (to.getPort() == 8500 ? "" : to.getPort())
+                : "node" + (to.getPort() - 9000);
         Pipe p = new Pipe(who);
         p.user = user.apply(p);
         p.window = takes.getOrDefault(who, Integer.MAX_VALUE);
@@ -294,9 +338,11 @@
                 raw = p[0] + " " + p[1] + " HTTP/1.1\r\nHost: h\r\n\r\n";
             } else if (who.startsWith("desk")) {
                 String[] p = (words + " x").split(" ");
-                raw = p[0].equals("GET") ? "GET " + p[1] + " HTTP/1.1\r\nHost: h\r\n\r\n" : p[0] + " " + p[1]
-                    + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + p[2] + "\r\nX-Remaining-Ms: " + p[3]
-                    + "\r\nContent-Length: " + p[4].length() + "\r\n\r\n" + p[4];
+                raw = p[0].equals("GET")
+                        ? "GET " + p[1] + " HTTP/1.1\r\nHost: h\r\n\r\n"
+                        : p[0] + " " + p[1]
+                                + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + p[2] + "\r\nX-Remaining-Ms: " + p[3]
+                                + "\r\nContent-Length: " + p[4].length() + "\r\n\r\n" + p[4];
             } else if (who.startsWith("plug")) {
                 String[] p = words.split("\\|", -1);
                 Object[] arguments = new Object[p.length - 1];
@@ -307,11 +353,13 @@
                 return;
             } else {
                 String[] p = words.split(" ");
-                String line = words.startsWith("{") ? words : "{\"id\":\"" + p[1] + "\",\"state\":\"" + p[0]
-                    + "\",\"result\":\"" + (p.length > 2 ? p[2] : "") + "\"}";
+                String line = words.startsWith("{")
+                        ? words
+                        : "{\"id\":\"" + p[1] + "\",\"state\":\"" + p[0] + "\",\"result\":\""
+                                + (p.length > 2 ? p[2] : "") + "\"}";
                 boolean last = !who.startsWith("list") && !p[0].equals("started");
                 raw = (answering ? "" : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                    + Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n" + (last ? "0\r\n\r\n" : "");
+                        + Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n" + (last ? "0\r\n\r\n" : "");
                 answering = !last;
             }
             hear(ByteBuffer.wrap(raw.getBytes(StandardCharsets.ISO_8859_1)));
@@ -351,8 +399,8 @@
             }
             int head = all.indexOf("\r\n\r\n") + 4;
             int from = all.indexOf("Content-Length: ") + 16;
-            int length = from > 15 && from < head ? Integer.parseInt(all.substring(from, all.indexOf("\r\n", from)))
-                : 0;
+            int length =
+                    from > 15 && from < head ? Integer.parseInt(all.substring(from, all.indexOf("\r\n", from))) : 0;
             out = all.substring(head + length);
             String body = all.substring(head, head + length);
             String[] start = all.substring(0, all.indexOf("\r\n")).split(" ");
@@ -402,7 +450,7 @@
         }
 
         @Override
-        public void look() { }
+        public void look() {}
     }
 
     private String lastHandle = "";
--- a/src/test/java/plumpost/SocketRig.java
+++ b/src/test/java/plumpost/SocketRig.java
@@ -47,9 +47,11 @@
     private final NodeConfig config;
     /** Discovery's empty lines come on an open watch at this interval. */
     private static final double EMPTY_LINE_MS = 2_000;
+
     private InetSocketAddress front;
     /** Discovery's end of the watch that this rig keeps open, or null. */
     private Peer watch;
+
     private double emptyLineAt;
     private boolean over;
 
@@ -70,13 +72,29 @@
             hosts.append(i > 0 ? "," : "").append(host(i, "up"));
         }
         Json.Fields raw = Json.object("settings", settings.getBytes(StandardCharsets.UTF_8));
-        Json.Fields known = Json.object("known", ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}")
-            .getBytes(StandardCharsets.UTF_8));
-        config = new NodeConfig("t", anywhere(), discovery.address(), 7, 1024, SettingsReader.settings(raw), raw,
-            known, null, null, null);
+        Json.Fields known = Json.object(
+                "known", ("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}").getBytes(StandardCharsets.UTF_8));
+        config = new NodeConfig(
+                "t",
+                anywhere(),
+                discovery.address(),
+                7,
+                1024,
+                SettingsReader.settings(raw),
+                raw,
+                known,
+                null,
+                null,
+                null);
         loop = new SelectorLoop(() -> now, wheel, counters, log::add);
-        room = new DispatchRoom(config.settings(), 7, () -> now, wheel, counters,
-            new DispatchRoom.Bounds(64, 1 << 20, 64, 1 << 20), log::add);
+        room = new DispatchRoom(
+                config.settings(),
+                7,
+                () -> now,
+                wheel,
+                counters,
+                new DispatchRoom.Bounds(64, 1 << 20, 64, 1 << 20),
+                log::add);
         kit = new Kit(loop, () -> now, wheel, counters, log::add);
         platform = new Platform(config, room, kit, loop::lagMs);
         platform.open((at, users, most, batched, unread, shed) -> {
@@ -98,14 +116,25 @@
 
     /** The configuration read anew, with discovery at another address. */
     public NodeConfig config(InetSocketAddress elsewhere) {
-        return new NodeConfig(config.name(), config.listen(), elsewhere, config.seed(), config.sockets(),
-            config.settings(), config.raw(), config.known(), null, null, null);
+        return new NodeConfig(
+                config.name(),
+                config.listen(),
+                elsewhere,
+                config.seed(),
+                config.sockets(),
+                config.settings(),
+                config.raw(),
+                config.known(),
+                null,
+                null,
+                null);
     }
 
     /** A line of the node list on a node of this rig. */
     public String host(int node, String health) {
-        return "{\"host\":\"node" + node + "\",\"dial\":\"127.0.0.1:" + nodes.get(node).address().getPort()
-            + "\",\"site\":\"p\",\"class\":\"k\",\"block\":0,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0}";
+        return "{\"host\":\"node" + node + "\",\"dial\":\"127.0.0.1:"
+                + nodes.get(node).address().getPort() + "\",\"site\":\"p\",\"class\":\"k\",\"block\":0,\"health\":\""
+                + health + "\",\"share\":1.0,\"born_ms\":0}";
     }
 
     /** A client's connection; the scheduler has not accepted it yet. */
@@ -115,16 +144,27 @@
 
     /** A Gearman client's connection; the scheduler has not accepted it yet. */
     public Peer gearmanClient() throws IOException {
-        NodeConfig withGearman = new NodeConfig(config.name(), config.listen(), config.discovery(), config.seed(),
-            config.sockets(), config.settings(), config.raw(), config.known(), GearmanConfig.usual(null), null, null);
-        GearmanDoor gearman = new GearmanDoor(withGearman, "0", room, kit, () -> { });
-        return new Peer(SocketChannel.open(loop.listen(anywhere(), gearman::accept, 8, () -> false).address()));
+        NodeConfig withGearman = new NodeConfig(
+                config.name(),
+                config.listen(),
+                config.discovery(),
+                config.seed(),
+                config.sockets(),
+                config.settings(),
+                config.raw(),
+                config.known(),
+                GearmanConfig.usual(null),
+                null,
+                null);
+        GearmanDoor gearman = new GearmanDoor(withGearman, "0", room, kit, () -> {});
+        return new Peer(SocketChannel.open(
+                loop.listen(anywhere(), gearman::accept, 8, () -> false).address()));
     }
 
     /** A request for a job as a client sends it. */
     public static String job(String cls, String id, String more, String body) {
         return "POST /" + cls + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + id + "\r\n" + more + "Content-Length: "
-            + body.length() + "\r\n\r\n" + body;
+                + body.length() + "\r\n\r\n" + body;
     }
 
     /** A chunk of an answer. */
@@ -175,7 +215,7 @@
 
     /** Lets time pass, by steps of 2 ms with a turn each. */
     public void pass(double ms) {
-        for (double end = now + ms; now < end;) {
+        for (double end = now + ms; now < end; ) {
             now = Math.min(end, now + 2);
             if (watch != null && now >= emptyLineAt) {
                 emptyLineAt += EMPTY_LINE_MS;
--- a/src/test/java/plumpost/benchlink/WireHostTest.java
+++ b/src/test/java/plumpost/benchlink/WireHostTest.java
@@ -16,10 +16,10 @@
 /** Transcripts of the wire: good ones, split ones and broken ones. */
 class WireHostTest {
     private static final String CONFIG = "{\"balancers\":2,\"dcs\":[\"a\"],\"shapes\":[\"k\"],\"locality\":0,"
-        + "\"granularityMs\":2.0,\"new\":{\"unknown\":[1]},\"classes\":[{\"name\":\"c\",\"sloMs\":400.0,"
-        + "\"deadlineMs\":5000.0,\"effect\":\"free\",\"keyScope\":\"all\",\"windowMs\":5000.0,\"importance\":1.0}],"
-        + "\"rules\":{\"coldFrom\":0.2,\"coldMs\":1000.0,\"fallMs\":2000.0,\"fallMultiple\":3.0},"
-        + "\"ceilings\":{\"maxAttempts\":3,\"cancelling\":true,\"probes\":true}}";
+            + "\"granularityMs\":2.0,\"new\":{\"unknown\":[1]},\"classes\":[{\"name\":\"c\",\"sloMs\":400.0,"
+            + "\"deadlineMs\":5000.0,\"effect\":\"free\",\"keyScope\":\"all\",\"windowMs\":5000.0,\"importance\":1.0}],"
+            + "\"rules\":{\"coldFrom\":0.2,\"coldMs\":1000.0,\"fallMs\":2000.0,\"fallMultiple\":3.0},"
+            + "\"ceilings\":{\"maxAttempts\":3,\"cancelling\":true,\"probes\":true}}";
 
     private int exit;
     private String errors;
@@ -27,44 +27,49 @@
     private String serve(String input) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        exit = new WireHost(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
-            new PrintStream(err, true, StandardCharsets.UTF_8)).run();
+        exit = new WireHost(
+                        new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
+                        out,
+                        new PrintStream(err, true, StandardCharsets.UTF_8))
+                .run();
         errors = err.toString(StandardCharsets.UTF_8);
         return out.toString(StandardCharsets.UTF_8);
     }
 
     private static String batch(int seq, double now, String... events) {
-        return "{\"event_type\":\"beginBatch\",\"tsMs\":" + now + ",\"seq\":" + seq + "}\n"
-            + String.join("\n", events) + "\n{\"event_type\":\"yourTurn\"}\n";
+        return "{\"event_type\":\"beginBatch\",\"tsMs\":" + now + ",\"seq\":" + seq + "}\n" + String.join("\n", events)
+                + "\n{\"event_type\":\"yourTurn\"}\n";
     }
 
     private static String init(int i) {
         return "{\"event_type\":\"init\",\"i\":" + i + ",\"entropy\":" + (40 + i) + ",\"config\":" + CONFIG + "}\n"
-            + "{\"event_type\":\"discovery\",\"i\":" + i + ",\"stamp\":1,\"mode\":\"SAVED\",\"lines\":["
-            + line("w1") + "," + line("w2") + "," + line("w3") + "]}";
+                + "{\"event_type\":\"discovery\",\"i\":" + i + ",\"stamp\":1,\"mode\":\"SAVED\",\"lines\":["
+                + line("w1") + "," + line("w2") + "," + line("w3") + "]}";
     }
 
     private static String line(String worker) {
         return "{\"worker\":\"" + worker + "\",\"area\":0,\"type\":0,\"stripe\":0,\"phase\":\"SERVING\","
-            + "\"units\":1.5,\"cameUpMs\":null}";
+                + "\"units\":1.5,\"cameUpMs\":null}";
     }
 
     private static String knock(int i, String id) {
         return "{\"event_type\":\"knock\",\"i\":" + i + ",\"handle\":\"" + id + "\",\"band\":0,\"team\":0,"
-            + "\"affinity\":null,\"patienceLeftMs\":240.0,\"costGuessMs\":12.0,\"needs\":1,\"memory\":null,"
-            + "\"retry\":false,\"write\":false,\"returned\":false,\"novel\":[{}]}";
+                + "\"affinity\":null,\"patienceLeftMs\":240.0,\"costGuessMs\":12.0,\"needs\":1,\"memory\":null,"
+                + "\"retry\":false,\"write\":false,\"returned\":false,\"novel\":[{}]}";
     }
 
     @Test
     void anEmptyBatchIsAnswered() throws IOException {
-        assertEquals("{\"event_type\":\"next\",\"seq\":1}\n", serve(batch(1, 8412.25)).replaceFirst("^\n", ""));
+        assertEquals(
+                "{\"event_type\":\"next\",\"seq\":1}\n",
+                serve(batch(1, 8412.25)).replaceFirst("^\n", ""));
         assertEquals(0, exit);
     }
 
     @Test
     void aJobIsSentAndUnknownEventsAreSkipped() throws IOException {
-        String reply = serve(batch(1, 1, init(3)) + batch(2, 5.5, "{\"event_type\":\"sunrise\",\"i\":99}",
-            knock(3, "9b9a6df85d3a91c4")));
+        String reply = serve(batch(1, 1, init(3))
+                + batch(2, 5.5, "{\"event_type\":\"sunrise\",\"i\":99}", knock(3, "9b9a6df85d3a91c4")));
         assertTrue(reply.contains("\"event_type\":\"assign\",\"i\":3,\"handle\":\"9b9a6df85d3a91c4\""), reply);
         assertTrue(reply.endsWith("{\"event_type\":\"next\",\"seq\":2}\n"), reply);
         assertEquals(0, exit);
@@ -73,8 +78,8 @@
 
     @Test
     void anInstanceMayRestartWithinABatch() throws IOException {
-        String reply = serve(batch(1, 1, init(0)) + batch(2, 2, "{\"event_type\":\"destroy\",\"i\":0}", init(0),
-            knock(0, "00000000000000aa")));
+        String reply = serve(batch(1, 1, init(0))
+                + batch(2, 2, "{\"event_type\":\"destroy\",\"i\":0}", init(0), knock(0, "00000000000000aa")));
         assertTrue(reply.contains("assign"), reply);
         assertEquals(0, exit);
     }
@@ -85,11 +90,14 @@
         List<String> apart = new ArrayList<>(lines(serve(day(0))));
         apart.addAll(lines(serve(day(1))));
         assertTrue(together.stream().anyMatch(l -> l.contains("assign")));
-        assertEquals(together.stream().sorted().toList(), apart.stream().sorted().toList());
+        assertEquals(
+                together.stream().sorted().toList(), apart.stream().sorted().toList());
     }
 
     private static List<String> lines(String reply) {
-        return reply.lines().filter(l -> !l.isEmpty() && !l.contains("\"next\"")).toList();
+        return reply.lines()
+                .filter(l -> !l.isEmpty() && !l.contains("\"next\""))
+                .toList();
     }
 
     private static String day(int... instances) {
@@ -120,9 +128,16 @@
             batch(1, 1, init(0).replace("\"deadlineMs\":5000.0", "\"deadlineMs\":-1")),
             batch(1, 1, "[1]"),
         };
-        String[] said = {"JSON", "input ended inside batch 1", "knock: field band is missing",
-            "knock: field patienceLeftMs is not a number", "knock: field i names the unknown instance 7",
-            "field effect has the unknown value fluid", "times of class c", "not a JSON object"};
+        String[] said = {
+            "JSON",
+            "input ended inside batch 1",
+            "knock: field band is missing",
+            "knock: field patienceLeftMs is not a number",
+            "knock: field i names the unknown instance 7",
+            "field effect has the unknown value fluid",
+            "times of class c",
+            "not a JSON object"
+        };
         for (int i = 0; i < broken.length; i++) {
             String reply = serve(broken[i]);
             assertEquals(1, exit, said[i]);
--- a/src/test/java/plumpost/cli/FullDescriptorsIT.java
+++ b/src/test/java/plumpost/cli/FullDescriptorsIT.java
@@ -100,11 +100,13 @@
         CountDownLatch told = new CountDownLatch(1);
         Stand node = new Stand(caller -> {
             read(caller);
-            write(caller, "HTTP/1.1 200 OK\r\nContent-Length: 46\r\n\r\n{\"id\":\"job\",\"state\":\"done\",\"result\":\"washed\"}\n");
+            write(
+                    caller,
+                    "HTTP/1.1 200 OK\r\nContent-Length: 46\r\n\r\n{\"id\":\"job\",\"state\":\"done\",\"result\":\"washed\"}\n");
             read(caller);
         });
         String host = "{\"host\":\"n1\",\"dial\":\"127.0.0.1:" + node.socket.getLocalPort()
-            + "\",\"site\":\"p\",\"class\":\"k\",\"health\":\"up\",\"share\":1.0,\"born_ms\":0}";
+                + "\",\"site\":\"p\",\"class\":\"k\",\"health\":\"up\",\"share\":1.0,\"born_ms\":0}";
         Stand discovery = new Stand(caller -> {
             read(caller);
             if (full.getCount() == 0) {
@@ -115,36 +117,53 @@
                 return;
             }
             String list = "{\"seq\":2,\"whole\":true,\"hosts\":[" + host + "]}\n";
-            write(caller, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
-                + "\r\n" + list + "\r\n");
+            write(
+                    caller,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
+                            + "\r\n" + list + "\r\n");
             told.countDown();
             read(caller);
         });
-        Path file = Files.writeString(folder.resolve("c.json"), "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\","
-            + "\"ops\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery.socket.getLocalPort() + "\",\"limits\":"
-            + "{\"sockets\":" + DESCRIPTORS + "},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":"
-            + Scenario.SETTINGS + "}");
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + DESCRIPTORS
-            + "; exec java -jar target/plumpost.jar serve --config \"$0\"", file.toString());
+        Path file = Files.writeString(
+                folder.resolve("c.json"),
+                "{\"name\":\"t\",\"listen\":\"127.0.0.1:0\","
+                        + "\"ops\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery.socket.getLocalPort()
+                        + "\",\"limits\":"
+                        + "{\"sockets\":" + DESCRIPTORS
+                        + "},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":"
+                        + Scenario.SETTINGS + "}");
+        ProcessBuilder builder = new ProcessBuilder(
+                "/bin/sh",
+                "-c",
+                "ulimit -n " + DESCRIPTORS + "; exec java -jar target/plumpost.jar serve --config \"$0\"",
+                file.toString());
         builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
         builder.environment().put("TMPDIR", folder.toString());
         Process served = builder.start();
         List<Socket> idle = new ArrayList<>();
-        try (node; discovery; BufferedReader log = served.errorReader()) {
-            String ready = log.lines().filter(l -> l.contains("ready,")).findFirst().orElseThrow();
+        try (node;
+                discovery;
+                BufferedReader log = served.errorReader()) {
+            String ready =
+                    log.lines().filter(l -> l.contains("ready,")).findFirst().orElseThrow();
             for (int i = 0; i < IDLE_CLIENTS; i++) {
                 Socket client = new Socket("127.0.0.1", port(ready, "http"));
                 idle.add(client);
                 write(client, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n");
             }
             full.countDown();
-            assertThat(calledWhileFull.await(20, TimeUnit.SECONDS)).as("calls for the list while clients hold all").isTrue();
+            assertThat(calledWhileFull.await(20, TimeUnit.SECONDS))
+                    .as("calls for the list while clients hold all")
+                    .isTrue();
             String operators = "GET /control/counters HTTP/1.1\r\nHost: h\r\n\r\n";
             assertThat(ask(port(ready, "control"), operators)).startsWith("HTTP/1.1 200 ");
             up.countDown();
             assertThat(told.await(20, TimeUnit.SECONDS)).as("the list was told").isTrue();
-            assertThat(ask(port(ready, "http"), "POST /route-plan HTTP/1.1\r\nHost: h\r\nX-Txn: job\r\nContent-Length: 1\r\n\r\nx"))
-                .startsWith("HTTP/1.1 200 ").endsWith("washed");
+            assertThat(ask(
+                            port(ready, "http"),
+                            "POST /route-plan HTTP/1.1\r\nHost: h\r\nX-Txn: job\r\nContent-Length: 1\r\n\r\nx"))
+                    .startsWith("HTTP/1.1 200 ")
+                    .endsWith("washed");
             assertThat(ask(port(ready, "control"), operators)).startsWith("HTTP/1.1 200 ");
         } finally {
             served.destroyForcibly();
--- a/src/test/java/plumpost/cli/MainTest.java
+++ b/src/test/java/plumpost/cli/MainTest.java
@@ -28,8 +28,10 @@
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
     private int run(String... arguments) throws IOException {
-        return Main.run(arguments, new PrintStream(out, true, StandardCharsets.UTF_8),
-            new PrintStream(err, true, StandardCharsets.UTF_8));
+        return Main.run(
+                arguments,
+                new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8));
     }
 
     /** Guards that a bad command line is one line on standard error and exit code 2. */
@@ -37,15 +39,25 @@
     @ValueSource(strings = {"", "fly", "serve --wings", "serve now", "check", "check --config /nowhere", "serve -c"})
     void badArgumentsEndWithOneLine(String line) throws IOException {
         assertThat(run(line.isEmpty() ? new String[0] : line.split(" "))).isEqualTo(2);
-        assertThat(err.toString(StandardCharsets.UTF_8)).startsWith("plumpost: ").hasLineCount(1);
+        assertThat(err.toString(StandardCharsets.UTF_8))
+                .startsWith("plumpost: ")
+                .hasLineCount(1);
     }
 
     /** Guards that each fault of a configuration is named in one line; an empty word stands for the file as it is. */
     @ParameterizedTest
-    @CsvSource(delimiter = '~', value = {"{ ~ ~ is not JSON", "\"seed\": \"1\"~\"seed\": \"z\"~seed",
-        "\"127.0.0.1:8000\"~\"desk:8000\"~listen is not an address", "127.0.0.1:8000~999.0.0.1:8000~not an address", "\"deadlineMs\": 8000.0~\"deadlineMs\": -1~class",
-        "\"sockets\": 1024~\"sockets\": 3~limits.sockets", "\"plant\": \"plant-1\"~\"plant\": \"x\"~gearman.plant",
-        "\"effect\": \"free\"~\"effect\": \"fluid\"~effect"})
+    @CsvSource(
+            delimiter = '~',
+            value = {
+                "{ ~ ~ is not JSON",
+                "\"seed\": \"1\"~\"seed\": \"z\"~seed",
+                "\"127.0.0.1:8000\"~\"desk:8000\"~listen is not an address",
+                "127.0.0.1:8000~999.0.0.1:8000~not an address",
+                "\"deadlineMs\": 8000.0~\"deadlineMs\": -1~class",
+                "\"sockets\": 1024~\"sockets\": 3~limits.sockets",
+                "\"plant\": \"plant-1\"~\"plant\": \"x\"~gearman.plant",
+                "\"effect\": \"free\"~\"effect\": \"fluid\"~effect"
+            })
     void badConfigurationIsNamed(String old, String now, String said) throws IOException {
         String text = Files.readString(SAMPLE).replace(old.strip(), now == null ? "" : now);
         Path file = Files.writeString(folder.resolve("c.json"), text);
--- a/src/test/java/plumpost/cli/ServeTest.java
+++ b/src/test/java/plumpost/cli/ServeTest.java
@@ -23,8 +23,8 @@
     private Path folder;
 
     private static String ask(Socket desk, String path) throws IOException {
-        desk.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n")
-            .getBytes(StandardCharsets.US_ASCII));
+        desk.getOutputStream()
+                .write(("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
         byte[] answer = new byte[4096];
         return new String(answer, 0, desk.getInputStream().read(answer), StandardCharsets.US_ASCII);
     }
@@ -34,27 +34,34 @@
     @Timeout(60)
     void sighupMovesTheWatch() throws Exception {
         Path file = folder.resolve("c.json");
-        String text = Files.readString(Path.of("deploy/gearman.json")).replace("127.0.0.1:8000", "127.0.0.1:0")
-            .replace("127.0.0.1:4730", "127.0.0.1:0");
+        String text = Files.readString(Path.of("deploy/gearman.json"))
+                .replace("127.0.0.1:8000", "127.0.0.1:0")
+                .replace("127.0.0.1:4730", "127.0.0.1:0");
         Files.writeString(file, text);
         ProcessBuilder builder = start(file);
         builder.environment().put("NODE_DISCOVERY", "127.0.0.1:1");
         Process served = builder.start();
         try (BufferedReader log = served.errorReader();
-             ServerSocket discovery = new ServerSocket(0, 9, InetAddress.getByName("127.0.0.1"))) {
-            String ready = log.lines().filter(l -> l.contains("ready,")).findFirst().orElseThrow();
-            try (Socket desk = new Socket("127.0.0.1", port(ready, "http")); Socket worker = new Socket("127.0.0.1",
-                port(ready, "gearman"))) {
+                ServerSocket discovery = new ServerSocket(0, 9, InetAddress.getByName("127.0.0.1"))) {
+            String ready =
+                    log.lines().filter(l -> l.contains("ready,")).findFirst().orElseThrow();
+            try (Socket desk = new Socket("127.0.0.1", port(ready, "http"));
+                    Socket worker = new Socket("127.0.0.1", port(ready, "gearman"))) {
                 assertThat(ask(desk, "/health/ready")).startsWith("HTTP/1.1 200 ");
                 Files.writeString(file, text.substring(0, 300));
                 hangUp(served);
-                assertThat(log.lines().filter(l -> l.contains("old configuration stays")).findFirst()).isPresent();
-                Files.writeString(file, text.replace("\"seed\"", "\"discovery\": \"127.0.0.1:"
-                    + discovery.getLocalPort() + "\", \"seed\""));
+                assertThat(log.lines()
+                                .filter(l -> l.contains("old configuration stays"))
+                                .findFirst())
+                        .isPresent();
+                Files.writeString(
+                        file,
+                        text.replace(
+                                "\"seed\"", "\"discovery\": \"127.0.0.1:" + discovery.getLocalPort() + "\", \"seed\""));
                 try (Socket watch = discovery.accept()) { // read again by itself: one SIGHUP is enough
                     byte[] asked = new byte[100];
                     assertThat(new String(asked, 0, watch.getInputStream().read(asked), StandardCharsets.US_ASCII))
-                        .startsWith("GET /registry/instances?follow=1 ");
+                            .startsWith("GET /registry/instances?follow=1 ");
                     hangUp(served);
                     assertThat(ask(desk, "/counters")).contains("list.moved 1\n");
                     worker.getOutputStream().write("version\n".getBytes(StandardCharsets.US_ASCII));
@@ -72,14 +79,17 @@
     void theHeapFollowsTheMemoryLimit(int limit, int heap) throws Exception {
         Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertThat(java.toFile().setExecutable(true)).isTrue();
-        Path file = Files.writeString(folder.resolve("c.json"), Files.readString(Path.of("deploy/gearman.json"))
-            .replace("\"memory_mb\": 192", "\"memory_mb\":" + limit));
+        Path file = Files.writeString(
+                folder.resolve("c.json"),
+                Files.readString(Path.of("deploy/gearman.json"))
+                        .replace("\"memory_mb\": 192", "\"memory_mb\":" + limit));
         String run = Files.readString(Path.of("deploy/balancer.toml")).replaceAll("(?s).*\nrun = '''(.*?)'''.*", "$1");
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run);
         builder.environment().merge("PATH", folder.toString(), (old, first) -> first + ":" + old);
         builder.environment().put("NODE_CONFIG", file.toString());
         assertThat(new String(builder.start().getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
-            .contains("-Xmx" + heap + "m ").endsWith("serve\n");
+                .contains("-Xmx" + heap + "m ")
+                .endsWith("serve\n");
         assertThat(Serve.bounds((long) heap << 20, null).bodyBytes()).isLessThan((long) heap << 18);
     }
 
@@ -88,8 +98,11 @@
     @Timeout(60)
     void anAddressThatIsTakenEndsTheStart() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            Path file = Files.writeString(folder.resolve("c.json"), Files.readString(Path.of("deploy/gearman.json"))
-                .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:4730", "127.0.0.1:" + taken.getLocalPort()));
+            Path file = Files.writeString(
+                    folder.resolve("c.json"),
+                    Files.readString(Path.of("deploy/gearman.json"))
+                            .replace("127.0.0.1:8000", "127.0.0.1:0")
+                            .replace("127.0.0.1:4730", "127.0.0.1:" + taken.getLocalPort()));
             Process served = start(file).start();
             try (BufferedReader log = served.errorReader()) {
                 assertThat(log.lines().toList()).singleElement().asString().contains("cannot start", "in use");
@@ -104,8 +117,11 @@
     @Test
     @Timeout(60)
     void withoutPeersNothingOfTheFleetIsLoaded() throws Exception {
-        Path file = Files.writeString(folder.resolve("c.json"), Files.readString(Path.of("deploy/gearman.json"))
-            .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:4730", "127.0.0.1:0"));
+        Path file = Files.writeString(
+                folder.resolve("c.json"),
+                Files.readString(Path.of("deploy/gearman.json"))
+                        .replace("127.0.0.1:8000", "127.0.0.1:0")
+                        .replace("127.0.0.1:4730", "127.0.0.1:0"));
         Path loaded = folder.resolve("loaded.txt");
         ProcessBuilder builder = start(file);
         builder.command().add(1, "-Xlog:class+load:file=" + loaded);
@@ -117,12 +133,16 @@
         } finally {
             served.destroyForcibly();
         }
-        assertThat(Files.readString(loaded)).contains("plumpost.cli.Serve").doesNotContain("plumpost.fleet.",
-            "plumpost.peers.", "PeersConfig", "ratis", "cbor");
+        assertThat(Files.readString(loaded))
+                .contains("plumpost.cli.Serve")
+                .doesNotContain("plumpost.fleet.", "plumpost.peers.", "PeersConfig", "ratis", "cbor");
     }
 
     private static void hangUp(Process served) throws Exception {
-        assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(served.pid())).start().waitFor()).isZero();
+        assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(served.pid()))
+                        .start()
+                        .waitFor())
+                .isZero();
     }
 
     private static int port(String ready, String front) {
@@ -130,8 +150,14 @@
     }
 
     private static ProcessBuilder start(Path file) {
-        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-cp",
-            System.getProperty("java.class.path"), "plumpost.cli.Main", "serve", "--config", file.toString());
+        ProcessBuilder builder = new ProcessBuilder(
+                ProcessHandle.current().info().command().orElseThrow(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "plumpost.cli.Main",
+                "serve",
+                "--config",
+                file.toString());
         builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
         return builder;
     }
@@ -140,15 +166,18 @@
     @Test
     @Timeout(60)
     void sigtermEndsItInOrder() throws Exception {
-        Path file = Files.writeString(folder.resolve("c.json"), Files.readString(Path.of("deploy/gearman.json"))
-            .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:4730", "127.0.0.1:0"));
+        Path file = Files.writeString(
+                folder.resolve("c.json"),
+                Files.readString(Path.of("deploy/gearman.json"))
+                        .replace("127.0.0.1:8000", "127.0.0.1:0")
+                        .replace("127.0.0.1:4730", "127.0.0.1:0"));
         Process served = start(file).start();
         try (BufferedReader log = served.errorReader()) {
             String ready = log.readLine();
             assertThat(ready).contains("ready, http /127.0.0.1:", " gearman /127.0.0.1:");
             int port = port(ready, "http");
-            try (Socket desk = new Socket("127.0.0.1", port); Socket worker = new Socket("127.0.0.1",
-                port(ready, "gearman"))) {
+            try (Socket desk = new Socket("127.0.0.1", port);
+                    Socket worker = new Socket("127.0.0.1", port(ready, "gearman"))) {
                 assertThat(ask(desk, "/health/ready")).startsWith("HTTP/1.1 200 ");
                 worker.getOutputStream().write("version\n".getBytes(StandardCharsets.US_ASCII));
                 assertThat(worker.getInputStream().read()).isEqualTo('O');
@@ -158,7 +187,9 @@
                 try (Socket late = new Socket("127.0.0.1", port)) {
                     assertThat(ask(late, "/health/ready")).startsWith("HTTP/1.1 503 ");
                 }
-                assertThat(desk.getInputStream().read()).as("the idle connection's end").isEqualTo(-1);
+                assertThat(desk.getInputStream().read())
+                        .as("the idle connection's end")
+                        .isEqualTo(-1);
             }
             assertThat(log.lines().collect(Collectors.joining("\n"))).contains("front.requests 3");
             assertThat(served.waitFor()).isZero();
--- a/src/test/java/plumpost/config/FleetSettingsTest.java
+++ b/src/test/java/plumpost/config/FleetSettingsTest.java
@@ -25,7 +25,8 @@
     @ValueSource(strings = {"0", "-14"})
     void noSchedulersAtAllIsRefused(String balancers) {
         assertThatThrownBy(() -> settings("\"balancers\":" + balancers + ","))
-            .isInstanceOf(Json.BadInput.class).hasMessageContaining("balancers must be at least 1");
+                .isInstanceOf(Json.BadInput.class)
+                .hasMessageContaining("balancers must be at least 1");
     }
 
     /** Alone, in one plant of one model, no rule for cold nodes: what a file means that says nothing of the fleet. */
@@ -40,6 +41,7 @@
 
     @Test
     void noPlantsNamedMeansOnePlant() {
-        assertThat(settings("\"balancers\":100,\"dcs\":[],\"shapes\":[],").zones()).isEqualTo(1);
+        assertThat(settings("\"balancers\":100,\"dcs\":[],\"shapes\":[],").zones())
+                .isEqualTo(1);
     }
 }
--- a/src/test/java/plumpost/config/PeersConfigTest.java
+++ b/src/test/java/plumpost/config/PeersConfigTest.java
@@ -13,7 +13,7 @@
 /** The section {@code peers}: what is wrong with it is told with field and value. */
 class PeersConfigTest {
     private static final String GOOD = "{\"group\":\"g\",\"data\":\"d\",\"members\":[{\"name\":\"a\",\"address\":"
-        + "\"127.0.0.1:1\",\"site\":\"n\",\"vote\":true},{\"name\":\"b\",\"address\":\"127.0.0.1:2\"}]}";
+            + "\"127.0.0.1:1\",\"site\":\"n\",\"vote\":true},{\"name\":\"b\",\"address\":\"127.0.0.1:2\"}]}";
 
     private static PeersConfig read(String text) {
         return PeersConfig.read(Json.object("peers", text.getBytes(StandardCharsets.UTF_8)), "a", null, false);
@@ -23,11 +23,14 @@
     void theUsualValuesHold() {
         PeersConfig c = read(GOOD);
         assertThat(c.lostMs()).isEqualTo(1500);
-        assertThat(c.covered().classes()).as("nothing is covered unless the file says so").isEmpty();
+        assertThat(c.covered().classes())
+                .as("nothing is covered unless the file says so")
+                .isEmpty();
         assertThat(c.self().vote()).isTrue();
         assertThat(c.voters()).extracting(PeersConfig.Member::name).containsExactly("a");
-        assertThat(PeersConfig.read(Json.object("peers", GOOD.getBytes(StandardCharsets.UTF_8)), "b", "/x", true).data())
-            .isEqualTo(Path.of("/x"));
+        assertThat(PeersConfig.read(Json.object("peers", GOOD.getBytes(StandardCharsets.UTF_8)), "b", "/x", true)
+                        .data())
+                .isEqualTo(Path.of("/x"));
     }
 
     /** Guards large fleets: 1,024 members are taken, and one more is told. */
@@ -35,7 +38,11 @@
     void aThousandMembersAreTaken() {
         StringBuilder more = new StringBuilder();
         for (int i = 3; i <= 1024; i++) {
-            more.append(",{\"name\":\"m").append(i).append("\",\"address\":\"127.0.0.1:").append(i).append("\"}");
+            more.append(",{\"name\":\"m")
+                    .append(i)
+                    .append("\",\"address\":\"127.0.0.1:")
+                    .append(i)
+                    .append("\"}");
         }
         assertThat(read(GOOD.replace("]}", more + "]}")).members()).hasSize(1024);
         String oneMore = GOOD.replace("]}", more + ",{\"name\":\"z\",\"address\":\"127.0.0.1:1\"}]}");
@@ -43,20 +50,25 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"name\":\"b\"|\"name\":\"a\"|field name is a, which another member bears",
-        "\"name\":\"b\"|\"name\":\"b c\"|field name is b c, not 1 to 64 letters",
-        "\"name\":\"a\"|\"name\":\"z\"|does not name this scheduler, a",
-        "\"vote\":true|\"vote\":false|gives 0 a vote, not 1, 3 or 5",
-        "127.0.0.1:2|127.0.0.1:x|members[1].address is not an address and port: 127.0.0.1:x",
-        "\"data\":\"d\"|\"data\":\"\"|field data is empty",
-        "\"group\"|\"lostMs\":9,\"group\"|field lostMs is 9, not from 200 to 600000",
-        "\"group\"|\"beatMs\":900,\"group\"|field beatMs is 900, not from 10 to 500",
-        "\"group\"|\"covers\":[\"x\",7],\"group\"|field covers holds 7, not names of classes",
-        "\"group\"|\"covers\":[\"x\",\"x\"],\"group\"|field covers holds x, not names of classes, each once",
-        "\"group\"|\"awaitMs\":9,\"group\"|field awaitMs is 9, not from 100 to 3600000",
-        "\"group\"|\"gruop\"|field gruop is not a setting"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"name\":\"b\"|\"name\":\"a\"|field name is a, which another member bears",
+                "\"name\":\"b\"|\"name\":\"b c\"|field name is b c, not 1 to 64 letters",
+                "\"name\":\"a\"|\"name\":\"z\"|does not name this scheduler, a",
+                "\"vote\":true|\"vote\":false|gives 0 a vote, not 1, 3 or 5",
+                "127.0.0.1:2|127.0.0.1:x|members[1].address is not an address and port: 127.0.0.1:x",
+                "\"data\":\"d\"|\"data\":\"\"|field data is empty",
+                "\"group\"|\"lostMs\":9,\"group\"|field lostMs is 9, not from 200 to 600000",
+                "\"group\"|\"beatMs\":900,\"group\"|field beatMs is 900, not from 10 to 500",
+                "\"group\"|\"covers\":[\"x\",7],\"group\"|field covers holds 7, not names of classes",
+                "\"group\"|\"covers\":[\"x\",\"x\"],\"group\"|field covers holds x, not names of classes, each once",
+                "\"group\"|\"awaitMs\":9,\"group\"|field awaitMs is 9, not from 100 to 3600000",
+                "\"group\"|\"gruop\"|field gruop is not a setting"
+            })
     void whatIsWrongIsTold(String from, String to, String words) {
-        assertThatThrownBy(() -> read(GOOD.replace(from, to))).isInstanceOf(BadInput.class).hasMessageContaining(words);
+        assertThatThrownBy(() -> read(GOOD.replace(from, to)))
+                .isInstanceOf(BadInput.class)
+                .hasMessageContaining(words);
     }
 }
--- a/src/test/java/plumpost/config/SighupFilesTest.java
+++ b/src/test/java/plumpost/config/SighupFilesTest.java
@@ -5,9 +5,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.api.Test;
 
 /** Files read at SIGHUP: each kind of broken one is turned down whole, with a word that names what is wrong. */
 class SighupFilesTest {
@@ -27,7 +27,9 @@
     @Test
     void aGoodFileIsTaken() {
         String next = GOOD.replace("\"maxAttempts\":6", "\"maxAttempts\":2")
-            .replace("]", ",{\"name\":\"route-plan-r2\",\"sloMs\":600.0,\"deadlineMs\":8000.0,\"effect\":\"single_shot\"}]");
+                .replace(
+                        "]",
+                        ",{\"name\":\"route-plan-r2\",\"sloMs\":600.0,\"deadlineMs\":8000.0,\"effect\":\"single_shot\"}]");
         NodeConfig c = NodeConfig.again(json(GOOD), json(next), Map.of());
         assertThat(c.settings().classes()).hasSize(3);
         assertThat(c.settings().limits().maxAttempts()).isEqualTo(2);
@@ -35,17 +37,19 @@
 
     /** Guards the old settings against each kind of broken file: nothing of it is taken, the word names the fault. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "                                                        | empty",
-        "{\"name\":\"n0\",\"listen\":\"127.0.0.1:8000\",\"settings\":{\"classes\":[ | it ends in the middle",
-        "\"maxAttempts\":6,=                                     | settings.ceilings.maxAttempts is missing",
-        "\"deadlineMs\":8000.0,=                                 | settings.classes[0].deadlineMs is missing",
-        "\"ops\":\"127.0.0.1:9600\",=                            | key ops is missing",
-        "\"deadlineMs\":8000.0=\"deadlineMs\":0                  | times of class route-plan",
-        "\"deadlineMs\":20000.0=\"deadlineMs\":-5                | times of class pickup-order",
-        "\"maxAttempts\":6=\"maxAttempts\":0                     | maxAttempts must be at least 1",
-        "\"maxAttempts\":6=\"maxAttempts\":-2                    | maxAttempts must be at least 1",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "                                                        | empty",
+                "{\"name\":\"n0\",\"listen\":\"127.0.0.1:8000\",\"settings\":{\"classes\":[ | it ends in the middle",
+                "\"maxAttempts\":6,=                                     | settings.ceilings.maxAttempts is missing",
+                "\"deadlineMs\":8000.0,=                                 | settings.classes[0].deadlineMs is missing",
+                "\"ops\":\"127.0.0.1:9600\",=                            | key ops is missing",
+                "\"deadlineMs\":8000.0=\"deadlineMs\":0                  | times of class route-plan",
+                "\"deadlineMs\":20000.0=\"deadlineMs\":-5                | times of class pickup-order",
+                "\"maxAttempts\":6=\"maxAttempts\":0                     | maxAttempts must be at least 1",
+                "\"maxAttempts\":6=\"maxAttempts\":-2                    | maxAttempts must be at least 1",
+            })
     void aBrokenFileIsTurnedDown(String change, String word) {
         String broken;
         if (change == null) {
@@ -58,6 +62,7 @@
             assertThat(broken).isNotEqualTo(GOOD);
         }
         assertThatThrownBy(() -> NodeConfig.again(json(GOOD), json(broken), Map.of()))
-            .isInstanceOf(Json.BadInput.class).hasMessageContaining(word.strip());
+                .isInstanceOf(Json.BadInput.class)
+                .hasMessageContaining(word.strip());
     }
 }
--- a/src/test/java/plumpost/control/CrowdedListenerTest.java
+++ b/src/test/java/plumpost/control/CrowdedListenerTest.java
@@ -33,45 +33,48 @@
         SystemClock clock = new SystemClock();
         TimerWheel wheel = new TimerWheel(clock.nowMs());
         Counters counters = new Counters();
-        SelectorLoop loop = new SelectorLoop(clock, wheel, counters, words -> { });
-        Kit kit = new Kit(loop, clock, wheel, counters, words -> { });
-        ControlDoor door = new ControlDoor(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 32, kit,
-            new ControlDoor.Operations() {
-                @Override
-                public boolean ready() {
-                    return true;
-                }
+        SelectorLoop loop = new SelectorLoop(clock, wheel, counters, words -> {});
+        Kit kit = new Kit(loop, clock, wheel, counters, words -> {});
+        ControlDoor door = new ControlDoor(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 32, kit, new ControlDoor.Operations() {
+                    @Override
+                    public boolean ready() {
+                        return true;
+                    }
 
-                @Override
-                public String figures() {
-                    return "node.outstanding:0|g\n";
-                }
+                    @Override
+                    public String figures() {
+                        return "node.outstanding:0|g\n";
+                    }
 
-                @Override
-                public Bans.Said offline(String node) {
-                    return Bans.Said.UNKNOWN;
-                }
+                    @Override
+                    public Bans.Said offline(String node) {
+                        return Bans.Said.UNKNOWN;
+                    }
 
-                @Override
-                public Bans.Said online(String node) {
-                    return Bans.Said.UNKNOWN;
-                }
-            });
+                    @Override
+                    public Bans.Said online(String node) {
+                        return Bans.Said.UNKNOWN;
+                    }
+                });
         AtomicReference<InetSocketAddress> at = new AtomicReference<>();
         String where = door.open((address, users, most, batched, unread, shed) -> {
-            InetSocketAddress a = loop.listen(address, users, most, unread, shed).address();
+            InetSocketAddress a =
+                    loop.listen(address, users, most, unread, shed).address();
             at.set(a);
             return a;
         });
         assertThat(where).startsWith("control ");
         AtomicBoolean over = new AtomicBoolean();
-        Thread runs = new Thread(() -> {
-            try {
-                loop.run(over::get);
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        }, "loop");
+        Thread runs = new Thread(
+                () -> {
+                    try {
+                        loop.run(over::get);
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                },
+                "loop");
         runs.start();
         List<Socket> crowd = new ArrayList<>();
         try {
@@ -90,7 +93,7 @@
             assertThat(counters.of("control.shed")).isPositive();
         } finally {
             over.set(true);
-            loop.onLoop(() -> { });
+            loop.onLoop(() -> {});
             runs.join(5000);
             for (Socket s : crowd) {
                 s.close();
--- a/src/test/java/plumpost/control/HostileCallsTest.java
+++ b/src/test/java/plumpost/control/HostileCallsTest.java
@@ -17,11 +17,12 @@
 
 /** Hostile bytes on the operators' listener, in pieces of any size: one answer at most, and never a fault. */
 class HostileCallsTest {
-    private static final List<String> CALLS = List.of("GET /control/ready HTTP/1.1\r\nHost: h\r\n\r\n",
-        "GET /control/counters HTTP/1.1\r\nHost: h\r\n\r\n",
-        "POST /control/workers/node1/offline HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
-        "POST /control/workers/node1/online HTTP/1.0\r\n\r\n",
-        "POST /control/workers/node1/offline HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    private static final List<String> CALLS = List.of(
+            "GET /control/ready HTTP/1.1\r\nHost: h\r\n\r\n",
+            "GET /control/counters HTTP/1.1\r\nHost: h\r\n\r\n",
+            "POST /control/workers/node1/offline HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+            "POST /control/workers/node1/online HTTP/1.0\r\n\r\n",
+            "POST /control/workers/node1/offline HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
 
     /** Guards the listener's state machine against any bytes in any pieces: at most one answer, a known status. */
     @Property(tries = 600, seed = "600")
@@ -49,12 +50,13 @@
     @Provide
     Arbitrary<byte[]> calls() {
         Arbitrary<byte[]> good = Arbitraries.of(CALLS).map(c -> c.getBytes(StandardCharsets.ISO_8859_1));
-        Arbitrary<byte[]> mangled = good.flatMap(b -> Arbitraries.integers().between(0, b.length - 1).flatMap(i ->
-            Arbitraries.bytes().map(x -> {
-                byte[] c = b.clone();
-                c[i] = x;
-                return c;
-            })));
+        Arbitrary<byte[]> mangled = good.flatMap(b -> Arbitraries.integers()
+                .between(0, b.length - 1)
+                .flatMap(i -> Arbitraries.bytes().map(x -> {
+                    byte[] c = b.clone();
+                    c[i] = x;
+                    return c;
+                })));
         Arbitrary<byte[]> noise = Arbitraries.bytes().array(byte[].class).ofMaxSize(20_000);
         return Arbitraries.oneOf(good, mangled, noise);
     }
@@ -99,6 +101,6 @@
         }
 
         @Override
-        public void look() { }
+        public void look() {}
     }
 }
--- a/src/test/java/plumpost/decision/EvidenceTest.java
+++ b/src/test/java/plumpost/decision/EvidenceTest.java
@@ -75,7 +75,9 @@
     /** Guards cold workers' capacity: few jobs of one's own never showed more than theta slots. */
     @Test
     void slotsOfAKindAreLearnedFromReports() {
-        assertThat(coldWorkerTakesALargeJob(10_000)).as("a quarter of what two slots may be sent is 720").isFalse();
+        assertThat(coldWorkerTakesALargeJob(10_000))
+                .as("a quarter of what two slots may be sent is 720")
+                .isFalse();
         logic.workers(12_000, ListMode.FULL, List.of(worker("w", Phase.SERVING)));
         for (int i = 0; i < 30; i++) {
             double now = 20_000 + 2_000 * i;
@@ -85,7 +87,9 @@
             logic.clientGone(now + 2, "p" + i);
             out.lines.clear();
         }
-        assertThat(coldWorkerTakesALargeJob(100_000)).as("four slots may be sent 1,440").isTrue();
+        assertThat(coldWorkerTakesALargeJob(100_000))
+                .as("four slots may be sent 1,440")
+                .isTrue();
     }
 
     /** Guards cold workers from one false report, which would raise the budget of all of its kind. */
@@ -95,7 +99,9 @@
         report(2, 0, 1e9);
         logic.clientGone(3, "a");
         out.lines.clear();
-        assertThat(coldWorkerTakesALargeJob(10_000)).as("a quarter of what 2.2 slots may be sent is 792").isFalse();
+        assertThat(coldWorkerTakesALargeJob(10_000))
+                .as("a quarter of what 2.2 slots may be sent is 792")
+                .isFalse();
     }
 
     /** Guards a worker whose reports come late: each one that told of the room before our jobs came sent more there. */
@@ -130,8 +136,16 @@
         begin(Dispatcher.Reports.PIGGYBACK);
         logic.arrived(1, job("a", 0, 100));
         logic.started(2, "a", 0, "w");
-        logic.ended(1_000, new Dispatcher.Outcome("a", 0, "w", Ending.OK, 1_000, true,
-            new LoadReport(Double.NaN, 0, 500, Double.NaN, 9, Double.NaN)));
+        logic.ended(
+                1_000,
+                new Dispatcher.Outcome(
+                        "a",
+                        0,
+                        "w",
+                        Ending.OK,
+                        1_000,
+                        true,
+                        new LoadReport(Double.NaN, 0, 500, Double.NaN, 9, Double.NaN)));
         out.lines.clear();
         for (int i = 0; i < 6; i++) {
             logic.arrived(1_001 + i, job("b" + i, 0, 100));
@@ -143,8 +157,8 @@
     /** Guards classes whose late answers keep a part of their worth: while jobs wait, the fresh one goes first. */
     @Test
     void whatIsLateGivesWayToWhatCanBeInTime() {
-        bench.classes = List.of(new Dispatcher.JobClass("c", 400, 0, 9_000, Dispatcher.Effect.FREE,
-            Dispatcher.Scope.ALL, 0, 1, 0.25, -1, 0));
+        bench.classes = List.of(new Dispatcher.JobClass(
+                "c", 400, 0, 9_000, Dispatcher.Effect.FREE, Dispatcher.Scope.ALL, 0, 1, 0.25, -1, 0));
         begin(Dispatcher.Reports.SILENT);
         for (String id : List.of("a", "b")) {
             logic.arrived(1, job(id, 0, 100));
@@ -167,9 +181,14 @@
     /** Answers what is asked with one free slot on each worker, and returns where the job went. */
     private String placed(String id, int cls, double now) {
         logic.arrived(now, job(id, cls, 100));
-        for (String asked : out.lines.stream().filter(l -> l.startsWith("probe ")).toList()) {
-            logic.probed(now + 1, asked.substring("probe ".length()), Ending.OK, 1,
-                new LoadReport(0, 0, 500, Double.NaN, 1, Double.NaN));
+        for (String asked :
+                out.lines.stream().filter(l -> l.startsWith("probe ")).toList()) {
+            logic.probed(
+                    now + 1,
+                    asked.substring("probe ".length()),
+                    Ending.OK,
+                    1,
+                    new LoadReport(0, 0, 500, Double.NaN, 1, Double.NaN));
         }
         String line = out.take("assign " + id).get(0);
         return line.substring(line.lastIndexOf(' ') + 1);
@@ -195,7 +214,9 @@
             logic.ended(now + 100, outcome("a" + i, 0, "w", endings[i]));
             logic.clientGone(now + 100, "a" + i);
         }
-        assertThat(logic.avoided(80_101 + 1_500)).as("a first error ejects for a second").isEqualTo(1);
+        assertThat(logic.avoided(80_101 + 1_500))
+                .as("a first error ejects for a second")
+                .isEqualTo(1);
     }
 
     /** Guards orders from being what a failing worker is tried with again: rather another worker is asked. */
--- a/src/test/java/plumpost/decision/FleetTest.java
+++ b/src/test/java/plumpost/decision/FleetTest.java
@@ -62,15 +62,20 @@
     /** Answers every probe with so many free slots, until none is asked any more; the nodes that jobs were sent to. */
     private List<String> answered(int scheduler, double now, double free) {
         List<String> sent = new ArrayList<>();
-        for (boolean more = true; more;) {
+        for (boolean more = true; more; ) {
             List<String> lines = List.copyOf(outs.get(scheduler).lines);
             outs.get(scheduler).lines.clear();
             more = false;
             for (String line : lines) {
                 if (line.startsWith("probe ")) {
                     more = true;
-                    fleet.get(scheduler).probed(now, line.substring("probe ".length()), Ending.OK, 1,
-                        new LoadReport(Double.NaN, 0, 0, Double.NaN, free, Double.NaN));
+                    fleet.get(scheduler)
+                            .probed(
+                                    now,
+                                    line.substring("probe ".length()),
+                                    Ending.OK,
+                                    1,
+                                    new LoadReport(Double.NaN, 0, 0, Double.NaN, free, Double.NaN));
                 } else if (line.startsWith("assign ")) {
                     sent.add(line.substring(line.lastIndexOf(' ') + 1));
                 }
@@ -190,7 +195,10 @@
         }
         assertThat(sent.size()).as("its capacity is used").isGreaterThan(20);
         for (double[] first : sent) {
-            double work = sent.stream().filter(x -> x[0] >= first[0] && x[0] < first[0] + 2_000).mapToDouble(x -> x[1]).sum();
+            double work = sent.stream()
+                    .filter(x -> x[0] >= first[0] && x[0] < first[0] + 2_000)
+                    .mapToDouble(x -> x[1])
+                    .sum();
             double share = 0.2 + 0.8 * (first[0] - 1_000) / 10_000;
             assertThat(work).as("sent within 2 s from " + first[0]).isLessThan(3 * share * 4 * 2_000);
         }
--- a/src/test/java/plumpost/decision/LogicTest.java
+++ b/src/test/java/plumpost/decision/LogicTest.java
@@ -1,17 +1,17 @@
 package plumpost.decision;
 
-import static plumpost.decision.Bench.job;
-import static plumpost.decision.Bench.outcome;
-import static plumpost.decision.Bench.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static plumpost.decision.Bench.job;
+import static plumpost.decision.Bench.outcome;
+import static plumpost.decision.Bench.worker;
 
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.ListMode;
 import plumpost.decision.Dispatcher.Phase;
-import org.junit.jupiter.api.Test;
 
 /** One small test for each failure found and each part of the ordinary path. */
 class LogicTest {
@@ -49,8 +49,10 @@
 
     @Test
     void agingLetsAnOldLargeJobPassAFreshSmallOne() {
-        bench.classes.set(0, new Dispatcher.JobClass("free", 400, 9, 9000, Dispatcher.Effect.FREE,
-            Dispatcher.Scope.ALL, 2000, 1, 0, -1, 0));
+        bench.classes.set(
+                0,
+                new Dispatcher.JobClass(
+                        "free", 400, 9, 9000, Dispatcher.Effect.FREE, Dispatcher.Scope.ALL, 2000, 1, 0, -1, 0));
         fillOne();
         logic.started(2, "a", 0, "w");
         logic.started(2, "b", 0, "w");
@@ -132,8 +134,13 @@
         logic.arrived(0.0004, job("a", 0, 100));
         double clock = 0;
         for (int bells = 0; bells < 1000 && clock < 5000 && !out.lines.contains("fail a"); bells++) {
-            clock = out.timers.stream().mapToDouble(d -> d).filter(d -> d > 0).min().orElse(1e9);
-            out.timers.removeIf(d -> d <= out.timers.stream().mapToDouble(x -> x).min().orElse(0));
+            clock = out.timers.stream()
+                    .mapToDouble(d -> d)
+                    .filter(d -> d > 0)
+                    .min()
+                    .orElse(1e9);
+            out.timers.removeIf(
+                    d -> d <= out.timers.stream().mapToDouble(x -> x).min().orElse(0));
             logic.timer(Math.floor(clock * 1000) / 1000, 0);
         }
         assertTrue(out.lines.contains("fail a"), "a stalled timer loses the job");
@@ -253,8 +260,10 @@
 
     @Test
     void aJobThatLostItsAimMakesWorthOrderTheBuffer() {
-        bench.classes.set(1, new Dispatcher.JobClass("dear", 400, 2, 5000, Dispatcher.Effect.SINGLE_SHOT,
-            Dispatcher.Scope.ALL, 2000, 10, 0, -1, 0));
+        bench.classes.set(
+                1,
+                new Dispatcher.JobClass(
+                        "dear", 400, 2, 5000, Dispatcher.Effect.SINGLE_SHOT, Dispatcher.Scope.ALL, 2000, 10, 0, -1, 0));
         fillOne();
         logic.started(2, "a", 0, "w");
         logic.started(2, "b", 0, "w");
--- a/src/test/java/plumpost/decision/RulesTest.java
+++ b/src/test/java/plumpost/decision/RulesTest.java
@@ -8,9 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.junit.jupiter.api.Test;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.Phase;
-import org.junit.jupiter.api.Test;
 
 /** Plays seeded random, odd but legal orders of events and checks the four rules on every action. */
 class RulesTest {
@@ -52,15 +52,19 @@
             for (Sent s : t.attempts) {
                 assertTrue(s.ending != null || bench.parallel, "two attempts at once");
             }
-            Sent first = t.attempts.stream().filter(s -> s.ending == null || !s.ending.neverRan()).findFirst()
-                .orElse(null);
+            Sent first = t.attempts.stream()
+                    .filter(s -> s.ending == null || !s.ending.neverRan())
+                    .findFirst()
+                    .orElse(null);
             if (first != null && t.cls.effect() != Dispatcher.Effect.FREE) {
                 assertEquals(Dispatcher.Effect.GUARDED, t.cls.effect(), "a single shot twice");
                 assertTrue(now < first.at + t.cls.windowMs(), "after the window");
                 Dispatcher.WorkerEntry f = allSeen.get(first.worker);
-                assertTrue(t.cls.scope() == Dispatcher.Scope.ALL
-                    || t.cls.scope() == Dispatcher.Scope.ZONE && f.zone() == w.zone()
-                    || t.cls.scope() == Dispatcher.Scope.CELL && f.cell() == w.cell(), "outside the group");
+                assertTrue(
+                        t.cls.scope() == Dispatcher.Scope.ALL
+                                || t.cls.scope() == Dispatcher.Scope.ZONE && f.zone() == w.zone()
+                                || t.cls.scope() == Dispatcher.Scope.CELL && f.cell() == w.cell(),
+                        "outside the group");
             }
             if (w.cameUpMs() > 0 && now - w.cameUpMs() < 2000) {
                 coldWork.merge(worker + w.cameUpMs(), costs.get(job), Double::sum);
@@ -77,8 +81,11 @@
         public void refuse(String job, double retryAfterMs) {
             Taken t = taken.get(job);
             boolean mayHaveRun = t.attempts.stream().anyMatch(s -> s.ending == null || !s.ending.neverRan());
-            assertTrue(!mayHaveRun || t.cls.effect() == Dispatcher.Effect.FREE
-                || t.cls.effect() == Dispatcher.Effect.GUARDED && t.cls.scope() == Dispatcher.Scope.ALL, "refused");
+            assertTrue(
+                    !mayHaveRun
+                            || t.cls.effect() == Dispatcher.Effect.FREE
+                            || t.cls.effect() == Dispatcher.Effect.GUARDED && t.cls.scope() == Dispatcher.Scope.ALL,
+                    "refused");
             end(job);
         }
 
@@ -143,7 +150,7 @@
         }
         host.taken.forEach((id, t) -> assertTrue(t.over, id + " got no final answer, seed " + seed));
         host.coldWork.forEach((w, work) -> assertTrue(
-            work <= Math.max(120, 3 * 0.36 * 2 * 2 * 2000.0 / bench.balancers), w + " was sent " + work));
+                work <= Math.max(120, 3 * 0.36 * 2 * 2 * 2000.0 / bench.balancers), w + " was sent " + work));
     }
 
     /** Attempts out at the client's end time out, as on the wire. */
@@ -155,8 +162,9 @@
                     Sent s = t.attempts.get(i);
                     if (s.ending == null) {
                         s.ending = Ending.TIMEOUT;
-                        logic.ended(host.now, new Dispatcher.Outcome(e.getKey(), i, s.worker, Ending.TIMEOUT, 1,
-                            t.over, null));
+                        logic.ended(
+                                host.now,
+                                new Dispatcher.Outcome(e.getKey(), i, s.worker, Ending.TIMEOUT, 1, t.over, null));
                     }
                 }
             }
@@ -175,8 +183,18 @@
                 double cost = random.nextInt(5) == 0 ? Double.NaN : 1 + random.nextInt(100);
                 host.taken.put(id, t);
                 host.costs.put(id, Double.isNaN(cost) ? 50 : cost);
-                logic.arrived(host.now, new Dispatcher.Job(id, cls, 0, null, patience, cost,
-                    1 + random.nextInt(3), Double.NaN, random.nextBoolean()));
+                logic.arrived(
+                        host.now,
+                        new Dispatcher.Job(
+                                id,
+                                cls,
+                                0,
+                                null,
+                                patience,
+                                cost,
+                                1 + random.nextInt(3),
+                                Double.NaN,
+                                random.nextBoolean()));
             }
             case 2 -> {
                 List<Dispatcher.WorkerEntry> lines = new ArrayList<>();
@@ -188,10 +206,11 @@
                     String id = "w" + random.nextInt(6);
                     Dispatcher.WorkerEntry old = host.allSeen.get(id);
                     Phase phase = random.nextInt(4) == 0 ? Phase.values()[1 + random.nextInt(2)] : Phase.SERVING;
-                    double up = old == null ? random.nextBoolean() ? host.now : 0
-                        : random.nextInt(6) == 0 ? host.now : old.cameUpMs();
-                    Dispatcher.WorkerEntry e = new Dispatcher.WorkerEntry(id, id.hashCode() % 2,
-                        id.hashCode() % 2, id.hashCode() % 3, phase, 1, up);
+                    double up = old == null
+                            ? random.nextBoolean() ? host.now : 0
+                            : random.nextInt(6) == 0 ? host.now : old.cameUpMs();
+                    Dispatcher.WorkerEntry e = new Dispatcher.WorkerEntry(
+                            id, id.hashCode() % 2, id.hashCode() % 2, id.hashCode() % 3, phase, 1, up);
                     lines.removeIf(l -> l.id().equals(id));
                     lines.add(e);
                     host.allSeen.put(id, e);
@@ -205,31 +224,40 @@
                 }
                 logic.peerMessage(host.now, 1, new byte[random.nextInt(40)]);
             }
-            case 4 -> logic.probed(host.now, "w" + random.nextInt(8), Ending.values()[random.nextInt(6)], 1,
-                random.nextBoolean() ? null
-                    : new Dispatcher.LoadReport(random.nextInt(9), Double.NaN, 30, 0, random.nextInt(4), Double.NaN));
-            case 5 -> outs(random, host).ifPresent(id -> {
-                Taken t = host.taken.get(id);
-                int i = t.attempts.size() - 1;
-                logic.started(host.now, id, i, t.attempts.get(i).worker);
-                if (random.nextBoolean()) {
-                    logic.progressed(host.now, id, i, t.attempts.get(i).worker, 0.5);
-                }
-            });
-            case 6 -> outs(random, host).ifPresent(id -> {
-                Taken t = host.taken.get(id);
-                int i = random.nextInt(t.attempts.size());
-                Sent s = t.attempts.get(i);
-                if (s.ending == null) {
-                    s.ending = Ending.values()[random.nextInt(Ending.values().length)];
-                    boolean ok = s.ending == Ending.OK && !t.over;
-                    t.over |= ok;
-                    logic.ended(host.now, new Dispatcher.Outcome(id, i, s.worker, s.ending, 1, t.over, null));
-                    if (ok && random.nextInt(4) == 0) {
-                        logic.clientGone(host.now, id);
+            case 4 ->
+                logic.probed(
+                        host.now,
+                        "w" + random.nextInt(8),
+                        Ending.values()[random.nextInt(6)],
+                        1,
+                        random.nextBoolean()
+                                ? null
+                                : new Dispatcher.LoadReport(
+                                        random.nextInt(9), Double.NaN, 30, 0, random.nextInt(4), Double.NaN));
+            case 5 ->
+                outs(random, host).ifPresent(id -> {
+                    Taken t = host.taken.get(id);
+                    int i = t.attempts.size() - 1;
+                    logic.started(host.now, id, i, t.attempts.get(i).worker);
+                    if (random.nextBoolean()) {
+                        logic.progressed(host.now, id, i, t.attempts.get(i).worker, 0.5);
                     }
-                }
-            });
+                });
+            case 6 ->
+                outs(random, host).ifPresent(id -> {
+                    Taken t = host.taken.get(id);
+                    int i = random.nextInt(t.attempts.size());
+                    Sent s = t.attempts.get(i);
+                    if (s.ending == null) {
+                        s.ending = Ending.values()[random.nextInt(Ending.values().length)];
+                        boolean ok = s.ending == Ending.OK && !t.over;
+                        t.over |= ok;
+                        logic.ended(host.now, new Dispatcher.Outcome(id, i, s.worker, s.ending, 1, t.over, null));
+                        if (ok && random.nextInt(4) == 0) {
+                            logic.clientGone(host.now, id);
+                        }
+                    }
+                });
             default -> {
                 logic.started(host.now, "nobody", 0, "nothing");
                 logic.ended(host.now, Bench.outcome("nobody", 3, "nothing", Ending.OK));
@@ -241,9 +269,13 @@
 
     private java.util.Optional<String> outs(Random random, Host host) {
         List<String> open = host.taken.entrySet().stream()
-            .filter(e -> e.getValue().attempts.stream().anyMatch(s -> s.ending == null))
-            .map(Map.Entry::getKey).sorted().toList();
-        return open.isEmpty() ? java.util.Optional.empty() : java.util.Optional.of(open.get(random.nextInt(open.size())));
+                .filter(e -> e.getValue().attempts.stream().anyMatch(s -> s.ending == null))
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+        return open.isEmpty()
+                ? java.util.Optional.empty()
+                : java.util.Optional.of(open.get(random.nextInt(open.size())));
     }
 
     @Test
--- a/src/test/java/plumpost/decision/SeatsTest.java
+++ b/src/test/java/plumpost/decision/SeatsTest.java
@@ -67,7 +67,8 @@
         }
         List<String> sent = out.take("assign");
         assertThat(sent).hasSize(seats);
-        List<String> freed = sent.stream().map(l -> l.substring(l.lastIndexOf(' ') + 1)).toList();
+        List<String> freed =
+                sent.stream().map(l -> l.substring(l.lastIndexOf(' ') + 1)).toList();
         for (int i = 0; i < seats; i++) {
             logic.started(2, "j" + i, 0, freed.get(i));
             logic.ended(3, outcome("j" + i, 0, freed.get(i), Ending.OK));
--- a/src/test/java/plumpost/dispatch/ClassBookTest.java
+++ b/src/test/java/plumpost/dispatch/ClassBookTest.java
@@ -15,12 +15,16 @@
 class ClassBookTest {
     /** The scenario's settings with pickup-order gone, route-plan-r2 new and stricter, and two attempts. */
     static final String RETUNED = Scenario.SETTINGS
-        .replace("{\"name\":\"route-plan\",", "{\"name\":\"route-plan-r2\",")
-        .replace("\"effect\":\"free\"}", "\"effect\":\"single_shot\"},{\"name\":\"route-plan\",\"sloMs\":600.0,"
-            + "\"deadlineMs\":8000.0,\"effect\":\"free\"}")
-        .replace(",\n{\"name\":\"pickup-order\",\"sloMs\":400.0,\"deadlineMs\":20000.0,\"effect\":\"single_shot\","
-            + "\"importance\":10.0}", "")
-        .replace("\"maxAttempts\":6", "\"maxAttempts\":2");
+            .replace("{\"name\":\"route-plan\",", "{\"name\":\"route-plan-r2\",")
+            .replace(
+                    "\"effect\":\"free\"}",
+                    "\"effect\":\"single_shot\"},{\"name\":\"route-plan\",\"sloMs\":600.0,"
+                            + "\"deadlineMs\":8000.0,\"effect\":\"free\"}")
+            .replace(
+                    ",\n{\"name\":\"pickup-order\",\"sloMs\":400.0,\"deadlineMs\":20000.0,\"effect\":\"single_shot\","
+                            + "\"importance\":10.0}",
+                    "")
+            .replace("\"maxAttempts\":6", "\"maxAttempts\":2");
 
     static Settings settings(String text) {
         return SettingsReader.settings(Json.object("settings", text.getBytes(StandardCharsets.UTF_8)));
@@ -34,8 +38,9 @@
         Settings next = settings(RETUNED);
         assertThat(next.classes()).extracting(c -> c.name()).containsExactly("route-plan-r2", "route-plan");
         Settings merged = book.retune(next, 0);
-        assertThat(merged.classes()).extracting(c -> c.name())
-            .containsExactly("route-plan", "pickup-order", "route-plan-r2");
+        assertThat(merged.classes())
+                .extracting(c -> c.name())
+                .containsExactly("route-plan", "pickup-order", "route-plan-r2");
         assertThat(merged.classes().get(2).effect()).isEqualTo(Effect.SINGLE_SHOT);
         assertThat(merged.limits().maxAttempts()).isEqualTo(2);
         assertThat(book.offered("route-plan-r2", 0)).isEqualTo(2);
@@ -56,7 +61,8 @@
         }
         Settings before = book.settings();
         assertThatThrownBy(() -> book.retune(settings(Scenario.SETTINGS.replace("\"route-plan\"", "\"last\"")), 0))
-            .isInstanceOf(IllegalArgumentException.class).hasMessageContaining("257 names");
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("257 names");
         assertThat(book.settings()).isSameAs(before);
     }
 
@@ -101,6 +107,7 @@
             """);
         assertThat(s.counters.of("attempts.out")).isEqualTo(2);
         assertThat(s.counters.of("guard.attempts")).isZero();
-        assertThat(s.counters.of("jobs.refused.route-plan") + s.counters.of("jobs.failed.route-plan")).isEqualTo(1);
+        assertThat(s.counters.of("jobs.refused.route-plan") + s.counters.of("jobs.failed.route-plan"))
+                .isEqualTo(1);
     }
 }
--- a/src/test/java/plumpost/dispatch/GuardsTest.java
+++ b/src/test/java/plumpost/dispatch/GuardsTest.java
@@ -1,7 +1,5 @@
 package plumpost.dispatch;
 
-import plumpost.count.Counters;
-import plumpost.time.TimerWheel;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.lang.reflect.Proxy;
@@ -13,11 +11,13 @@
 import plumpost.Scenario;
 import plumpost.config.Json;
 import plumpost.config.SettingsReader;
+import plumpost.count.Counters;
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.ListMode;
 import plumpost.decision.Dispatcher.Phase;
 import plumpost.decision.Dispatcher.WorkerEntry;
+import plumpost.time.TimerWheel;
 
 /** The core's guards against a module that asks for what the rules forbid; each event is a chance to ask. */
 class GuardsTest {
@@ -27,7 +27,7 @@
     private final List<Attempt> sent = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
     private final Counters counters = new Counters();
-    private final NodeList list = () -> { };
+    private final NodeList list = () -> {};
     private double now = 1_000_000;
     private final TimerWheel wheel = new TimerWheel(now);
     private Dispatcher.Actions ask;
@@ -39,27 +39,36 @@
         }
 
         @Override
-        public void giveUp(Attempt attempt) { }
+        public void giveUp(Attempt attempt) {}
 
         @Override
-        public void probe(Probe probe) { }
+        public void probe(Probe probe) {}
 
         @Override
-        public void leave() { }
+        public void leave() {}
     };
 
     /** A core whose module does nothing by itself: the test asks in its place. */
-    private final DispatchRoom room = new DispatchRoom(SettingsReader.settings(Json.object("settings",
-        Scenario.SETTINGS.getBytes(StandardCharsets.UTF_8))), () -> now, wheel, counters,
-        new DispatchRoom.Bounds(5, 1 << 16, 2, 1 << 16), words -> { }, actions -> {
-            ask = actions;
-            return (Dispatcher) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Dispatcher.class},
-                (proxy, method, arguments) -> null);
-        });
+    private final DispatchRoom room = new DispatchRoom(
+            SettingsReader.settings(Json.object("settings", Scenario.SETTINGS.getBytes(StandardCharsets.UTF_8))),
+            () -> now,
+            wheel,
+            counters,
+            new DispatchRoom.Bounds(5, 1 << 16, 2, 1 << 16),
+            words -> {},
+            actions -> {
+                ask = actions;
+                return (Dispatcher) Proxy.newProxyInstance(
+                        getClass().getClassLoader(),
+                        new Class<?>[] {Dispatcher.class},
+                        (proxy, method, arguments) -> null);
+            });
 
     private void node(Phase phase, double cameUp) {
-        room.listed(list, ListMode.INCREMENTAL, List.of(new ListedNode(
-            new WorkerEntry("n", 0, 0, 0, phase, 1, cameUp), link)));
+        room.listed(
+                list,
+                ListMode.INCREMENTAL,
+                List.of(new ListedNode(new WorkerEntry("n", 0, 0, 0, phase, 1, cameUp), link)));
     }
 
     private void take(String id, int cls, String unique) {
@@ -67,23 +76,26 @@
     }
 
     private void take(String id, int cls, String unique, Rights rights) {
-        room.take(new JobSheet(id, cls, null, ByteBuffer.allocate(1), 1000, Double.NaN, 1, Double.NaN, 0, null, false,
-            unique), new ReplyTo() {
-                @Override
-                public void served(ByteBuffer result) {
-                    answers.add(id + " served");
-                }
-
-                @Override
-                public void refused(double retryAfterMs) {
-                    answers.add(id + " refused");
-                }
-
-                @Override
-                public void failed() {
-                    answers.add(id + " failed");
-                }
-            }, rights);
+        room.take(
+                new JobSheet(
+                        id, cls, null, ByteBuffer.allocate(1), 1000, Double.NaN, 1, Double.NaN, 0, null, false, unique),
+                new ReplyTo() {
+                    @Override
+                    public void served(ByteBuffer result) {
+                        answers.add(id + " served");
+                    }
+
+                    @Override
+                    public void refused(double retryAfterMs) {
+                        answers.add(id + " refused");
+                    }
+
+                    @Override
+                    public void failed() {
+                        answers.add(id + " failed");
+                    }
+                },
+                rights);
     }
 
     /** What was asked for is carried out with the next event. */
@@ -152,7 +164,9 @@
         asked.get(2).accept(true);
         node(Phase.DRAINING, 0);
         asked.get(3).accept(true);
-        assertThat(sent).as("neither what was answered nor what would go to a drained node").hasSize(1);
+        assertThat(sent)
+                .as("neither what was answered nor what would go to a drained node")
+                .hasSize(1);
         assertThat(said).containsExactly("a never ran", "c unused", "d unused");
         assertThat(answers).containsExactly("b refused", "c refused");
         assertThat(counters.of("guard.refusal")).isZero();
