--- a/src/test/java/plumpost/durable/OrderLifeTest.java
+++ b/src/test/java/plumpost/durable/OrderLifeTest.java
@@ -19,10 +19,15 @@
     /** Guards the checker itself: each way to break the driver is found, by the rule that it breaks. */
     @Test
     void eachBrokenDriverIsFound() {
-        assertThat(new OrderModel(OrderModel.Broken.HANDS_OUT_BEFORE_THE_RECORD).search()).contains("ran twice");
-        assertThat(new OrderModel(OrderModel.Broken.QUEUES_LEASED_ORDERS_AT_A_START).search()).contains("ran twice");
-        assertThat(new OrderModel(OrderModel.Broken.LOST_IS_HANDED_BACK).search()).contains("ran twice");
-        assertThat(new OrderModel(OrderModel.Broken.ACKNOWLEDGES_BEFORE_THE_RECORD).search()).contains("is lost");
-        assertThat(new OrderModel(OrderModel.Broken.ANSWERS_LATE_RESULTS).search()).contains("two final answers");
+        assertThat(new OrderModel(OrderModel.Broken.HANDS_OUT_BEFORE_THE_RECORD).search())
+                .contains("ran twice");
+        assertThat(new OrderModel(OrderModel.Broken.QUEUES_LEASED_ORDERS_AT_A_START).search())
+                .contains("ran twice");
+        assertThat(new OrderModel(OrderModel.Broken.LOST_IS_HANDED_BACK).search())
+                .contains("ran twice");
+        assertThat(new OrderModel(OrderModel.Broken.ACKNOWLEDGES_BEFORE_THE_RECORD).search())
+                .contains("is lost");
+        assertThat(new OrderModel(OrderModel.Broken.ANSWERS_LATE_RESULTS).search())
+                .contains("two final answers");
     }
 }
--- a/src/test/java/plumpost/durable/OrderModel.java
+++ b/src/test/java/plumpost/durable/OrderModel.java
@@ -26,17 +26,24 @@
     private static final int CRASHES = 2;
     /** Leases of one order, and writes under way: bounds, without which the states have no end. */
     private static final int LEASES = 2;
+
     private static final int WRITES = 3;
 
     /** How the driver of the state machine may be broken on purpose. */
-    enum Broken { NOTHING, HANDS_OUT_BEFORE_THE_RECORD, QUEUES_LEASED_ORDERS_AT_A_START, LOST_IS_HANDED_BACK,
-        ACKNOWLEDGES_BEFORE_THE_RECORD, ANSWERS_LATE_RESULTS }
+    enum Broken {
+        NOTHING,
+        HANDS_OUT_BEFORE_THE_RECORD,
+        QUEUES_LEASED_ORDERS_AT_A_START,
+        LOST_IS_HANDED_BACK,
+        ACKNOWLEDGES_BEFORE_THE_RECORD,
+        ANSWERS_LATE_RESULTS
+    }
 
     /** What is known of an order, in memory or on disk. */
-    record Known(State state, long fence, int worker) { }
+    record Known(State state, long fence, int worker) {}
 
     /** A write under way: the order's new state and what follows it. */
-    record Write(int order, Known known, Deed deed, boolean acknowledges) { }
+    record Write(int order, Known known, Deed deed, boolean acknowledges) {}
 
     /** The whole system; compared by value. */
     static final class World {
@@ -47,6 +54,7 @@
         boolean[] acknowledged = new boolean[ORDERS];
         /** 0 nobody waits, 1 a client waits, 2 it has its answer, 3 it got one more. */
         int[] client = new int[ORDERS];
+
         int[] holds = {-1, -1};
         long[] fence = new long[WORKERS];
         boolean[] ran = new boolean[WORKERS];
@@ -89,20 +97,26 @@
             }
             for (int i = 0; i < WORKERS; i++) {
                 int v = i ^ swapWorkers;
-                k.append((char) ((holds[v] < 0 ? 0 : 1 + (holds[v] ^ swapOrders)) * 16 + (holds[v] < 0 ? 0 : fence[v] * 2
-                    + (ran[v] ? 1 : 0))));
+                k.append((char) ((holds[v] < 0 ? 0 : 1 + (holds[v] ^ swapOrders)) * 16
+                        + (holds[v] < 0 ? 0 : fence[v] * 2 + (ran[v] ? 1 : 0))));
             }
             for (Write w : writes) {
-                k.append((char) ((w.order ^ swapOrders) * 32 + (w.deed == null ? 0 : 1 + w.deed.ordinal()) * 2
-                    + (w.acknowledges ? 1 : 0)));
+                k.append((char) ((w.order ^ swapOrders) * 32
+                        + (w.deed == null ? 0 : 1 + w.deed.ordinal()) * 2
+                        + (w.acknowledges ? 1 : 0)));
                 add(k, w.known, swapWorkers);
             }
             return k.append((char) crashes).toString();
         }
 
         private static void add(StringBuilder k, Known known, int swapWorkers) {
-            k.append((char) (known == null ? 0 : 1 + known.state.ordinal() + 8 * known.fence
-                + 64 * (known.worker < 0 ? 0 : 1 + (known.worker ^ swapWorkers))));
+            k.append((char)
+                    (known == null
+                            ? 0
+                            : 1
+                                    + known.state.ordinal()
+                                    + 8 * known.fence
+                                    + 64 * (known.worker < 0 ? 0 : 1 + (known.worker ^ swapWorkers))));
         }
 
         void check(boolean kept, String words) {
@@ -166,7 +180,7 @@
                     w.check(w.client[o] == 2, "a client got two final answers for order " + o);
                 }
             }
-            default -> { } // QUEUE and AWAIT change nothing that a step could not do by itself
+            default -> {} // QUEUE and AWAIT change nothing that a step could not do by itself
         }
     }
 
@@ -180,8 +194,9 @@
             int order = o;
             to.check(to.runs[o] <= 1, "order " + o + " ran twice");
             to.check(!to.acknowledged[o] || to.disk[o] != null, "order " + o + " was acknowledged and is lost");
-            to.check(to.memory[o] == null || to.memory[o].state() != State.SERVED || to.runs[o] == 1,
-                "order " + order + " is told as served and never ran");
+            to.check(
+                    to.memory[o] == null || to.memory[o].state() != State.SERVED || to.runs[o] == 1,
+                    "order " + order + " is told as served and never ran");
         }
         String key = to.key();
         if (seen.add(key)) {
@@ -196,8 +211,9 @@
     }
 
     private boolean idle(World w, int worker) {
-        return w.holds[worker] < 0 && Arrays.stream(w.memory).noneMatch(k -> k != null
-            && k.state() == State.LEASED && k.worker() == worker);
+        return w.holds[worker] < 0
+                && Arrays.stream(w.memory)
+                        .noneMatch(k -> k != null && k.state() == State.LEASED && k.worker() == worker);
     }
 
     private void moves(World w) {
@@ -311,7 +327,9 @@
         w.client = new int[ORDERS];
         for (int o = 0; o < ORDERS; o++) {
             w.memory[o] = w.disk[o];
-            if (how == Broken.QUEUES_LEASED_ORDERS_AT_A_START && w.disk[o] != null && !w.disk[o].state().ended()) {
+            if (how == Broken.QUEUES_LEASED_ORDERS_AT_A_START
+                    && w.disk[o] != null
+                    && !w.disk[o].state().ended()) {
                 w.memory[o] = new Known(State.TAKEN, w.disk[o].fence(), -1);
             } else {
                 apply(w, o, Event.RECOVER, 0);
--- a/src/test/java/plumpost/fleet/FleetBookTest.java
+++ b/src/test/java/plumpost/fleet/FleetBookTest.java
@@ -25,8 +25,18 @@
     }
 
     private long join(String name, String site, String nonce) {
-        return apply(new Entry.Join(name, site, "disk-" + name, true, nonce, 1, List.of(new Offer("schedule", ""),
-            new Offer("discovery/north", "north"), new Offer("discovery/south", "south")))).number();
+        return apply(new Entry.Join(
+                        name,
+                        site,
+                        "disk-" + name,
+                        true,
+                        nonce,
+                        1,
+                        List.of(
+                                new Offer("schedule", ""),
+                                new Offer("discovery/north", "north"),
+                                new Offer("discovery/south", "south"))))
+                .number();
     }
 
     private String owner(String duty) {
@@ -37,13 +47,17 @@
     @Test
     void dutiesGoHomeAndStayAndAreLevelled() {
         long a = join("a", "north", "1");
-        assertThat(owner("schedule") + owner("discovery/north") + owner("discovery/south")).isEqualTo("aaa");
+        assertThat(owner("schedule") + owner("discovery/north") + owner("discovery/south"))
+                .isEqualTo("aaa");
         long fence = book.duties().of("discovery/south").fence();
         long b = join("b", "south", "1");
         assertThat(owner("discovery/south")).isEqualTo("b");
         assertThat(book.duties().of("discovery/south").fence()).isGreaterThan(fence);
         join("c", "north", "1");
-        assertThat(owner("schedule") + owner("discovery/north")).as("a gap of two moves one").contains("c").contains("a");
+        assertThat(owner("schedule") + owner("discovery/north"))
+                .as("a gap of two moves one")
+                .contains("c")
+                .contains("a");
         String before = book.duties().all().toString();
         join("d", "north", "1");
         assertThat(book.duties().all().toString()).as("sticky").isEqualTo(before);
@@ -63,7 +77,9 @@
         assertThat(owner("schedule")).as("a suspect keeps its duties").isEqualTo("a");
         assertThat(apply(new Entry.Judge("a", a, Verdict.LOST, 7)).done()).isTrue();
         assertThat(owner("schedule")).isEmpty();
-        assertThat(apply(new Entry.Judge("a", a, Verdict.ALIVE, 7)).done()).as("a lost life stays lost").isFalse();
+        assertThat(apply(new Entry.Judge("a", a, Verdict.ALIVE, 7)).done())
+                .as("a lost life stays lost")
+                .isFalse();
     }
 
     /** Guards the fences of all that an owner does inside the log, and the removal of a scheduler for good. */
@@ -72,14 +88,19 @@
         join("a", "north", "1");
         join("b", "north", "1");
         Duties.Duty d = book.duties().of("discovery/north");
-        assertThat(apply(new Entry.Word(d.name(), d.fence(), 1, false, "x")).words()).contains("whole list");
-        assertThat(apply(new Entry.Word(d.name(), d.fence(), 1, true, "w")).done()).isTrue();
+        assertThat(apply(new Entry.Word(d.name(), d.fence(), 1, false, "x")).words())
+                .contains("whole list");
+        assertThat(apply(new Entry.Word(d.name(), d.fence(), 1, true, "w")).done())
+                .isTrue();
         assertThat(apply(new Entry.Yield(d.name(), d.fence())).done()).isTrue();
-        assertThat(apply(new Entry.Word(d.name(), d.fence(), 2, true, "late")).words()).contains("is old");
+        assertThat(apply(new Entry.Word(d.name(), d.fence(), 2, true, "late")).words())
+                .contains("is old");
         assertThat(apply(new Entry.Yield(d.name(), d.fence())).done()).isFalse();
         assertThat(book.words(d.name())).extracting(Entry.Word::text).containsExactly("w");
         apply(new Entry.Remove("a"));
-        assertThat(apply(new Entry.Join("a", "north", "disk-a", true, "9", 1, List.of())).words()).contains("removed");
+        assertThat(apply(new Entry.Join("a", "north", "disk-a", true, "9", 1, List.of()))
+                        .words())
+                .contains("removed");
         assertThat(apply(new Entry.Remove("z")).words()).contains("no scheduler z");
         assertThat(news).filteredOn(n -> n instanceof News.Refused).hasSize(5);
     }
@@ -94,18 +115,23 @@
             apply(new Entry.Plan(id, "f", "key-" + id, new byte[3], 5, id.equals("again")));
             assertThat(apply(new Entry.Fire(id, fence, "a", a)).done()).isTrue();
         }
-        assertThat(apply(new Entry.Plan("other", "f", "key-told", new byte[3], 9, false)).words())
-            .isEqualTo("told");
+        assertThat(apply(new Entry.Plan("other", "f", "key-told", new byte[3], 9, false))
+                        .words())
+                .isEqualTo("told");
         apply(new Entry.Begin("begun", "a", a));
         apply(new Entry.Begin("again", "a", a));
         assertThat(apply(new Entry.CallOff("begun")).done()).isFalse();
         apply(new Entry.Judge("a", a, Verdict.LOST, 7));
         assertThat(book.plans().givenUp()).containsExactly("begun");
-        assertThat(apply(new Entry.Begin("told", "a", a)).done()).as("a lost life begins nothing").isFalse();
+        assertThat(apply(new Entry.Begin("told", "a", a)).done())
+                .as("a lost life begins nothing")
+                .isFalse();
         fence = book.duties().of("schedule").fence();
         assertThat(apply(new Entry.Fire("told", fence, "b", b)).done()).isTrue();
         assertThat(apply(new Entry.Begin("told", "b", b)).done()).isTrue();
-        assertThat(apply(new Entry.Begin("told", "b", b)).done()).as("a right is used up").isFalse();
+        assertThat(apply(new Entry.Begin("told", "b", b)).done())
+                .as("a right is used up")
+                .isFalse();
         assertThat(apply(new Entry.End("told", "b", b, false)).done()).isTrue();
         assertThat(apply(new Entry.End("told", "b", b, false)).done()).isFalse();
         assertThat(book.plans().all()).extracting(Plans.Job::id).containsExactly("again");
@@ -126,7 +152,9 @@
         long fence = other.duties().of("schedule").fence();
         other.apply(new Entry.Yield("schedule", fence), 7, news);
         other.apply(new Entry.Join("n", "north", "d", true, "1", 1, List.of(new Offer("new", ""))), 7, news);
-        assertThat(other.duties().of("new").fence()).as("no fence is used again").isGreaterThan(fence);
+        assertThat(other.duties().of("new").fence())
+                .as("no fence is used again")
+                .isGreaterThan(fence);
         byte[] e = FleetCodec.bytes(new Entry.Ban("n1", true), 1);
         assertThat(FleetCodec.entry(e)).isEqualTo(new Entry.Ban("n1", true));
         byte[] newer = e.clone();
@@ -135,9 +163,9 @@
         byte[] newerSnapshot = out.toByteArray();
         newerSnapshot[1] = 9;
         assertThatThrownBy(() -> FleetCodec.snapshot(new ByteArrayInputStream(newerSnapshot)))
-            .hasMessageContaining("format 9");
-        assertThatThrownBy(() -> FleetCodec.entry(Arrays.copyOf(e, e.length - 1))).isInstanceOf(
-            FleetCodec.Unreadable.class);
+                .hasMessageContaining("format 9");
+        assertThatThrownBy(() -> FleetCodec.entry(Arrays.copyOf(e, e.length - 1)))
+                .isInstanceOf(FleetCodec.Unreadable.class);
     }
 
     /** Guards the record format: it is raised once all read it, never lowered, and then an older program stays out. */
@@ -146,12 +174,14 @@
         join("a", "north", "1");
         apply(new Entry.Join("b", "north", "disk-b", true, "1", 2, List.of()));
         assertThat(apply(new Entry.Raise(2)).words()).contains("not read by all, 1 is");
-        long a = apply(new Entry.Join("a", "north", "disk-a", true, "2", 3, List.of())).number();
+        long a = apply(new Entry.Join("a", "north", "disk-a", true, "2", 3, List.of()))
+                .number();
         assertThat(apply(new Entry.Raise(2)).done()).isTrue();
         apply(new Entry.Raise(1));
         assertThat(book.sessions().format()).isEqualTo(2);
-        assertThat(apply(new Entry.Join("c", "north", "disk-c", true, "1", 1, List.of())).words()).contains(
-            "writes record format 2, the program of c reads 1 to 1");
+        assertThat(apply(new Entry.Join("c", "north", "disk-c", true, "1", 1, List.of()))
+                        .words())
+                .contains("writes record format 2, the program of c reads 1 to 1");
         assertThat(book.sessions().live("a", a)).isTrue();
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         FleetCodec.write(book, out);
@@ -186,16 +216,21 @@
         }
         beats.beat("a", a, 50_900, 0);
         assertThat(beats.look(book.sessions().all(), 7, 51_000)).isEmpty();
-        assertThat(beats.look(book.sessions().all(), 7, 90_000)).as("stopped for 39 s").isEmpty();
+        assertThat(beats.look(book.sessions().all(), 7, 90_000))
+                .as("stopped for 39 s")
+                .isEmpty();
         List<Entry> said = new ArrayList<>();
         for (double now = 90_100; now <= 91_500 && said.size() < 2; now += 100) {
             said = beats.look(book.sessions().all(), 7, now);
             said.forEach(this::apply);
-            said.stream().filter(x -> ((Entry.Judge) x).verdict() == Verdict.LOST).forEach(
-                x -> assertThat(book.sessions().of("a").live()).isFalse());
+            said.stream()
+                    .filter(x -> ((Entry.Judge) x).verdict() == Verdict.LOST)
+                    .forEach(x -> assertThat(book.sessions().of("a").live()).isFalse());
         }
         assertThat(book.sessions().of("a").state()).isEqualTo(Sessions.State.LOST);
         join("a", "north", "2");
-        assertThat(beats.look(book.sessions().all(), 7, 91_600)).as("a new life's time runs from when it is seen").isEmpty();
+        assertThat(beats.look(book.sessions().all(), 7, 91_600))
+                .as("a new life's time runs from when it is seen")
+                .isEmpty();
     }
 }
--- a/src/test/java/plumpost/fleet/FleetModel.java
+++ b/src/test/java/plumpost/fleet/FleetModel.java
@@ -20,8 +20,14 @@
  */
 final class FleetModel {
     /** How the schedulers or the book may be broken on purpose. */
-    enum Broken { NOTHING, FENCE_NOT_CHECKED, LEASE_TRUSTED_ALONE, FENCE_REUSED_AFTER_A_SNAPSHOT,
-        BEGUN_ORDERS_FIRED_AGAIN, LOST_LIFE_NOT_SETTLED }
+    enum Broken {
+        NOTHING,
+        FENCE_NOT_CHECKED,
+        LEASE_TRUSTED_ALONE,
+        FENCE_REUSED_AFTER_A_SNAPSHOT,
+        BEGUN_ORDERS_FIRED_AGAIN,
+        LOST_LIFE_NOT_SETTLED
+    }
 
     private static final String[] NAMES = {"a", "b", "c"};
     private static final String JOB = "job";
@@ -30,7 +36,7 @@
     private static final int UNDER_WAY = 1;
 
     /** An entry proposed by a scheduler, under the fence that it believed in. */
-    record Proposed(int by, Entry entry) { }
+    record Proposed(int by, Entry entry) {}
 
     /** The whole system. What a scheduler sees: its life, its fence of the schedule, each job at itself. */
     static final class World {
@@ -67,8 +73,17 @@
             List<String> flying = new ArrayList<>();
             under.forEach(p -> flying.add(p.toString()));
             flying.sort(null);
-            return book.toString() + Arrays.toString(life) + Arrays.toString(fence) + Arrays.toString(sees)
-                + Arrays.toString(handed) + runs + flying + losses + crashes + doubts + snapshots;
+            return book.toString()
+                    + Arrays.toString(life)
+                    + Arrays.toString(fence)
+                    + Arrays.toString(sees)
+                    + Arrays.toString(handed)
+                    + runs
+                    + flying
+                    + losses
+                    + crashes
+                    + doubts
+                    + snapshots;
         }
     }
 
@@ -117,8 +132,14 @@
     }
 
     private static Entry.Join join(int i, int crash) {
-        return new Entry.Join(NAMES[i], "s" + i, "disk" + i, true, "n" + crash, 1, List.of(new Offer("schedule", ""),
-            new Offer("discovery/s0", "s0")));
+        return new Entry.Join(
+                NAMES[i],
+                "s" + i,
+                "disk" + i,
+                true,
+                "n" + crash,
+                1,
+                List.of(new Offer("schedule", ""), new Offer("discovery/s0", "s0")));
     }
 
     private void add(World w) {
@@ -175,9 +196,17 @@
             World n = w.copy();
             n.snapshots++;
             if (how == Broken.FENCE_REUSED_AFTER_A_SNAPSHOT) {
-                long highest = n.book.duties().duties().stream().mapToLong(Duties.Duty::fence).max().orElse(0);
-                n.book = new FleetBook.Image(n.book.sessions(), new Duties.Image(n.book.duties().duties(), highest - 1),
-                    n.book.plans(), n.book.bans(), n.book.words(), n.book.orders());
+                long highest = n.book.duties().duties().stream()
+                        .mapToLong(Duties.Duty::fence)
+                        .max()
+                        .orElse(0);
+                n.book = new FleetBook.Image(
+                        n.book.sessions(),
+                        new Duties.Image(n.book.duties().duties(), highest - 1),
+                        n.book.plans(),
+                        n.book.bans(),
+                        n.book.words(),
+                        n.book.orders());
             }
             add(n);
         }
@@ -197,8 +226,11 @@
         boolean live = b.sessions().live(NAMES[i], w.life[i]);
         n.fence[i] = !live ? -1 : d.owner().equals(NAMES[i]) && d.incarnation() == w.life[i] ? d.fence() : 0;
         Job job = b.plans().of(JOB);
-        n.sees[i] = job != null && job.target().equals(NAMES[i]) && job.incarnation() == w.life[i] ? job.state()
-            : job != null && (job.state() == State.WAITING || Plans.stuck(job, b.sessions())) ? State.WAITING : null;
+        n.sees[i] = job != null && job.target().equals(NAMES[i]) && job.incarnation() == w.life[i]
+                ? job.state()
+                : job != null && (job.state() == State.WAITING || Plans.stuck(job, b.sessions()))
+                        ? State.WAITING
+                        : null;
         add(n);
     }
 
@@ -254,8 +286,10 @@
         Outcome o = applied(n, e);
         FleetBook after = book(n);
         if (o.done() && p.entry instanceof Entry.Fire f) {
-            check(n, d.fence() == f.fence() && d.owner().equals(NAMES[p.by]), "a deed under fence " + f.fence()
-                + " while " + d.fence() + " holds");
+            check(
+                    n,
+                    d.fence() == f.fence() && d.owner().equals(NAMES[p.by]),
+                    "a deed under fence " + f.fence() + " while " + d.fence() + " holds");
             reached.add(before.plans().of(JOB).state() == State.FIRED ? "fired anew" : "fired");
         } else if (!o.done() && p.entry instanceof Entry.Fire f && f.fence() != d.fence()) {
             reached.add("old fence refused");
@@ -264,12 +298,22 @@
             reached.add("begin refused");
         }
         if (how == Broken.BEGUN_ORDERS_FIRED_AGAIN && e instanceof Entry.Judge) {
-            n.book = new FleetBook.Image(n.book.sessions(), n.book.duties(), again(before, after), n.book.bans(),
-                n.book.words(), n.book.orders());
+            n.book = new FleetBook.Image(
+                    n.book.sessions(),
+                    n.book.duties(),
+                    again(before, after),
+                    n.book.bans(),
+                    n.book.words(),
+                    n.book.orders());
         }
         if (how == Broken.LOST_LIFE_NOT_SETTLED && e instanceof Entry.Judge) {
-            n.book = new FleetBook.Image(n.book.sessions(), before.image().duties(), n.book.plans(), n.book.bans(),
-                n.book.words(), n.book.orders());
+            n.book = new FleetBook.Image(
+                    n.book.sessions(),
+                    before.image().duties(),
+                    n.book.plans(),
+                    n.book.bans(),
+                    n.book.words(),
+                    n.book.orders());
             after = book(n);
         }
         rules(n, before, after);
@@ -290,10 +334,16 @@
         for (Duties.Duty d : after.duties().all()) {
             Duties.Duty old = before.duties().of(d.name());
             check(n, d.fence() >= old.fence(), "a fence went back");
-            check(n, d.owner().isEmpty() || after.sessions().live(d.owner(), d.incarnation()), "a lost life owns "
-                + d.name());
-            check(n, d.fence() != old.fence() || d.owner().isEmpty() || d.owner().equals(old.owner())
-                && d.incarnation() == old.incarnation(), "a fence was used twice");
+            check(
+                    n,
+                    d.owner().isEmpty() || after.sessions().live(d.owner(), d.incarnation()),
+                    "a lost life owns " + d.name());
+            check(
+                    n,
+                    d.fence() != old.fence()
+                            || d.owner().isEmpty()
+                            || d.owner().equals(old.owner()) && d.incarnation() == old.incarnation(),
+                    "a fence was used twice");
             check(n, d.owner().isEmpty() || owners.put(d.fence(), d.name()) == null, "a fence was used twice");
             if (!d.owner().equals(old.owner())) {
                 reached.add("owner changed");
--- a/src/test/java/plumpost/fleet/FleetModelTest.java
+++ b/src/test/java/plumpost/fleet/FleetModelTest.java
@@ -15,8 +15,13 @@
         m.explore();
         assertThat(m.found).isNull();
         System.out.println("fleet model: " + m.states() + " states, " + m.moves + " moves");
-        assertThat(m.reached).contains("fired", "old fence refused", "begin refused", "owner changed",
-            again ? "begun anew" : "given up");
+        assertThat(m.reached)
+                .contains(
+                        "fired",
+                        "old fence refused",
+                        "begin refused",
+                        "owner changed",
+                        again ? "begun anew" : "given up");
         if (doubts > 0) {
             assertThat(m.reached).contains("fired anew");
         }
@@ -24,9 +29,13 @@
 
     /** Guards the model itself: each variant broken on purpose is found by the rule that it breaks. */
     @ParameterizedTest
-    @CsvSource({"FENCE_NOT_CHECKED,a deed under fence", "LEASE_TRUSTED_ALONE,an order that ran waits",
-        "FENCE_REUSED_AFTER_A_SNAPSHOT,a fence was used twice", "BEGUN_ORDERS_FIRED_AGAIN,an order that ran waits",
-        "LOST_LIFE_NOT_SETTLED,a lost life owns"})
+    @CsvSource({
+        "FENCE_NOT_CHECKED,a deed under fence",
+        "LEASE_TRUSTED_ALONE,an order that ran waits",
+        "FENCE_REUSED_AFTER_A_SNAPSHOT,a fence was used twice",
+        "BEGUN_ORDERS_FIRED_AGAIN,an order that ran waits",
+        "LOST_LIFE_NOT_SETTLED,a lost life owns"
+    })
     void eachBrokenVariantIsFound(FleetModel.Broken how, String rule) {
         FleetModel m = new FleetModel(how, false, 1, 1, 0);
         m.explore();
--- a/src/test/java/plumpost/fleet/FleetSim.java
+++ b/src/test/java/plumpost/fleet/FleetSim.java
@@ -21,7 +21,7 @@
  * drawn delay in one order and seen by each after a delay of its own. Members are stopped, cut off and killed. Seeded.
  */
 final class FleetSim {
-    private record Due(double atMs, long order, Runnable what) { }
+    private record Due(double atMs, long order, Runnable what) {}
 
     /** One scheduler. */
     final class One implements Host, FleetLog {
@@ -35,6 +35,7 @@
         boolean dead;
         /** What it sees of the log comes so much later: its disk is slow. */
         double slowMs;
+
         private final ArrayDeque<Double> unseen = new ArrayDeque<>();
         private double seenAt;
         private final List<Runnable> held = new ArrayList<>();
@@ -48,9 +49,26 @@
             unseen.clear();
             wheel = new TimerWheel(now); // the former process has ended with its timers
             PeersConfig.Member self = config.members().get(index);
-            member = new Member(new PeersConfig(config.group(), config.data(), self, config.members(), config.beatMs(),
-                config.lostMs(), config.discoveryAgeMs(), config.snapshotEvery(), false, config.covered()), "n" + life, "disk" + index, false,
-                this, () -> now, wheel, counters, w -> { });
+            member = new Member(
+                    new PeersConfig(
+                            config.group(),
+                            config.data(),
+                            self,
+                            config.members(),
+                            config.beatMs(),
+                            config.lostMs(),
+                            config.discoveryAgeMs(),
+                            config.snapshotEvery(),
+                            false,
+                            config.covered()),
+                    "n" + life,
+                    "disk" + index,
+                    false,
+                    this,
+                    () -> now,
+                    wheel,
+                    counters,
+                    w -> {});
             member.on(this);
             member.started();
             member.restored(book.image());
@@ -137,10 +155,10 @@
         }
 
         @Override
-        public void close() { }
+        public void close() {}
 
         @Override
-        public void banned(String node, boolean out) { }
+        public void banned(String node, boolean out) {}
 
         @Override
         public Collection<String> functions() {
@@ -161,13 +179,13 @@
         }
 
         @Override
-        public void callBack(String id) { }
+        public void callBack(String id) {}
 
         @Override
-        public void told(String line) { }
+        public void told(String line) {}
 
         @Override
-        public void ask(boolean itself, boolean whole) { }
+        public void ask(boolean itself, boolean whole) {}
 
         @Override
         public boolean hears() {
@@ -182,8 +200,8 @@
     final Map<String, Integer> runs = new HashMap<>();
     final List<String> broken = new ArrayList<>();
     private final PeersConfig config;
-    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.atMs != b.atMs
-        ? Double.compare(a.atMs, b.atMs) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Due> queue = new PriorityQueue<>(
+            (a, b) -> a.atMs != b.atMs ? Double.compare(a.atMs, b.atMs) : Long.compare(a.order, b.order));
     double now = 1_000_000;
     long beats;
     long entries;
@@ -195,7 +213,8 @@
         for (int i = 0; i < n; i++) {
             members.add(new PeersConfig.Member("s" + i, new InetSocketAddress("127.0.0.1", 1), "site" + i % 3, i < 3));
         }
-        config = new PeersConfig("sim", null, members.get(0), members, 250, 1500, 5000, 1000, false, PeersConfig.Covered.NONE);
+        config = new PeersConfig(
+                "sim", null, members.get(0), members, 250, 1500, 5000, 1000, false, PeersConfig.Covered.NONE);
         ear.lead(now);
         for (int i = 0; i < n; i++) {
             all.add(new One(i));
--- a/src/test/java/plumpost/fleet/FleetSimTest.java
+++ b/src/test/java/plumpost/fleet/FleetSimTest.java
@@ -22,12 +22,20 @@
             for (int i = 0; i < 4; i++) {
                 boolean again = sim.random.nextBoolean();
                 FleetSim.One at = sim.all.get(sim.random.nextInt(members));
-                at.propose(new Entry.Plan((again ? "plan" : "order") + planned++, "f", "", new byte[1], sim.now
-                    + sim.random.nextInt(1000), again), o -> { });
+                at.propose(
+                        new Entry.Plan(
+                                (again ? "plan" : "order") + planned++,
+                                "f",
+                                "",
+                                new byte[1],
+                                sim.now + sim.random.nextInt(1000),
+                                again),
+                        o -> {});
             }
             Duties.Duty before = sim.book.duties().of(FleetBook.SCHEDULE);
             FleetSim.One one = sim.random.nextInt(3) > 0 && !before.owner().isEmpty()
-                ? sim.all.get(Integer.parseInt(before.owner().substring(1))) : sim.all.get(sim.random.nextInt(members));
+                    ? sim.all.get(Integer.parseInt(before.owner().substring(1)))
+                    : sim.all.get(sim.random.nextInt(members));
             int kind = sim.random.nextInt(5);
             if (kind == 0) {
                 one.stopped = true;
@@ -74,13 +82,17 @@
                 sim.pass(2000);
                 double due = sim.now + 500;
                 for (int i = 0; i < 12; i++) {
-                    sim.all.get(i % 3).propose(new Entry.Plan("order" + i, "f", "", new byte[1], due, false), o -> { });
+                    sim.all.get(i % 3).propose(new Entry.Plan("order" + i, "f", "", new byte[1], due, false), o -> {});
                 }
                 sim.pass(500 + after);
                 sim.all.get(who).member.stop();
                 sim.pass(4000);
-                assertThat(sim.book.plans().image().givenUp()).as("s%d told %d ms after they were due", who, after).isEmpty();
-                assertThat(sim.runs).hasSize(12).allSatisfy((id, times) -> assertThat(times).as(id).isEqualTo(1));
+                assertThat(sim.book.plans().image().givenUp())
+                        .as("s%d told %d ms after they were due", who, after)
+                        .isEmpty();
+                assertThat(sim.runs)
+                        .hasSize(12)
+                        .allSatisfy((id, times) -> assertThat(times).as(id).isEqualTo(1));
             }
         }
     }
--- a/src/test/java/plumpost/fleet/OrdersModel.java
+++ b/src/test/java/plumpost/fleet/OrdersModel.java
@@ -20,24 +20,32 @@
  */
 final class OrdersModel {
     /** How the schedulers or the ledger may be broken on purpose. */
-    enum Broken { NOTHING, HANDED_OUT_WHEN_ASKED, LEASED_IS_FREE_WHEN_LOST, CLAIM_TAKES_WHAT_IS_HELD,
-        OLD_LEASE_HANDS_BACK, AWAITED_IS_HANDED_OUT_AGAIN }
+    enum Broken {
+        NOTHING,
+        HANDED_OUT_WHEN_ASKED,
+        LEASED_IS_FREE_WHEN_LOST,
+        CLAIM_TAKES_WHAT_IS_HELD,
+        OLD_LEASE_HANDS_BACK,
+        AWAITED_IS_HANDED_OUT_AGAIN
+    }
 
     private static final String[] NAMES = {"a", "b", "c"};
     private static final byte[] NOTHING = new byte[0];
 
     /** The right to hand an order out, under a lease, that a scheduler remembers. */
-    private record Right(int by, int order, int lease) { }
+    private record Right(int by, int order, int lease) {}
 
     private static final class World {
         FleetBook.Image book;
         /** The incarnations of each scheduler's lives, the present one last. */
         List<List<Long>> lives = new ArrayList<>();
+
         List<Right> rights = new ArrayList<>();
         /** Leases that their scheduler gives back unused, and has not been heard yet. */
         List<Right> back = new ArrayList<>();
         /** Leases under which a worker has run the order and has told nobody yet. */
         List<Right> untold = new ArrayList<>();
+
         int[] runs;
         int losses;
         int crashes;
@@ -58,12 +66,27 @@
 
         String key() {
             StringBuilder k = new StringBuilder();
-            book.orders().orders().forEach(o -> k.append(o.state().ordinal()).append(o.holder()).append(o.incarnation())
-                .append('/').append(o.lease()).append(' '));
-            book.sessions().sessions().forEach(x -> k.append(x.incarnation()).append(x.state().ordinal()).append(' '));
-            book.duties().duties().forEach(d -> k.append(d.owner()).append(d.fence()).append(' '));
+            book.orders()
+                    .orders()
+                    .forEach(o -> k.append(o.state().ordinal())
+                            .append(o.holder())
+                            .append(o.incarnation())
+                            .append('/')
+                            .append(o.lease())
+                            .append(' '));
+            book.sessions()
+                    .sessions()
+                    .forEach(x -> k.append(x.incarnation())
+                            .append(x.state().ordinal())
+                            .append(' '));
+            book.duties()
+                    .duties()
+                    .forEach(d -> k.append(d.owner()).append(d.fence()).append(' '));
             for (List<Right> l : List.of(rights, back, untold)) {
-                l.stream().map(r -> r.by + "." + r.order + "." + r.lease + " ").sorted().forEach(k::append);
+                l.stream()
+                        .map(r -> r.by + "." + r.order + "." + r.lease + " ")
+                        .sorted()
+                        .forEach(k::append);
                 k.append('|');
             }
             for (int r : runs) {
@@ -113,11 +136,23 @@
         World w = new World();
         FleetBook b = new FleetBook();
         for (int i = 0; i < NAMES.length; i++) {
-            w.lives.add(new ArrayList<>(List.of(b.apply(join(i, 0), 1, new ArrayList<>()).number())));
+            w.lives.add(new ArrayList<>(
+                    List.of(b.apply(join(i, 0), 1, new ArrayList<>()).number())));
         }
         for (int o = 0; o < orders; o++) {
-            b.apply(new Entry.Take(new By(NAMES[o], w.lives.get(o).get(0)), id(o), "f", "k" + o, NOTHING, 0, 1000, again, true), 1,
-                new ArrayList<>());
+            b.apply(
+                    new Entry.Take(
+                            new By(NAMES[o], w.lives.get(o).get(0)),
+                            id(o),
+                            "f",
+                            "k" + o,
+                            NOTHING,
+                            0,
+                            1000,
+                            again,
+                            true),
+                    1,
+                    new ArrayList<>());
         }
         w.runs = new int[orders];
         w.book = b.image();
@@ -157,7 +192,9 @@
                 apply(n, new Entry.Judge(NAMES[i], now, Entry.Verdict.LOST, 1), -1);
                 add(n);
             }
-            if (!live || w.crashes < crashes) { // one that was called lost may go on with what it remembers, or begin anew
+            if (!live
+                    || w.crashes
+                            < crashes) { // one that was called lost may go on with what it remembers, or begin anew
                 World n = w.copy();
                 int who = i;
                 n.crashes += live ? 1 : 0;
@@ -190,7 +227,9 @@
             }
         }
         for (Duties.Duty d : b.duties().all()) {
-            for (long fence = Math.max(1, d.fence() - 1); fence <= d.fence(); fence++) { // the owner, and the one before
+            for (long fence = Math.max(1, d.fence() - 1);
+                    fence <= d.fence();
+                    fence++) { // the owner, and the one before
                 World n = w.copy();
                 apply(n, new Entry.Settle(fence, List.of(id(0), id(orders - 1)), List.of()), -1);
                 add(n);
@@ -212,7 +251,9 @@
             apply(n, new Entry.Told(me, id(o), Event.LEASE, lease, NOTHING), i);
             add(n);
         }
-        if (order.heldBy(me) && order.state() == State.LEASED && w.rights.stream().noneMatch(r -> r.order == o)) {
+        if (order.heldBy(me)
+                && order.state() == State.LEASED
+                && w.rights.stream().noneMatch(r -> r.order == o)) {
             World n = w.copy();
             told(n, i, new Right(i, o, order.lease()), Event.STALL);
         }
@@ -223,7 +264,10 @@
 
     private void told(World n, int by, Right r, Event event) {
         List<Long> lives = n.lives.get(by);
-        apply(n, new Entry.Told(new By(NAMES[by], lives.get(lives.size() - 1)), id(r.order), event, r.lease, NOTHING), -1);
+        apply(
+                n,
+                new Entry.Told(new By(NAMES[by], lives.get(lives.size() - 1)), id(r.order), event, r.lease, NOTHING),
+                -1);
         add(n);
     }
 
@@ -259,16 +303,20 @@
             Order old = before.orders().of(o.id());
             if (how == Broken.LEASED_IS_FREE_WHEN_LOST && o.state() == State.AWAITED && old.state() == State.LEASED) {
                 o = o.in(State.TAKEN, o.lease(), NOTHING).heldBy("", 0);
-            } else if (how == Broken.AWAITED_IS_HANDED_OUT_AGAIN && e instanceof Entry.Settle && o.state() == State.UNKNOWN) {
+            } else if (how == Broken.AWAITED_IS_HANDED_OUT_AGAIN
+                    && e instanceof Entry.Settle
+                    && o.state() == State.UNKNOWN) {
                 o = o.in(State.TAKEN, o.lease(), NOTHING).heldBy("", 0);
-            } else if (how == Broken.CLAIM_TAKES_WHAT_IS_HELD && e instanceof Entry.Claim c && c.ids().contains(o.id())
-                && old.state() == State.LEASED) {
+            } else if (how == Broken.CLAIM_TAKES_WHAT_IS_HELD
+                    && e instanceof Entry.Claim c
+                    && c.ids().contains(o.id())
+                    && old.state() == State.LEASED) {
                 o = old.in(State.TAKEN, old.lease(), NOTHING).heldBy(c.by().name(), c.by().incarnation());
             }
             all.add(o);
         }
-        return new FleetBook.Image(after.sessions(), after.duties(), after.plans(), after.bans(), after.words(),
-            new Orders.Image(all));
+        return new FleetBook.Image(
+                after.sessions(), after.duties(), after.plans(), after.bans(), after.words(), new Orders.Image(all));
     }
 
     private void rules(World n, FleetBook before, FleetBook after, Entry e, Outcome o) {
@@ -278,10 +326,18 @@
             check(n, again || order.state() != State.TAKEN || n.runs[at] == 0, "an order that ran waits");
             check(n, order.lease() >= old.lease(), "a lease went back");
             check(n, order.lease() <= Orders.MOST_LEASES, "too many attempts");
-            check(n, order.state() != State.TAKEN || order.holder().isEmpty()
-                || after.sessions().live(order.holder(), order.incarnation()), "a lost life holds an order");
-            check(n, !old.state().ended() || order.state() == old.state() || old.state() == State.UNKNOWN
-                && order.state().ended(), "a final answer changed");
+            check(
+                    n,
+                    order.state() != State.TAKEN
+                            || order.holder().isEmpty()
+                            || after.sessions().live(order.holder(), order.incarnation()),
+                    "a lost life holds an order");
+            check(
+                    n,
+                    !old.state().ended()
+                            || order.state() == old.state()
+                            || old.state() == State.UNKNOWN && order.state().ended(),
+                    "a final answer changed");
             if (order.state() != old.state()) {
                 reached.add(old.state() + " to " + order.state());
             }
--- a/src/test/java/plumpost/fleet/OrdersModelTest.java
+++ b/src/test/java/plumpost/fleet/OrdersModelTest.java
@@ -15,16 +15,29 @@
         m.explore();
         assertThat(m.found).isNull();
         System.out.println("ledger model: " + m.states() + " states, " + m.moves + " moves");
-        assertThat(m.reached).contains("TAKEN to LEASED", "LEASED to TAKEN", "LEASED to SERVED", "LEASED to AWAITED",
-            "AWAITED to SERVED", "claimed", "LEASE refused", "HANDED_BACK refused", "Settle refused",
-            again ? "AWAITED to TAKEN" : "UNKNOWN to SERVED");
+        assertThat(m.reached)
+                .contains(
+                        "TAKEN to LEASED",
+                        "LEASED to TAKEN",
+                        "LEASED to SERVED",
+                        "LEASED to AWAITED",
+                        "AWAITED to SERVED",
+                        "claimed",
+                        "LEASE refused",
+                        "HANDED_BACK refused",
+                        "Settle refused",
+                        again ? "AWAITED to TAKEN" : "UNKNOWN to SERVED");
     }
 
     /** Guards the model itself: each variant broken on purpose is found by the rule that it breaks. */
     @ParameterizedTest
-    @CsvSource({"HANDED_OUT_WHEN_ASKED,an order that ran waits|an order ran twice",
-        "LEASED_IS_FREE_WHEN_LOST,an order that ran waits", "CLAIM_TAKES_WHAT_IS_HELD,an order that ran waits|a lost life holds an order",
-        "OLD_LEASE_HANDS_BACK,an order that ran waits", "AWAITED_IS_HANDED_OUT_AGAIN,an order that ran waits"})
+    @CsvSource({
+        "HANDED_OUT_WHEN_ASKED,an order that ran waits|an order ran twice",
+        "LEASED_IS_FREE_WHEN_LOST,an order that ran waits",
+        "CLAIM_TAKES_WHAT_IS_HELD,an order that ran waits|a lost life holds an order",
+        "OLD_LEASE_HANDS_BACK,an order that ran waits",
+        "AWAITED_IS_HANDED_OUT_AGAIN,an order that ran waits"
+    })
     void eachBrokenVariantIsFound(OrdersModel.Broken how, String rules) {
         OrdersModel m = new OrdersModel(how, false, 1, 1, 1, 3);
         m.explore();
--- a/src/test/java/plumpost/fleet/OrdersTest.java
+++ b/src/test/java/plumpost/fleet/OrdersTest.java
@@ -23,8 +23,10 @@
     }
 
     private By join(String name) {
-        return new By(name, apply(new Entry.Join(name, "", "disk-" + name, true, "n", 1, List.of(new Offer(FleetBook.LEDGER,
-            "")))).number());
+        return new By(
+                name,
+                apply(new Entry.Join(name, "", "disk-" + name, true, "n", 1, List.of(new Offer(FleetBook.LEDGER, ""))))
+                        .number());
     }
 
     private Outcome take(By by, String id, String key, boolean again) {
@@ -49,7 +51,9 @@
         assertThat(take(a, "H:a:1", "k", false).words()).isEqualTo("H:a:1");
         assertThat(take(b, "H:b:1", "k", false).words()).isEqualTo("H:a:1");
         assertThat(take(b, "H:b:2", "", false).words()).isEqualTo("H:b:2");
-        assertThat(take(b, "H:b:3", "", false).words()).as("without a key each is its own").isEqualTo("H:b:3");
+        assertThat(take(b, "H:b:3", "", false).words())
+                .as("without a key each is its own")
+                .isEqualTo("H:b:3");
         assertThat(book.orders().under("f", "k").holder()).isEqualTo("a");
         assertThat(book.orders().all()).hasSize(3);
     }
@@ -63,17 +67,26 @@
         assertThat(told(a, "out", Event.LEASE, 0).number()).isEqualTo(1);
         assertThat(told(a, "plan", Event.LEASE, 0).number()).isEqualTo(1);
         assertThat(told(b, "held", Event.LEASE, 0).words()).contains("is not b#" + b.incarnation() + "'s to lease");
-        assertThat(apply(new Entry.Claim(b, List.of("held", "out"))).number()).as("a lives").isZero();
+        assertThat(apply(new Entry.Claim(b, List.of("held", "out"))).number())
+                .as("a lives")
+                .isZero();
         apply(new Entry.Judge("a", a.incarnation(), Entry.Verdict.LOST, 1));
-        assertThat(told(a, "held", Event.LEASE, 0).done()).as("its life is over").isFalse();
-        assertThat(apply(new Entry.Claim(b, List.of("held", "out", "plan"))).number()).isEqualTo(1);
+        assertThat(told(a, "held", Event.LEASE, 0).done())
+                .as("its life is over")
+                .isFalse();
+        assertThat(apply(new Entry.Claim(b, List.of("held", "out", "plan"))).number())
+                .isEqualTo(1);
         assertThat(order("held").holder()).isEqualTo("b");
         assertThat(order("out").state()).isEqualTo(State.AWAITED);
-        assertThat(apply(new Entry.Settle(fence() - 1, List.of("out"), List.of())).words()).contains("is old");
+        assertThat(apply(new Entry.Settle(fence() - 1, List.of("out"), List.of()))
+                        .words())
+                .contains("is old");
         apply(new Entry.Settle(fence(), List.of("held", "out", "plan"), List.of("held")));
         assertThat(order("out").state()).isEqualTo(State.UNKNOWN);
         assertThat(order("plan").state()).as("it may run again, elsewhere").isEqualTo(State.TAKEN);
-        assertThat(order("held").state()).as("it was not awaited, nor is it over").isEqualTo(State.TAKEN);
+        assertThat(order("held").state())
+                .as("it was not awaited, nor is it over")
+                .isEqualTo(State.TAKEN);
         assertThat(told(a, "out", Event.DONE, 1).done()).as("the truth is kept").isTrue();
         assertThat(order("out").result()).containsExactly(7);
         apply(new Entry.Settle(fence(), List.of(), List.of("out", "held")));
@@ -92,7 +105,9 @@
         assertThat(Orders.free(order("held"))).isTrue();
         assertThat(told(a, "out", Event.DONE, 1).done()).isTrue();
         assertThat(order("out").state()).isEqualTo(State.SERVED);
-        assertThat(take(b, "again", "2", false).words()).as("a resubmit finds its outcome").isEqualTo("out");
+        assertThat(take(b, "again", "2", false).words())
+                .as("a resubmit finds its outcome")
+                .isEqualTo("out");
     }
 
     /** Guards attempts over all schedulers: six leases at most, then a repeatable order is given up too. */
@@ -117,7 +132,12 @@
         FleetBook other = new FleetBook();
         other.restore(FleetCodec.snapshot(new ByteArrayInputStream(out.toByteArray())));
         assertThat(other.orders().under("f", "k").lease()).isEqualTo(1);
-        assertThat(other.apply(new Entry.Take(a, "big", "f", "", new byte[(int) Orders.MOST_BYTES], 0, 1000, false, true), 1,
-            new ArrayList<>()).words()).contains("the fleet's ledger is full: 1 orders, 3 bytes");
+        assertThat(other.apply(
+                                new Entry.Take(
+                                        a, "big", "f", "", new byte[(int) Orders.MOST_BYTES], 0, 1000, false, true),
+                                1,
+                                new ArrayList<>())
+                        .words())
+                .contains("the fleet's ledger is full: 1 orders, 3 bytes");
     }
 }
--- a/src/test/java/plumpost/gearman/GearmanTest.java
+++ b/src/test/java/plumpost/gearman/GearmanTest.java
@@ -21,6 +21,7 @@
         s.play("plug2 expect closed\nplug1 expect nothing");
         assertThat(s.gearman.shed()).isFalse();
     }
+
     private static final String WORKER = """
         plug9 send CAN_DO|route-plan
         plug9 send CAN_DO|pickup-order
@@ -139,8 +140,8 @@
     void theDataMayBeTheKey() {
         String data = "x".repeat(5000);
         Scenario s = play("plug1 send SUBMIT_JOB|pickup-order|-|" + data + "\nplug1 expect JOB_CREATED|*\n"
-            + "plug2 send SUBMIT_JOB|pickup-order|-|" + data + "\nplug2 expect JOB_CREATED|*\n"
-            + "plug2 send SUBMIT_JOB|pickup-order|-|other\nplug2 expect JOB_CREATED|*\n");
+                + "plug2 send SUBMIT_JOB|pickup-order|-|" + data + "\nplug2 expect JOB_CREATED|*\n"
+                + "plug2 send SUBMIT_JOB|pickup-order|-|other\nplug2 expect JOB_CREATED|*\n");
         assertThat(s.counters.of("jobs.joined")).isEqualTo(1);
     }
 
@@ -177,8 +178,9 @@
             plug9 send WORK_COMPLETE|$|late
             plug1 expect nothing
             """);
-        new Scenario(0).play("plug1 send SUBMIT_JOB|route-plan||x\nplug1 expect JOB_CREATED|*\nwait 8010\n"
-            + "plug1 expect WORK_FAIL|*\nplug1 expect nothing");
+        new Scenario(0)
+                .play("plug1 send SUBMIT_JOB|route-plan||x\nplug1 expect JOB_CREATED|*\nwait 8010\n"
+                        + "plug1 expect WORK_FAIL|*\nplug1 expect nothing");
     }
 
     /** Guards that a full ledger is told at once, names its limits and says when to come back. */
@@ -249,7 +251,9 @@
     /** Guards the worker's own limit: CAN_DO_TIMEOUT ends the attempt, and the order is not sent again. */
     @Test
     void aWorkersOwnLimitEndsTheAttempt() {
-        new Scenario(0).play("plug9 send CAN_DO_TIMEOUT|pickup-order|2\nplug9 send PRE_SLEEP\nwait 500\n" + assigned("SUBMIT_JOB|pickup-order||x") + """
+        new Scenario(0)
+                .play("plug9 send CAN_DO_TIMEOUT|pickup-order|2\nplug9 send PRE_SLEEP\nwait 500\n"
+                        + assigned("SUBMIT_JOB|pickup-order||x") + """
             wait 2010
             plug1 expect WORK_FAIL|*
             """);
@@ -295,19 +299,29 @@
 
     /** Guards against malformed packets: ERROR, then the connection ends. */
     @ParameterizedTest
-    @ValueSource(strings = {"\\000RES\\0\\0\\0\\020\\0\\0\\0\\0", "\\000REQ\\0\\0\\0\\143\\0\\0\\0\\0",
-        "\\000REQ\\0\\0\\0\\007\\0\\0\\0\\002ab", "\\000REQ\\0\\0\\0\\007\\377\\0\\0\\0", "\\001abc",
-        "\\000REQ\\0\\0\\0\\011\\0\\0\\0\\001a"})
+    @ValueSource(
+            strings = {
+                "\\000RES\\0\\0\\0\\020\\0\\0\\0\\0",
+                "\\000REQ\\0\\0\\0\\143\\0\\0\\0\\0",
+                "\\000REQ\\0\\0\\0\\007\\0\\0\\0\\002ab",
+                "\\000REQ\\0\\0\\0\\007\\377\\0\\0\\0",
+                "\\001abc",
+                "\\000REQ\\0\\0\\0\\011\\0\\0\\0\\001a"
+            })
     void malformedPacketsEndTheConnection(String bytes) {
         new Scenario(0).play("plug1 send \"" + bytes + "\"\nplug1 expect ERROR|*\nplug1 expect closed");
     }
 
     /** Guards against well-formed packets that ask for what is not offered: ERROR, and the connection goes on. */
     @ParameterizedTest
-    @CsvSource({"SUBMIT_JOB|laundry|u|x,unknown_function", "OPTION_REQ|magic,unknown_option",
-        "SUBMIT_JOB_EPOCH|route-plan|u|soon|x,bad_time"})
+    @CsvSource({
+        "SUBMIT_JOB|laundry|u|x,unknown_function",
+        "OPTION_REQ|magic,unknown_option",
+        "SUBMIT_JOB_EPOCH|route-plan|u|soon|x,bad_time"
+    })
     void whatIsNotOfferedIsAnError(String packet, String code) {
-        new Scenario(0).play("plug1 send " + packet + "\nplug1 expect ERROR|" + code + "|*\nplug1 send ECHO_REQ|x\n"
-            + "plug1 expect ECHO_RES|x");
+        new Scenario(0)
+                .play("plug1 send " + packet + "\nplug1 expect ERROR|" + code + "|*\nplug1 send ECHO_REQ|x\n"
+                        + "plug1 expect ECHO_RES|x");
     }
 }
--- a/src/test/java/plumpost/gearman/HardCasesTest.java
+++ b/src/test/java/plumpost/gearman/HardCasesTest.java
@@ -22,14 +22,36 @@
 class HardCasesTest {
     private static GearmanConfig config(double holdMs, int openJobs) {
         GearmanConfig.Limits u = GearmanConfig.Limits.USUAL;
-        return new GearmanConfig(null, 0, 0, List.of(), 3_600_000, 30_000, holdMs, Set.of(), new GearmanConfig.Limits(
-            u.packetBytes(), u.readingBytes(), 0, u.functions(), 0, u.jobsPerClient(), 10, u.scheduledBytes(),
-            openJobs, 0, 0));
+        return new GearmanConfig(
+                null,
+                0,
+                0,
+                List.of(),
+                3_600_000,
+                30_000,
+                holdMs,
+                Set.of(),
+                new GearmanConfig.Limits(
+                        u.packetBytes(),
+                        u.readingBytes(),
+                        0,
+                        u.functions(),
+                        0,
+                        u.jobsPerClient(),
+                        10,
+                        u.scheduledBytes(),
+                        openJobs,
+                        0,
+                        0));
     }
 
     private static Scenario scenario(double coldMs, double holdMs, int openJobs) {
-        return new Scenario(0, Scenario.SETTINGS.replace("\"coldMs\":400.0", "\"coldMs\":" + coldMs), 1024,
-            config(holdMs, openJobs), openJobs);
+        return new Scenario(
+                0,
+                Scenario.SETTINGS.replace("\"coldMs\":400.0", "\"coldMs\":" + coldMs),
+                1024,
+                config(holdMs, openJobs),
+                openJobs);
     }
 
     /** Peers of one scenario that send packets and read them. */
@@ -139,8 +161,9 @@
                                 peers.rig.pass(2);
                             }
                         }
-                        assertThat(worker.done).as("jobs at %d and %d, hold %s, gap %s", first, second, hold, gap)
-                            .isEqualTo(2);
+                        assertThat(worker.done)
+                                .as("jobs at %d and %d, hold %s, gap %s", first, second, hold, gap)
+                                .isEqualTo(2);
                         assertThat(s.counters.of("gearman.not_grabbed")).isZero();
                     }
                 }
@@ -190,7 +213,7 @@
         s.play(come + "plug9 expect NOOP\nplug9 close\n" + come + "plug9 expect nothing\nplug9 close");
         assertThat(s.counters.of("attempts.connect_failed")).isEqualTo(1);
         s.play("wait 600\n" + come + "wait 110\nplug9 expect NOOP\nplug9 close\n" + come
-            + "wait 110\nplug9 expect nothing\nplug9 close");
+                + "wait 110\nplug9 expect nothing\nplug9 close");
         assertThat(s.counters.of("attempts.connect_failed")).isEqualTo(2);
         s.play("""
             plug8 send SET_CLIENT_ID|good
@@ -216,7 +239,9 @@
         assertThat(s.counters.of("attempts.out")).isEqualTo(1);
         assertThat(s.counters.of("gearman.not_grabbed")).isEqualTo(1);
         s.play("plug9 send GRAB_JOB\nwait 100");
-        assertThat(s.counters.of("attempts.out")).as("its grab shows that it is there").isGreaterThan(1);
+        assertThat(s.counters.of("attempts.out"))
+                .as("its grab shows that it is there")
+                .isGreaterThan(1);
     }
 
     /** Guards memory and time with 100,000 background jobs at once, which all get done in their order. */
@@ -229,7 +254,9 @@
             assertThat(peers.read("c" + i % 2).get(0).type()).isEqualTo(Type.JOB_CREATED);
         }
         peers.send("c", Type.SUBMIT_JOB_BG, "route-plan", "", "");
-        assertThat(peers.read("c")).singleElement().satisfies(p -> assertThat(p.text(0)).isEqualTo("full"));
+        assertThat(peers.read("c"))
+                .singleElement()
+                .satisfies(p -> assertThat(p.text(0)).isEqualTo("full"));
         Automaton worker = new Automaton(peers);
         for (int i = 0; worker.done < 100_000 && i < 400_000; i++) {
             worker.step();
@@ -252,7 +279,8 @@
         assertThat(all.lines().count()).isEqualTo(20_001);
         assertThat(all).endsWith("\n.\n");
         peers.rig.send("a", "version\n".getBytes(StandardCharsets.US_ASCII));
-        assertThat(new String(peers.rig.take("a", 0), StandardCharsets.US_ASCII)).startsWith("OK ");
+        assertThat(new String(peers.rig.take("a", 0), StandardCharsets.US_ASCII))
+                .startsWith("OK ");
     }
 
     /** Guards the cost of a newcomer: 5,000 workers come within a second of the clock, and work is given to them. */
@@ -285,7 +313,8 @@
         PacketReader.Budget budget = new PacketReader.Budget(10_000);
         PacketReader a = new PacketReader(Packet.REQUEST, true, 1 << 20, budget);
         PacketReader b = new PacketReader(Packet.REQUEST, true, 1 << 20, budget);
-        ByteBuffer head = ByteBuffer.allocate(12).putInt(Packet.REQUEST).putInt(16).putInt(900_000);
+        ByteBuffer head =
+                ByteBuffer.allocate(12).putInt(Packet.REQUEST).putInt(16).putInt(900_000);
         assertThat(feed(a, head.flip().array())).isEmpty();
         assertThat(budget.held()).as("what came counts, not what is claimed").isEqualTo(4096);
         assertThat(feed(b, head.array())).isEmpty();
@@ -326,7 +355,7 @@
             Object[] arguments = new Object[random.nextInt(8) == 0 ? random.nextInt(9) : type.arguments()];
             for (int a = 0; a < arguments.length; a++) {
                 arguments[a] = List.of("route-plan", "", handle, "12", "u", "exceptions", "-", "1.5", "x".repeat(300))
-                    .get(random.nextInt(9));
+                        .get(random.nextInt(9));
             }
             if (type.name().startsWith("SUBMIT")) {
                 arguments = new Object[] {"route-plan"}; // its own jobs would be the worker's too: malformed ones only
--- a/src/test/java/plumpost/lab/ConformanceTest.java
+++ b/src/test/java/plumpost/lab/ConformanceTest.java
@@ -30,14 +30,16 @@
 class ConformanceTest {
     /** The set-ups that cases name, as an operator's section {@code gearman}. */
     private static final String RULES = "\"listen\":\"127.0.0.1:0\",\"functions\":[{\"match\":\"order-*\",\"class\":"
-        + "\"pickup-order\"},{\"match\":\"plan*\",\"class\":\"route-plan\"}]";
+            + "\"pickup-order\"},{\"match\":\"plan*\",\"class\":\"route-plan\"}]";
 
     static GearmanConfig setUp(String name) {
-        String more = switch (name) {
-            case "open" -> ",\"admin\":{\"shutdown\":true,\"drop\":true,\"cancel\":true,\"create\":true}";
-            case "tight" -> ",\"limits\":{\"packetBytes\":4096,\"queue\":3,\"jobsPerClient\":4,\"scheduled\":2}";
-            default -> "";
-        };
+        String more =
+                switch (name) {
+                    case "open" -> ",\"admin\":{\"shutdown\":true,\"drop\":true,\"cancel\":true,\"create\":true}";
+                    case "tight" ->
+                        ",\"limits\":{\"packetBytes\":4096,\"queue\":3,\"jobsPerClient\":4,\"scheduled\":2}";
+                    default -> "";
+                };
         return NodeConfig.gearman(object("{" + RULES + more + "}"), object(Scenario.SETTINGS));
     }
 
@@ -53,8 +55,8 @@
     @ParameterizedTest(name = "{0}")
     @MethodSource("cases")
     void inMemory(Script.Case c) {
-        Scenario s = new Scenario(0, Scenario.SETTINGS.replace("\"coldMs\":400.0", "\"coldMs\":0.0"), 1024,
-            setUp(c.on()), 64);
+        Scenario s = new Scenario(
+                0, Scenario.SETTINGS.replace("\"coldMs\":400.0", "\"coldMs\":0.0"), 1024, setUp(c.on()), 64);
         assertThat(Conformance.play(c, s.rig(), 2000, "1").failure()).isNull();
         assertThat(s.counters.toString()).doesNotContain("guard.").doesNotContain("fault");
     }
@@ -88,20 +90,36 @@
                 pool.shutdown();
             }
         }
-        assertThat(results.stream().filter(r -> r.failure() != null).map(r -> r.example().title() + ": " + r.failure()))
-            .isEmpty();
+        assertThat(results.stream()
+                        .filter(r -> r.failure() != null)
+                        .map(r -> r.example().title() + ": " + r.failure()))
+                .isEmpty();
         assertThat(results).hasSizeGreaterThanOrEqualTo(150);
     }
 
     /** Guards that no packet type and no admin line is left out. */
     @Test
     void everyPacketTypeAndAdminLineIsCovered() {
-        Set<String> covered = cases().flatMap(c -> c.covers().stream()).map(t -> t.split("\\|")[0])
-            .collect(Collectors.toSet());
-        assertThat(covered).contains(Stream.of(Packet.Type.values()).map(Enum::name).toArray(String[]::new))
-            .contains("status", "prioritystatus", "workers", "show jobs", "show unique jobs", "cancel job",
-                "create function", "drop function", "maxqueue", "getpid", "verbose", "version", "shutdown",
-                "shutdown graceful");
+        Set<String> covered = cases().flatMap(c -> c.covers().stream())
+                .map(t -> t.split("\\|")[0])
+                .collect(Collectors.toSet());
+        assertThat(covered)
+                .contains(Stream.of(Packet.Type.values()).map(Enum::name).toArray(String[]::new))
+                .contains(
+                        "status",
+                        "prioritystatus",
+                        "workers",
+                        "show jobs",
+                        "show unique jobs",
+                        "cancel job",
+                        "create function",
+                        "drop function",
+                        "maxqueue",
+                        "getpid",
+                        "verbose",
+                        "version",
+                        "shutdown",
+                        "shutdown graceful");
     }
 
     /** Guards that a suite which nothing answers to fails: no case may hold on a server that is silent. */
@@ -109,7 +127,7 @@
     void aSilentServerHoldsNoCase() {
         Rig silent = new Rig() {
             @Override
-            public void send(String who, byte[] bytes) { }
+            public void send(String who, byte[] bytes) {}
 
             @Override
             public byte[] take(String who, double longestMs) {
@@ -117,21 +135,30 @@
             }
 
             @Override
-            public void close(String who) { }
+            public void close(String who) {}
 
             @Override
-            public void pass(double ms) { }
+            public void pass(double ms) {}
         };
-        assertThat(cases().filter(c -> Conformance.play(c, silent, 1, "1").failure() == null)).isEmpty();
+        assertThat(cases().filter(c -> Conformance.play(c, silent, 1, "1").failure() == null))
+                .isEmpty();
     }
 
     /** Guards the errors' place: line and column of what is wrong. */
     @ParameterizedTest
-    @ValueSource(strings = {"plug1 sned x|line 2 column 7", "wait|line 2 column 5", "case x|line 2 column 6",
-        "repeat 2 {|line 2 column 11", "plug1 wait x|line 2 column 12", "repeat 1.5 {\n}|line 2 column 1"})
+    @ValueSource(
+            strings = {
+                "plug1 sned x|line 2 column 7",
+                "wait|line 2 column 5",
+                "case x|line 2 column 6",
+                "repeat 2 {|line 2 column 11",
+                "plug1 wait x|line 2 column 12",
+                "repeat 1.5 {\n}|line 2 column 1"
+            })
     void mistakesAreToldByLineAndColumn(String textAndPlace) {
         String[] w = textAndPlace.split("\\|");
-        assertThatThrownBy(() -> Script.parse("t", "# a comment\n" + w[0])).isInstanceOf(Script.BadScript.class)
-            .hasMessageContaining("t " + w[1]);
+        assertThatThrownBy(() -> Script.parse("t", "# a comment\n" + w[0]))
+                .isInstanceOf(Script.BadScript.class)
+                .hasMessageContaining("t " + w[1]);
     }
 }
--- a/src/test/java/plumpost/lab/LabServer.java
+++ b/src/test/java/plumpost/lab/LabServer.java
@@ -30,25 +30,37 @@
         Json.Fields raw = Json.object("settings", settings.getBytes(StandardCharsets.UTF_8));
         SystemClock clock = new SystemClock();
         TimerWheel wheel = new TimerWheel(clock.nowMs());
-        SelectorLoop loop = new SelectorLoop(clock, wheel, counters, words -> { });
-        NodeConfig node = new NodeConfig("lab", null, null, 7, 4096, SettingsReader.settings(raw), raw, raw, config, null, null);
-        DispatchRoom room = new DispatchRoom(node.settings(), 7, clock, wheel, counters,
-            new DispatchRoom.Bounds(200_000, 64 << 20, 100_000, 64 << 20, config.limits().packetBytes()), words -> { });
-        GearmanDoor door = new GearmanDoor(node, "0", room, new Kit(loop, clock, wheel, counters, words -> { }),
-            () -> { });
+        SelectorLoop loop = new SelectorLoop(clock, wheel, counters, words -> {});
+        NodeConfig node =
+                new NodeConfig("lab", null, null, 7, 4096, SettingsReader.settings(raw), raw, raw, config, null, null);
+        DispatchRoom room = new DispatchRoom(
+                node.settings(),
+                7,
+                clock,
+                wheel,
+                counters,
+                new DispatchRoom.Bounds(
+                        200_000, 64 << 20, 100_000, 64 << 20, config.limits().packetBytes()),
+                words -> {});
+        GearmanDoor door =
+                new GearmanDoor(node, "0", room, new Kit(loop, clock, wheel, counters, words -> {}), () -> {});
         InetSocketAddress[] at = new InetSocketAddress[1];
-        door.open((to, users, most, batched, unread, shed) -> at[0] = loop.listen(new InetSocketAddress(
-            InetAddress.getLoopbackAddress(), 0), users, most, unread, shed).batched().address());
+        door.open((to, users, most, batched, unread, shed) -> at[0] = loop.listen(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), users, most, unread, shed)
+                .batched()
+                .address());
         address = at[0];
-        Thread thread = new Thread(() -> {
-            try {
-                loop.run(() -> over);
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            } finally {
-                ended.countDown();
-            }
-        }, "lab-server");
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        loop.run(() -> over);
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    } finally {
+                        ended.countDown();
+                    }
+                },
+                "lab-server");
         thread.setDaemon(true);
         thread.start();
     }
--- a/src/test/java/plumpost/lab/LyingServer.java
+++ b/src/test/java/plumpost/lab/LyingServer.java
@@ -29,7 +29,9 @@
         try (Socket s = listener.accept()) {
             byte[] some = new byte[4096];
             int jobs = 0;
-            for (int n = s.getInputStream().read(some); n >= 0; n = s.getInputStream().read(some)) {
+            for (int n = s.getInputStream().read(some);
+                    n >= 0;
+                    n = s.getInputStream().read(some)) {
                 ByteBuffer in = ByteBuffer.wrap(some, 0, n);
                 for (Packet p = reader.next(in); p != null; p = reader.next(in)) {
                     if (p.type() == Type.SUBMIT_JOB) {
--- a/src/test/java/plumpost/lab/fleet/BoundariesIT.java
+++ b/src/test/java/plumpost/lab/fleet/BoundariesIT.java
@@ -15,18 +15,18 @@
  */
 @Timeout(600)
 class BoundariesIT extends FleetRig {
-    private record Boundary(String place, boolean owners, int least, int most, boolean givenUp) { }
+    private record Boundary(String place, boolean owners, int least, int most, boolean givenUp) {}
 
     /** Where one stands still, whether as the schedule's owner, and what that may come to for an order. */
     private static final List<Boundary> ALL = List.of(
-        new Boundary("before Fire", true, 1, 1, false),
-        new Boundary("after Fire", true, 1, 1, false),
-        new Boundary("before Begin", false, 1, 1, false),
-        new Boundary("after Begin", false, 0, 0, true),
-        new Boundary("before run", false, 0, 1, true),
-        new Boundary("after run", false, 0, 1, true),
-        new Boundary("before End", false, 1, 1, true),
-        new Boundary("after End", false, 1, 1, false));
+            new Boundary("before Fire", true, 1, 1, false),
+            new Boundary("after Fire", true, 1, 1, false),
+            new Boundary("before Begin", false, 1, 1, false),
+            new Boundary("after Begin", false, 0, 0, true),
+            new Boundary("before run", false, 0, 1, true),
+            new Boundary("after run", false, 0, 1, true),
+            new Boundary("before End", false, 1, 1, true),
+            new Boundary("after End", false, 1, 1, false));
 
     private int round;
 
@@ -56,16 +56,22 @@
         String what = b.place + ", " + fault + ", " + function;
         One owner = ownerBesideTheLeader();
         String leader = page().text("leader");
-        One runner = lab.all().stream().filter(o -> o != owner && !o.name().equals(leader)).findFirst().orElseThrow();
-        One other = lab.all().stream().filter(o -> o != owner && o != runner && !o.name().equals(leader)).findFirst()
-            .orElseThrow();
+        One runner = lab.all().stream()
+                .filter(o -> o != owner && !o.name().equals(leader))
+                .findFirst()
+                .orElseThrow();
+        One other = lab.all().stream()
+                .filter(o -> o != owner && o != runner && !o.name().equals(leader))
+                .findFirst()
+                .orElseThrow();
         One victim = b.owners ? owner : runner;
         victim.halt(b.place, true);
         Hands first = new Hands(runner, lab.history(), 1, 1, function);
         hands.add(first);
         double at = lab.history().nowMs();
-        until(what + ": its job is taken", () -> Hands.plan(other, lab.history(), function, key,
-            System.currentTimeMillis() / 1000) != null);
+        until(
+                what + ": its job is taken",
+                () -> Hands.plan(other, lab.history(), function, key, System.currentTimeMillis() / 1000) != null);
         said(victim, at, "halts " + b.place);
         victim.signal(fault);
         said(other, at, victim.name() + ", incarnation ");
--- a/src/test/java/plumpost/lab/fleet/DiscoveryStand.java
+++ b/src/test/java/plumpost/lab/fleet/DiscoveryStand.java
@@ -20,8 +20,11 @@
     DiscoveryStand(int nodes) throws IOException {
         StringBuilder all = new StringBuilder("{\"seq\":7,\"whole\":true,\"hosts\":[");
         for (int i = 0; i < nodes; i++) {
-            all.append(i == 0 ? "" : ",").append("{\"host\":\"n").append(i).append("\",\"dial\":\"127.0.0.1:1\",\"health\":"
-                + "\"draining\",\"site\":\"plant-1\",\"class\":\"gearman\",\"share\":1.0,\"born_ms\":0}");
+            all.append(i == 0 ? "" : ",")
+                    .append("{\"host\":\"n")
+                    .append(i)
+                    .append("\",\"dial\":\"127.0.0.1:1\",\"health\":"
+                            + "\"draining\",\"site\":\"plant-1\",\"class\":\"gearman\",\"share\":1.0,\"born_ms\":0}");
         }
         list = all.append("]}\n").toString();
         Thread t = new Thread(this::accept, "discovery");
--- a/src/test/java/plumpost/lab/fleet/DisksIT.java
+++ b/src/test/java/plumpost/lab/fleet/DisksIT.java
@@ -28,14 +28,21 @@
         assertThat(keys).as("a majority has quick disks").hasSize(12);
         eachOnce(keys);
         until("its duty is another's", () -> !List.of("", owner.name()).contains(owner("schedule")));
-        until("nothing new goes to it", () -> FleetLab.state(page(), owner.name()).equals("suspect"));
+        until(
+                "nothing new goes to it",
+                () -> FleetLab.state(page(), owner.name()).equals("suspect"));
         double at = lab.history().nowMs();
         List<String> more = planAt(12, "order-it", "more", 1);
         eachOnce(more);
-        assertThat(lab.history().all()).noneMatch(s -> s.atMs() > at && s.who().equals(owner.name())
-            && s.what().equals("run") && more.contains(s.words()));
+        assertThat(lab.history().all())
+                .noneMatch(s -> s.atMs() > at
+                        && s.who().equals(owner.name())
+                        && s.what().equals("run")
+                        && more.contains(s.words()));
         owner.slowDisk(0);
-        until("it is as the others again", () -> FleetLab.state(page(), owner.name()).equals("alive"));
+        until(
+                "it is as the others again",
+                () -> FleetLab.state(page(), owner.name()).equals("alive"));
     }
 
     /** Guards against a majority of such disks: nothing that was acknowledged is lost, and it comes back by itself. */
@@ -67,7 +74,10 @@
         fleet(3, 0, 3, "");
         work(1, "order-it");
         List<String> keys = plan(12, "order-it", "o", 3000);
-        One torn = lab.all().stream().filter(o -> !o.name().equals(page().text("leader"))).findFirst().orElseThrow();
+        One torn = lab.all().stream()
+                .filter(o -> !o.name().equals(page().text("leader")))
+                .findFirst()
+                .orElseThrow();
         torn.signal("KILL");
         assertThat(torn.ended(PATIENCE_MS)).isTrue();
         Path log = lastLog(torn);
@@ -90,8 +100,18 @@
         }
         torn.start();
         said(torn, killed, "takes part no longer and serves on by itself");
-        until("the others go on", () -> Hands.plan(lab.all().stream().filter(o -> o != torn).findFirst().orElseThrow(),
-            lab.history(), "order-it", "after", 1) != null);
+        until(
+                "the others go on",
+                () -> Hands.plan(
+                                lab.all().stream()
+                                        .filter(o -> o != torn)
+                                        .findFirst()
+                                        .orElseThrow(),
+                                lab.history(),
+                                "order-it",
+                                "after",
+                                1)
+                        != null);
         eachOnce(List.of("after"));
         torn.signal("KILL");
         assertThat(torn.ended(PATIENCE_MS)).isTrue();
@@ -104,8 +124,12 @@
     private static Path lastLog(One o) throws IOException {
         try (Stream<Path> files = Files.walk(o.data().resolve("log"))) {
             return files.filter(p -> p.getFileName().toString().startsWith("log_"))
-                .max(Comparator.comparingLong(p -> Long.parseLong(p.getFileName().toString().replaceAll("\\D+", " ").strip()
-                    .split(" ")[0]))).orElseThrow();
+                    .max(Comparator.comparingLong(p -> Long.parseLong(p.getFileName()
+                            .toString()
+                            .replaceAll("\\D+", " ")
+                            .strip()
+                            .split(" ")[0])))
+                    .orElseThrow();
         }
     }
 
--- a/src/test/java/plumpost/lab/fleet/FleetCheckTest.java
+++ b/src/test/java/plumpost/lab/fleet/FleetCheckTest.java
@@ -43,11 +43,13 @@
         history.add("s1", "log", "s1: fleet: schedule under fence 3 is s3's, incarnation 1, was s1's");
         history.add("s3", "stuck", "it does not end");
         // That another job is given up excuses nothing.
-        assertThat(FleetCheck.broken(history, Set.of("H:twice"))).anySatisfy(b -> assertThat(b).contains("order twice ran 2 times"))
-            .anySatisfy(b -> assertThat(b).contains("job lost, H:lost, was taken, never ran"))
-            .anySatisfy(b -> assertThat(b).contains("fence 4 is schedule s1#2 and schedule s2#3"))
-            .anySatisfy(b -> assertThat(b).contains("fence 3 follows 4"))
-            .anySatisfy(b -> assertThat(b).contains("it does not end")).hasSize(5);
+        assertThat(FleetCheck.broken(history, Set.of("H:twice")))
+                .anySatisfy(b -> assertThat(b).contains("order twice ran 2 times"))
+                .anySatisfy(b -> assertThat(b).contains("job lost, H:lost, was taken, never ran"))
+                .anySatisfy(b -> assertThat(b).contains("fence 4 is schedule s1#2 and schedule s2#3"))
+                .anySatisfy(b -> assertThat(b).contains("fence 3 follows 4"))
+                .anySatisfy(b -> assertThat(b).contains("it does not end"))
+                .hasSize(5);
         assertThat(FleetCheck.owners(history).keySet()).isEqualTo(Set.copyOf(List.of(4L, 3L)));
     }
 }
--- a/src/test/java/plumpost/lab/fleet/FleetFaultsIT.java
+++ b/src/test/java/plumpost/lab/fleet/FleetFaultsIT.java
@@ -30,13 +30,21 @@
         // Within its lease, which is a second, the owner fires what is due, and is not heard any more.
         Thread.sleep(Math.max(0, due * 1000 - 500 - System.currentTimeMillis()));
         lab.cutOff(owner.name(), true, false, true);
-        until("another owns it", () -> lab.all().stream().anyMatch(o -> o != owner && lab.history().of("log").stream()
-            .anyMatch(s -> s.who().equals(o.name()) && s.words().contains("schedule under fence") && s.words().contains(
-            o.name() + "'s, incarnation") && s.words().contains("was " + owner.name() + "'s"))));
+        until(
+                "another owns it",
+                () -> lab.all().stream()
+                        .anyMatch(o -> o != owner
+                                && lab.history().of("log").stream()
+                                        .anyMatch(s -> s.who().equals(o.name())
+                                                && s.words().contains("schedule under fence")
+                                                && s.words().contains(o.name() + "'s, incarnation")
+                                                && s.words().contains("was " + owner.name() + "'s"))));
         double healed = lab.history().nowMs();
         lab.cutOff(owner.name(), true, false, false);
-        said(lab.all().stream().filter(o -> o != owner).findFirst().orElseThrow(), healed, "refused Fire: fence " + before
-            + " of schedule is old");
+        said(
+                lab.all().stream().filter(o -> o != owner).findFirst().orElseThrow(),
+                healed,
+                "refused Fire: fence " + before + " of schedule is old");
         joined(owner, healed);
         assertThat(fence()).isGreaterThan(before);
         onceOrGivenUp(keys);
@@ -56,7 +64,9 @@
             String now = FleetLab.owner(lab.show(other), "schedule");
             return !now.isEmpty() && !now.equals(owner.name());
         });
-        assertThat(Hands.plan(owner, lab.history(), "order-it", "nobody", 1)).as("refused at once, not agreed on").isNull();
+        assertThat(Hands.plan(owner, lab.history(), "order-it", "nobody", 1))
+                .as("refused at once, not agreed on")
+                .isNull();
         until("the others take it", () -> Hands.plan(other, lab.history(), "order-it", "other", 1) != null);
         eachOnce(List.of("other"));
         double healed = lab.history().nowMs();
@@ -85,7 +95,9 @@
             assertThat(lab.one(name).ended(PATIENCE_MS)).isTrue();
         }
         said(wiped, killed, "does no fleet duty and serves on by itself");
-        assertThat(Hands.plan(wiped, lab.history(), "order-it", "alone", 1)).as("no majority, no word").isNull();
+        assertThat(Hands.plan(wiped, lab.history(), "order-it", "alone", 1))
+                .as("no majority, no word")
+                .isNull();
         lab.one("s3").start();
         joined(lab.one("s3"), killed);
         work(1, "order-it");
@@ -126,8 +138,14 @@
     }
 
     private String refused(One one) throws Exception {
-        Process p = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-jar",
-            "target/plumpost.jar", "serve", "--config", folder.resolve(one.name() + ".json").toString()).start();
+        Process p = new ProcessBuilder(
+                        ProcessHandle.current().info().command().orElseThrow(),
+                        "-jar",
+                        "target/plumpost.jar",
+                        "serve",
+                        "--config",
+                        folder.resolve(one.name() + ".json").toString())
+                .start();
         try {
             String words = new String(p.getErrorStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
             assertThat(p.waitFor()).isEqualTo(2);
@@ -153,16 +171,24 @@
             until("one follows", () -> discovery.followers() == 1);
             int asked = discovery.asked;
             Thread.sleep(3000);
-            assertThat(discovery.asked).as("while it goes well nobody else asks").isEqualTo(asked);
+            assertThat(discovery.asked)
+                    .as("while it goes well nobody else asks")
+                    .isEqualTo(asked);
             One owner = lab.one(owner("discovery/site1"));
             owner.signal("KILL");
-            until("another follows", () -> discovery.followers() == 1 && !owner("discovery/site1").equals(owner.name()));
+            until(
+                    "another follows",
+                    () -> discovery.followers() == 1
+                            && !owner("discovery/site1").equals(owner.name()));
             double started = lab.history().nowMs();
             owner.start();
             joined(owner, started);
             until("it knows the list too", () -> figure(owner, "discovered") == 5);
             until("still one follows", () -> discovery.followers() == 1);
-            One cut = lab.all().stream().filter(o -> !o.name().equals(owner("discovery/site1"))).findFirst().orElseThrow();
+            One cut = lab.all().stream()
+                    .filter(o -> !o.name().equals(owner("discovery/site1")))
+                    .findFirst()
+                    .orElseThrow();
             lab.cutOff(cut.name(), true, true, true);
             until("the one cut off asks itself", () -> discovery.followers() == 2);
             lab.cutOff(cut.name(), true, true, false);
@@ -190,8 +216,8 @@
             if (Hands.plan(other, lab.history(), "order-it", key, 1) != null) {
                 keys.add(key);
             }
-            return lab.history().of("log").stream().anyMatch(s -> s.who().equals(full.name()) && s.words().contains(
-                "takes part no longer"));
+            return lab.history().of("log").stream()
+                    .anyMatch(s -> s.who().equals(full.name()) && s.words().contains("takes part no longer"));
         });
         until("the others go on", () -> Hands.plan(other, lab.history(), "order-it", "after", 1) != null);
         assertThat(full.runs()).as("it serves on").isTrue();
--- a/src/test/java/plumpost/lab/fleet/FleetIT.java
+++ b/src/test/java/plumpost/lab/fleet/FleetIT.java
@@ -20,7 +20,9 @@
         One owner = lab.one(owner("schedule"));
         long before = fence();
         owner.signal("KILL");
-        until("another owns the schedule", () -> !owner("schedule").isEmpty() && !owner("schedule").equals(owner.name()));
+        until(
+                "another owns the schedule",
+                () -> !owner("schedule").isEmpty() && !owner("schedule").equals(owner.name()));
         assertThat(fence()).isGreaterThan(before);
         eachOnce(keys);
         double started = lab.history().nowMs();
@@ -40,15 +42,23 @@
             List<String> keys = plan(40, "order-it", "r" + round + "-", 2000);
             Thread.sleep(1500);
             owner.signal("STOP");
-            until("another owns the schedule", () -> lab.all().stream().filter(o -> o != owner).anyMatch(o -> {
-                String now = FleetLab.owner(lab.show(o), "schedule");
-                return !now.isEmpty() && !now.equals(owner.name());
-            }));
+            until(
+                    "another owns the schedule",
+                    () -> lab.all().stream().filter(o -> o != owner).anyMatch(o -> {
+                        String now = FleetLab.owner(lab.show(o), "schedule");
+                        return !now.isEmpty() && !now.equals(owner.name());
+                    }));
             Thread.sleep(500);
             double woken = lab.history().nowMs();
             owner.signal("CONT");
-            assertThat(lab.history().await(woken, PATIENCE_MS, s -> s.who().equals(owner.name()) && s.words().contains(
-                "is over"))).as("it learns that its life is over").isNotNull();
+            assertThat(lab.history()
+                            .await(
+                                    woken,
+                                    PATIENCE_MS,
+                                    s -> s.who().equals(owner.name())
+                                            && s.words().contains("is over")))
+                    .as("it learns that its life is over")
+                    .isNotNull();
             joined(owner, woken);
             onceOrGivenUp(keys);
         }
@@ -65,8 +75,13 @@
             double at = lab.history().nowMs();
             o.signal("TERM");
             if (owned) {
-                assertThat(lab.history().await(at, PATIENCE_MS, s -> s.what().equals("log") && s.words().contains(
-                    "was " + o.name() + "'s"))).as("another owns it").isNotNull();
+                assertThat(lab.history()
+                                .await(
+                                        at,
+                                        PATIENCE_MS,
+                                        s -> s.what().equals("log") && s.words().contains("was " + o.name() + "'s")))
+                        .as("another owns it")
+                        .isNotNull();
             }
             assertThat(o.ended(PATIENCE_MS)).isTrue();
             o.start();
@@ -78,8 +93,12 @@
     /** Guards the operators' bans: said at one they hold at all, outlive the end of every process, and end by one call. */
     @Test
     void bansHoldForTheFleetAndOutliveARestartOfAll() throws Exception {
-        fleet(3, 0, 3, "\"discovery\": \"127.0.0.1:1\", \"known\": {\"seq\": 1, \"whole\": true, \"hosts\": [{\"host\": \"n1\", \"dial\": \"127.0.0.1:1\", "
-            + "\"health\": \"up\", \"site\": \"plant-1\", \"class\": \"gearman\", \"share\": 1.0, \"born_ms\": 0}]}, ");
+        fleet(
+                3,
+                0,
+                3,
+                "\"discovery\": \"127.0.0.1:1\", \"known\": {\"seq\": 1, \"whole\": true, \"hosts\": [{\"host\": \"n1\", \"dial\": \"127.0.0.1:1\", "
+                        + "\"health\": \"up\", \"site\": \"plant-1\", \"class\": \"gearman\", \"share\": 1.0, \"born_ms\": 0}]}, ");
         One first = lab.all().get(0);
         One second = lab.all().get(1);
         assertThat(call(first, "n9/offline")).isEqualTo(404);
@@ -100,8 +119,10 @@
         until("the fleet takes it back", () -> call(second, "n1/online") == 200);
         until("it is back", () -> page().list("offline").isEmpty());
         lab.cutOff("s2", true, true, true);
-        until("the lease of s2 has ended", () -> lab.history().of("log").stream().anyMatch(s -> s.who().equals("s2")
-            && s.words().contains("serves on by itself")));
+        until(
+                "the lease of s2 has ended",
+                () -> lab.history().of("log").stream()
+                        .anyMatch(s -> s.who().equals("s2") && s.words().contains("serves on by itself")));
         assertThat(call(second, "n1/offline")).as("out here, but not agreed on").isEqualTo(503);
         lab.cutOff("s2", true, true, false);
         until("s2 is heard again", () -> call(second, "n1/offline") == 200);
--- a/src/test/java/plumpost/lab/fleet/FleetRig.java
+++ b/src/test/java/plumpost/lab/fleet/FleetRig.java
@@ -28,11 +28,14 @@
     Path folder;
     /** Further settings of the peers. */
     String peersMore = "";
+
     final List<Hands> hands = new ArrayList<>();
 
     @BeforeEach
     void folder(TestInfo test) throws IOException {
-        folder = Path.of("target", "fleet-it", test.getTestMethod().orElseThrow().getName()).toAbsolutePath();
+        folder = Path.of(
+                        "target", "fleet-it", test.getTestMethod().orElseThrow().getName())
+                .toAbsolutePath();
         if (Files.exists(folder)) {
             try (Stream<Path> files = Files.walk(folder)) {
                 for (Path p : files.sorted(Comparator.reverseOrder()).toList()) {
@@ -47,8 +50,10 @@
         hands.forEach(Hands::close);
         if (lab != null) {
             StringBuilder seen = new StringBuilder();
-            lab.history().all().forEach(s -> seen.append(String.format("%9.0f %s %s %s%n", s.atMs(), s.who(), s.what(),
-                s.words())));
+            lab.history()
+                    .all()
+                    .forEach(s ->
+                            seen.append(String.format("%9.0f %s %s %s%n", s.atMs(), s.who(), s.what(), s.words())));
             lab.close();
             Files.writeString(folder.resolve("history.txt"), seen);
         }
@@ -56,9 +61,15 @@
 
     /** A fleet at so many sites whose processes are not started. */
     void unstarted(int voters, int followers, int sites, String more) throws IOException {
-        lab = new FleetLab(new FleetLab.Plan(Path.of("target/plumpost.jar").toAbsolutePath(),
-            Path.of("deploy/gearman.json").toAbsolutePath(), folder, voters, followers, sites, "\"snapshotEvery\": 20, " + peersMore,
-            more));
+        lab = new FleetLab(new FleetLab.Plan(
+                Path.of("target/plumpost.jar").toAbsolutePath(),
+                Path.of("deploy/gearman.json").toAbsolutePath(),
+                folder,
+                voters,
+                followers,
+                sites,
+                "\"snapshotEvery\": 20, " + peersMore,
+                more));
     }
 
     void fleet(int voters, int followers, int sites, String more) throws Exception {
@@ -78,8 +89,13 @@
 
     /** Waits until a scheduler's log says something. */
     History.Seen said(One o, double since, String words) throws Exception {
-        History.Seen s = lab.history().await(since, PATIENCE_MS, x -> x.who().equals(o.name()) && x.what().equals("log")
-            && x.words().contains(words));
+        History.Seen s = lab.history()
+                .await(
+                        since,
+                        PATIENCE_MS,
+                        x -> x.who().equals(o.name())
+                                && x.what().equals("log")
+                                && x.words().contains(words));
         assertThat(s).as(o.name() + " says: " + words).isNotNull();
         return s;
     }
@@ -159,7 +175,9 @@
     }
 
     long runs(String key) {
-        return lab.history().of("run").stream().filter(s -> s.words().equals(key)).count();
+        return lab.history().of("run").stream()
+                .filter(s -> s.words().equals(key))
+                .count();
     }
 
     void eachOnce(List<String> keys) throws Exception {
@@ -171,30 +189,43 @@
     void onceOrGivenUp(List<String> keys) throws Exception {
         until("all ran or were given up", () -> {
             Fields f = page();
-            return f != null && f.object("schedule").whole("waiting") == 0 && f.object("schedule").whole("begun") == 0
-                && f.object("schedule").whole("fired") == 0
-                && keys.stream().allMatch(k -> runs(k) > 0 || givenUp(f, k));
+            return f != null
+                    && f.object("schedule").whole("waiting") == 0
+                    && f.object("schedule").whole("begun") == 0
+                    && f.object("schedule").whole("fired") == 0
+                    && keys.stream().allMatch(k -> runs(k) > 0 || givenUp(f, k));
         });
         assertThat(keys).allSatisfy(k -> assertThat(runs(k)).as(k).isLessThanOrEqualTo(1));
     }
 
     /** Whether the fleet says that it gave a job up. */
     boolean givenUp(Fields page, String key) {
-        return lab.history().of("handle").stream().anyMatch(s -> s.words().startsWith(key + " ")
-            && page.object("schedule").list("givenUp").contains(s.words().substring(key.length() + 1)));
+        return lab.history().of("handle").stream()
+                .anyMatch(s -> s.words().startsWith(key + " ")
+                        && page.object("schedule")
+                                .list("givenUp")
+                                .contains(s.words().substring(key.length() + 1)));
     }
 
     /** An operator's call about a worker; its status. */
     static int call(One at, String what) throws Exception {
-        return HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.ops()
-            + "/control/workers/" + what)).POST(HttpRequest.BodyPublishers.noBody()).build(),
-            HttpResponse.BodyHandlers.discarding()).statusCode();
+        return HttpClient.newHttpClient()
+                .send(
+                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.ops() + "/control/workers/" + what))
+                                .POST(HttpRequest.BodyPublishers.noBody())
+                                .build(),
+                        HttpResponse.BodyHandlers.discarding())
+                .statusCode();
     }
 
     /** A figure of the operators' listener. */
     static long figure(One at, String name) throws Exception {
-        String all = HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.ops()
-            + "/control/counters")).build(), HttpResponse.BodyHandlers.ofString()).body();
+        String all = HttpClient.newHttpClient()
+                .send(
+                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.ops() + "/control/counters"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .body();
         return Long.parseLong(all.replaceAll("(?s).*node\\." + name + ":([0-9]+)\\|.*", "$1"));
     }
 }
--- a/src/test/java/plumpost/lab/fleet/MembersIT.java
+++ b/src/test/java/plumpost/lab/fleet/MembersIT.java
@@ -29,7 +29,9 @@
         List<History.Seen> log = lab.history().of("log");
         if (log.stream().noneMatch(s -> s.words().contains("fleet: member s3."))) {
             assertThat(log).noneMatch(s -> s.words().contains("takes part"));
-            assertThat(Hands.plan(second, lab.history(), "order-it", "early", 1)).as("nothing is taken yet").isNull();
+            assertThat(Hands.plan(second, lab.history(), "order-it", "early", 1))
+                    .as("nothing is taken yet")
+                    .isNull();
         }
         third.signal("CONT");
         for (One o : lab.all()) {
@@ -58,7 +60,9 @@
             double killed = lab.history().nowMs();
             owner.signal("KILL");
             leader.signal("KILL");
-            until("another owns it", () -> !List.of("", owner.name(), leader.name()).contains(owner("schedule")));
+            until(
+                    "another owns it",
+                    () -> !List.of("", owner.name(), leader.name()).contains(owner("schedule")));
             onceOrGivenUp(keys);
             for (One o : List.of(owner, leader)) {
                 assertThat(o.ended(PATIENCE_MS)).isTrue();
@@ -75,12 +79,16 @@
         fleet(5, 0, 3, "");
         work(1, "order-it");
         List<String> keys = new ArrayList<>();
-        One wiped = lab.all().stream().filter(o -> !o.name().equals(page().text("leader"))).findFirst().orElseThrow();
+        One wiped = lab.all().stream()
+                .filter(o -> !o.name().equals(page().text("leader")))
+                .findFirst()
+                .orElseThrow();
         Thread load = new Thread(() -> {
             for (int i = 0; !Thread.interrupted() && i < 2000; i++) {
                 One at = lab.all().get(i % lab.all().size());
-                if (at != wiped && Hands.plan(at, lab.history(), "order-it", "l" + i, System.currentTimeMillis() / 1000)
-                    != null) {
+                if (at != wiped
+                        && Hands.plan(at, lab.history(), "order-it", "l" + i, System.currentTimeMillis() / 1000)
+                                != null) {
                     synchronized (keys) {
                         keys.add("l" + i);
                     }
--- a/src/test/java/plumpost/lab/fleet/OrdersIT.java
+++ b/src/test/java/plumpost/lab/fleet/OrdersIT.java
@@ -50,13 +50,15 @@
         hands(lab.all().get(1), 2, 1);
         hands(lab.all().get(2), 2, 1);
         eachOnce(keys);
-        assertThat(lab.history().of("run").stream().map(History.Seen::who).distinct()).hasSize(2);
+        assertThat(lab.history().of("run").stream().map(History.Seen::who).distinct())
+                .hasSize(2);
         assertThat(first.ended(PATIENCE_MS)).isTrue();
         first.start();
         joined(first, killed);
         hands(first, 1, 1);
-        assertThat(Hands.call(first, lab.history(), "order-it", "o7", ANSWER_MS)).as("its outcome is known everywhere")
-            .isEqualTo("WORK_COMPLETE");
+        assertThat(Hands.call(first, lab.history(), "order-it", "o7", ANSWER_MS))
+                .as("its outcome is known everywhere")
+                .isEqualTo("WORK_COMPLETE");
         assertThat(keys).allSatisfy(k -> assertThat(runs(k)).as(k).isEqualTo(1));
     }
 
@@ -90,10 +92,14 @@
         until("it runs", () -> runs("out0") == 1);
         first.signal("KILL");
         hands(second, 2, 1);
-        assertThat(Hands.call(second, lab.history(), "order-it", "out0", ANSWER_MS)).isEqualTo("WORK_FAIL");
-        assertThat(Hands.call(lab.all().get(2), lab.history(), "order-it", "out0", ANSWER_MS)).isEqualTo("WORK_FAIL");
+        assertThat(Hands.call(second, lab.history(), "order-it", "out0", ANSWER_MS))
+                .isEqualTo("WORK_FAIL");
+        assertThat(Hands.call(lab.all().get(2), lab.history(), "order-it", "out0", ANSWER_MS))
+                .isEqualTo("WORK_FAIL");
         assertThat(runs("out0")).isEqualTo(1);
-        until("new ones run", () -> "WORK_COMPLETE".equals(Hands.call(second, lab.history(), "order-it", "new", ANSWER_MS)));
+        until(
+                "new ones run",
+                () -> "WORK_COMPLETE".equals(Hands.call(second, lab.history(), "order-it", "new", ANSWER_MS)));
     }
 
     /** Guards a worker that reports at another scheduler: who waits there is answered with its result. */
@@ -104,8 +110,8 @@
         One second = lab.all().get(1);
         try (Peer worker = new Peer(first.gearman(), 20_000)) {
             worker.send(Type.CAN_DO, "order-it");
-            CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> Hands.leave(first, lab.history(),
-                "order-it", "far"));
+            CompletableFuture<String> answer =
+                    CompletableFuture.supplyAsync(() -> Hands.leave(first, lab.history(), "order-it", "far"));
             Packet got;
             do {
                 worker.send(Type.GRAB_JOB);
@@ -117,14 +123,15 @@
             } while (got.type() != Type.JOB_ASSIGN);
             assertThat(answer.get(10, TimeUnit.SECONDS)).isEqualTo(got.text(0));
             first.signal("KILL");
-            CompletableFuture<String> waits = CompletableFuture.supplyAsync(() -> Hands.call(second, lab.history(),
-                "order-it", "far", ANSWER_MS));
+            CompletableFuture<String> waits = CompletableFuture.supplyAsync(
+                    () -> Hands.call(second, lab.history(), "order-it", "far", ANSWER_MS));
             try (Peer again = new Peer(second.gearman(), 20_000)) {
                 again.send(Type.WORK_COMPLETE, got.text(0), "done far away");
                 assertThat(waits.get(60, TimeUnit.SECONDS)).isEqualTo("WORK_COMPLETE");
             }
         }
-        assertThat(Hands.call(lab.all().get(2), lab.history(), "order-it", "far", ANSWER_MS)).isEqualTo("WORK_COMPLETE");
+        assertThat(Hands.call(lab.all().get(2), lab.history(), "order-it", "far", ANSWER_MS))
+                .isEqualTo("WORK_COMPLETE");
     }
 
     /** Guards two clients with one key at two schedulers at once: one order, which runs where a worker is, answers both. */
@@ -134,9 +141,10 @@
         hands(lab.all().get(2), 2, 50);
         for (int i = 0; i < 5; i++) {
             String key = "same" + i;
-            CompletableFuture<String> one = CompletableFuture.supplyAsync(() -> Hands.call(lab.all().get(0), lab.history(),
-                "order-it", key, ANSWER_MS));
-            assertThat(Hands.call(lab.all().get(1), lab.history(), "order-it", key, ANSWER_MS)).isEqualTo("WORK_COMPLETE");
+            CompletableFuture<String> one = CompletableFuture.supplyAsync(
+                    () -> Hands.call(lab.all().get(0), lab.history(), "order-it", key, ANSWER_MS));
+            assertThat(Hands.call(lab.all().get(1), lab.history(), "order-it", key, ANSWER_MS))
+                    .isEqualTo("WORK_COMPLETE");
             assertThat(one.get(60, TimeUnit.SECONDS)).isEqualTo("WORK_COMPLETE");
             assertThat(runs(key)).isEqualTo(1);
         }
@@ -201,8 +209,8 @@
                 hands.add(mine);
                 double at = lab.history().nowMs();
                 victim.halt(place, true);
-                CompletableFuture<String> left = CompletableFuture.supplyAsync(() -> Hands.leave(victim, lab.history(),
-                    "order-it", key));
+                CompletableFuture<String> left =
+                        CompletableFuture.supplyAsync(() -> Hands.leave(victim, lab.history(), "order-it", key));
                 said(victim, at, "halts " + place);
                 victim.signal(fault);
                 said(other, at, victim.name() + ", incarnation ");
@@ -221,8 +229,9 @@
                 String answer = Hands.call(other, lab.history(), "order-it", key, ANSWER_MS);
                 assertThat(answer).as(place + ", " + fault).isIn("WORK_COMPLETE", "WORK_FAIL");
                 assertThat(runs(key)).as(place + ", " + fault).isLessThanOrEqualTo(1);
-                assertThat(Hands.call(lab.all().get(2), lab.history(), "order-it", key, ANSWER_MS)).as("one final answer")
-                    .isEqualTo(answer);
+                assertThat(Hands.call(lab.all().get(2), lab.history(), "order-it", key, ANSWER_MS))
+                        .as("one final answer")
+                        .isEqualTo(answer);
                 mine.close();
                 theirs.close();
             }
--- a/src/test/java/plumpost/log/LinesTest.java
+++ b/src/test/java/plumpost/log/LinesTest.java
@@ -12,7 +12,8 @@
     /** Guards both forms: text as it always was, and one JSON object a line whatever the words hold. */
     @Test
     void aLineIsTextOrOneObject() {
-        assertThat(Lines.line("n1", false, Level.INFO, "l", "ready, http", null)).isEqualTo("n1: ready, http");
+        assertThat(Lines.line("n1", false, Level.INFO, "l", "ready, http", null))
+                .isEqualTo("n1: ready, http");
         String line = Lines.line("n1", true, Level.WARN, "l", "a \"quoted\"\nline", new IllegalStateException("x"));
         assertThat(line).doesNotContain("\n");
         Json.Fields f = Json.object("line", line.getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/plumpost/net/SelectorLoopTest.java
+++ b/src/test/java/plumpost/net/SelectorLoopTest.java
@@ -52,7 +52,7 @@
                 for (int i = 0; i < 40; i++) {
                     w.write(much);
                 }
-                return user(w, "", () -> { });
+                return user(w, "", () -> {});
             });
             loop.run(() -> heard.contains("ended"));
         }
@@ -63,17 +63,21 @@
     @Test
     @Timeout(20)
     void aNewcomerGetsThePlaceOfOneThatIsShed() throws Exception {
-        SelectorLoop loop = new SelectorLoop(clock, new TimerWheel(clock.nowMs()), counters, words -> { });
+        SelectorLoop loop = new SelectorLoop(clock, new TimerWheel(clock.nowMs()), counters, words -> {});
         List<Connection> places = new ArrayList<>();
-        var door = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), w -> {
-            places.add(w);
-            return user(w, "", () -> { });
-        }, 2, () -> {
-            places.remove(0).cut();
-            return true;
-        });
+        var door = loop.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                w -> {
+                    places.add(w);
+                    return user(w, "", () -> {});
+                },
+                2,
+                () -> {
+                    places.remove(0).cut();
+                    return true;
+                });
         for (int i = 0; i < 5; i++) {
-            loop.dial(door.address(), w -> user(w, "", () -> { }));
+            loop.dial(door.address(), w -> user(w, "", () -> {}));
         }
         double end = clock.nowMs() + 10_000;
         loop.run(() -> counters.of("net.accepted") == 5 || clock.nowMs() > end);
@@ -90,12 +94,16 @@
     void aLookInsideAReadingLeavesItsBytesAlone() throws Exception {
         SelectorLoop loop = new SelectorLoop(clock, new TimerWheel(clock.nowMs()), counters, heard::add);
         List<Connection> wires = new ArrayList<>();
-        var door = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), w -> {
-            wires.add(w);
-            return user(w, "", () -> wires.forEach(Connection::look));
-        }, 8, () -> false);
-        loop.dial(door.address(), w -> user(w, "one", () -> { }));
-        loop.dial(door.address(), w -> user(w, "two", () -> { }));
+        var door = loop.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                w -> {
+                    wires.add(w);
+                    return user(w, "", () -> wires.forEach(Connection::look));
+                },
+                8,
+                () -> false);
+        loop.dial(door.address(), w -> user(w, "one", () -> {}));
+        loop.dial(door.address(), w -> user(w, "two", () -> {}));
         loop.run(() -> heard.size() == 2);
         assertThat(heard).containsExactlyInAnyOrder("one", "two");
         assertThat(counters.of("net.fault")).isZero();
--- a/src/test/java/plumpost/platform/ClientsThatLeftTest.java
+++ b/src/test/java/plumpost/platform/ClientsThatLeftTest.java
@@ -20,7 +20,9 @@
 
     /** How a client leaves. */
     enum End {
-        CLOSE, HALF_CLOSE, RESET;
+        CLOSE,
+        HALF_CLOSE,
+        RESET;
 
         void of(Peer p) throws IOException {
             switch (this) {
@@ -59,7 +61,9 @@
                         }
                         client.send(job(cls, "a") + ahead);
                         end.of(client);
-                        assertThat(sentOn(rig, 1_000)).as("%s with %s ahead", cls, ahead).isFalse();
+                        assertThat(sentOn(rig, 1_000))
+                                .as("%s with %s ahead", cls, ahead)
+                                .isFalse();
                         assertThat(rig.counters.of("attempts.out")).isZero();
                         assertThat(rig.room.open()).isZero();
                     }
@@ -161,9 +165,13 @@
                 client.send(job(cls, "a"));
                 rig.until("held", () -> rig.room.open() == 1);
                 rig.after(10, () -> leave(end, client));
-                rig.after(390, () -> rig.platform.told("{\"seq\":3,\"whole\":true,\"hosts\":[" + rig.host(0, "up") + "]}"));
+                rig.after(
+                        390,
+                        () -> rig.platform.told("{\"seq\":3,\"whole\":true,\"hosts\":[" + rig.host(0, "up") + "]}"));
                 rig.jump(400);
-                assertThat(rig.counters.of("attempts.out")).as("only the one before").isEqualTo(1);
+                assertThat(rig.counters.of("attempts.out"))
+                        .as("only the one before")
+                        .isEqualTo(1);
                 assertThat(sentOn(rig, 1_000)).isFalse();
                 assertThat(node.text()).isEmpty();
                 assertThat(rig.counters.of("jobs.client_gone")).isEqualTo(1);
@@ -176,7 +184,9 @@
 
     /** Guards the same pause for a Gearman client. */
     @ParameterizedTest
-    @EnumSource(value = End.class, names = {"CLOSE", "RESET"})
+    @EnumSource(
+            value = End.class,
+            names = {"CLOSE", "RESET"})
     void whoLeftOnTheGearmanFrontWhileTheLoopWasBusy(End end) throws IOException {
         for (String cls : CLASSES) {
             try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
@@ -185,7 +195,9 @@
                 client.send(Packet.Type.SUBMIT_JOB, cls, "", "towels");
                 rig.until("held", () -> rig.room.open() == 1);
                 rig.after(10, () -> leave(end, client));
-                rig.after(390, () -> rig.platform.told("{\"seq\":3,\"whole\":true,\"hosts\":[" + rig.host(0, "up") + "]}"));
+                rig.after(
+                        390,
+                        () -> rig.platform.told("{\"seq\":3,\"whole\":true,\"hosts\":[" + rig.host(0, "up") + "]}"));
                 rig.jump(400);
                 assertThat(rig.counters.of("attempts.out")).isZero();
                 assertThat(sentOn(rig, 1_000)).isFalse();
--- a/src/test/java/plumpost/platform/ClosingTest.java
+++ b/src/test/java/plumpost/platform/ClosingTest.java
@@ -15,8 +15,9 @@
     private static final String LIVE = "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n";
 
     private static String deadlines(String ms) {
-        return Scenario.SETTINGS.replace("\"deadlineMs\":8000.0", "\"deadlineMs\":" + ms)
-            .replace("\"deadlineMs\":20000.0", "\"deadlineMs\":" + ms);
+        return Scenario.SETTINGS
+                .replace("\"deadlineMs\":8000.0", "\"deadlineMs\":" + ms)
+                .replace("\"deadlineMs\":20000.0", "\"deadlineMs\":" + ms);
     }
 
     /** Guards a request on a connection that is closed as idle in that moment: it is taken, not read away. */
--- a/src/test/java/plumpost/platform/ListWatchTest.java
+++ b/src/test/java/plumpost/platform/ListWatchTest.java
@@ -23,7 +23,10 @@
     }
 
     private static String indented(String list) {
-        return list.replace("{", "\r\n{\n\t").replace(",", " ,\n\n  ").replace("[", "[\n \r\n").replace("}", "\n}");
+        return list.replace("{", "\r\n{\n\t")
+                .replace(",", " ,\n\n  ")
+                .replace("[", "[\n \r\n")
+                .replace("}", "\n}");
     }
 
     /** The watch as the scheduler opens it. */
@@ -68,13 +71,16 @@
             watch.send(SocketRig.chunk(list.substring(0, list.length() - 1)));
             watch.close();
             rig.until("its end", () -> rig.counters.of("list.failed") == 1);
-            assertThat(rig.counters.of("list.full")).as("half an object never counts").isEqualTo(list.length() + 1);
+            assertThat(rig.counters.of("list.full"))
+                    .as("half an object never counts")
+                    .isEqualTo(list.length() + 1);
         }
     }
 
     /** Guards against what is no list: the old one stays, the watch is opened anew, nothing open is lost. */
     @ParameterizedTest
-    @ValueSource(strings = {"7\n", "[1]\n", "{\"seq\":1,}\n", "{\"hosts\":[]}\n", "x\n", "{\"seq\":\"a\",\"hosts\":[]}\n"})
+    @ValueSource(
+            strings = {"7\n", "[1]\n", "{\"seq\":1,}\n", "{\"hosts\":[]}\n", "x\n", "{\"seq\":\"a\",\"hosts\":[]}\n"})
     void aMalformedListLeavesTheOldOne(String bad) throws IOException {
         try (SocketRig rig = SocketRig.unanswered(Scenario.SETTINGS, 1)) {
             Peer watch = watch(rig);
@@ -127,7 +133,9 @@
             anew.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 1, "draining")));
             rig.until("the new list", () -> rig.counters.of("list.full") == 2);
             rig.pass(2_000);
-            assertThat(rig.discovery.poll()).as("the former service is asked no more").isNull();
+            assertThat(rig.discovery.poll())
+                    .as("the former service is asked no more")
+                    .isNull();
         }
     }
 
@@ -145,7 +153,9 @@
             watch.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 9, "draining")));
             rig.until("the list", () -> rig.counters.of("list.full") == 1);
             rig.pass(500);
-            assertThat(rig.nodes.get(0).poll()).as("a connection to the drained node").isNull();
+            assertThat(rig.nodes.get(0).poll())
+                    .as("a connection to the drained node")
+                    .isNull();
             assertReady(rig, 200);
         }
     }
@@ -181,7 +191,9 @@
                 rig.client().send(SocketRig.job("pickup-order", "b" + i, "", "x"));
             }
             rig.pass(500);
-            assertThat(rig.nodes.get(0).poll()).as("a connection to the drained node").isNull();
+            assertThat(rig.nodes.get(0).poll())
+                    .as("a connection to the drained node")
+                    .isNull();
         }
     }
 
@@ -212,7 +224,9 @@
             watch(rig).send(SocketRig.CHUNKED + SocketRig.chunk(changes(2, rig.host(0, "draining"))));
             rig.until("the list", () -> rig.counters.of("list.full") == 1);
             assertThat(rig.now - start).isLessThan(4 * 750 + 100);
-            assertThat(rig.counters.of("list.saved")).as("lists taken from the file").isZero();
+            assertThat(rig.counters.of("list.saved"))
+                    .as("lists taken from the file")
+                    .isZero();
         }
     }
 
@@ -273,14 +287,18 @@
                 rig.pass(1_000);
                 heard.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, 3, "draining")));
                 rig.until("the drain", () -> rig.counters.of("list.full") == 2);
-                assertThat(rig.now - back).as("after " + lastsMs + " ms of " + outage).isLessThan(TOLD_MS - 1_000);
+                assertThat(rig.now - back)
+                        .as("after " + lastsMs + " ms of " + outage)
+                        .isLessThan(TOLD_MS - 1_000);
             }
         }
     }
 
     /** What callers meet while discovery is away. */
     enum Outage {
-        SILENT, TURNED_AWAY, RESET;
+        SILENT,
+        TURNED_AWAY,
+        RESET;
 
         void meets(Peer caller) throws IOException {
             if (caller != null && this == TURNED_AWAY) {
@@ -334,7 +352,9 @@
                 rig.client().send(SocketRig.job("pickup-order", "a" + i, "", "x"));
             }
             rig.pass(500);
-            assertThat(rig.nodes.get(1).poll()).as("a connection to what is gone").isNull();
+            assertThat(rig.nodes.get(1).poll())
+                    .as("a connection to what is gone")
+                    .isNull();
         }
     }
 
@@ -346,8 +366,9 @@
             for (int i = 0; i < 17_000; i++) {
                 hosts.append(i > 0 ? "," : "").append(rig.host(0, "up").replace("node0", "node" + i));
             }
-            watch(rig).send(SocketRig.CHUNKED + SocketRig.chunk(
-                indented("{\"seq\":2,\"whole\":true,\"hosts\":[" + hosts + "]}")));
+            watch(rig)
+                    .send(SocketRig.CHUNKED
+                            + SocketRig.chunk(indented("{\"seq\":2,\"whole\":true,\"hosts\":[" + hosts + "]}")));
             rig.until("the list", () -> rig.counters.of("list.full") == 1);
             assertThat(rig.room.listedNodes()).isEqualTo(17_000);
         }
@@ -382,7 +403,9 @@
             Peer client = rig.client();
             client.send(SocketRig.job("route-plan", "a", "", "x"));
             rig.pass(500);
-            assertThat(rig.nodes.get(0).poll()).as("a connection to what was taken out").isNull();
+            assertThat(rig.nodes.get(0).poll())
+                    .as("a connection to what was taken out")
+                    .isNull();
             assertThat(rig.room.online("node0")).isEqualTo(Bans.Said.CHANGED);
             rig.nodes.get(0).accept().expect("POST /route-plan");
         }
@@ -397,7 +420,9 @@
                     watch(rig).reset();
                     rig.turn();
                 }
-                assertThat(rig.log).filteredOn(l -> l.contains("connection ended")).hasSize(round);
+                assertThat(rig.log)
+                        .filteredOn(l -> l.contains("connection ended"))
+                        .hasSize(round);
                 Peer watch = watch(rig);
                 watch.send(SocketRig.CHUNKED + SocketRig.chunk(list(rig, round, "up")));
                 int now = round;
--- a/src/test/java/plumpost/platform/PlatformTest.java
+++ b/src/test/java/plumpost/platform/PlatformTest.java
@@ -73,8 +73,9 @@
     /** Guards repeatable jobs on connections that fall silent: before the job is taken, and once it runs. */
     @Test
     void aSilentAttemptIsGivenUp() {
-        Scenario s = new Scenario(1, Scenario.SETTINGS.replace("\"rules\"",
-            "\"familyInfo\":{\"progressMs\":2000},\"rules\"")).play("""
+        Scenario s = new Scenario(
+                        1, Scenario.SETTINGS.replace("\"rules\"", "\"familyInfo\":{\"progressMs\":2000},\"rules\""))
+                .play("""
             desk1 send POST /route-plan a 8000 x
             node1 expect POST /route-plan a x
             wait 550
@@ -91,22 +92,29 @@
 
     /** Guards the outcome table: what each ending of an order's attempt means to the client. */
     @ParameterizedTest
-    @CsvSource({"failed a,500", "lost a,500", "nonsense a,500",
+    @CsvSource({
+        "failed a,500",
+        "lost a,500",
+        "nonsense a,500",
         "'\"HTTP/1.1 500 E\\r\\nContent-Length: 0\\r\\n\\r\\n\"',500",
         "'\"HTTP/1.1 503 E\\r\\nContent-Length: 0\\r\\n\\r\\n\"',500",
-        "'\"HTTP/1.1 200 E\\r\\nContent-Length: 0\\r\\n\\r\\n\"',500", "'\"rubbish\\r\\n\"',500"})
+        "'\"HTTP/1.1 200 E\\r\\nContent-Length: 0\\r\\n\\r\\n\"',500",
+        "'\"rubbish\\r\\n\"',500"
+    })
     void whatMayHaveRunFailsAnOrder(String said, int status) {
-        new Scenario(1).play("desk1 send POST /pickup-order a 20000 x\nnode1 expect POST /pickup-order a x\n"
-            + "node1 send " + said + "\ndesk1 expect " + status);
+        new Scenario(1)
+                .play("desk1 send POST /pickup-order a 20000 x\nnode1 expect POST /pickup-order a x\n" + "node1 send "
+                        + said + "\ndesk1 expect " + status);
     }
 
     /** Guards that what was turned away unstarted may go again, order or not. */
     @ParameterizedTest
     @CsvSource({"returned a", "'\"HTTP/1.1 504 E\\r\\nX-Turned-Away: 1\\r\\nContent-Length: 0\\r\\n\\r\\n\"'"})
     void anOrderTurnedAwayGoesAgain(String said) {
-        new Scenario(1).play("desk1 send POST /pickup-order a 20000 x\nnode1 expect POST /pickup-order a x\n"
-            + "node1 send " + said + "\nwait 3000\nnode1 expect POST /pickup-order a x\n"
-            + "node1 send done a van\ndesk1 expect 200 van");
+        new Scenario(1)
+                .play("desk1 send POST /pickup-order a 20000 x\nnode1 expect POST /pickup-order a x\n"
+                        + "node1 send " + said + "\nwait 3000\nnode1 expect POST /pickup-order a x\n"
+                        + "node1 send done a van\ndesk1 expect 200 van");
     }
 
     /** Guards an answer whose length is not told: the connection's end makes it whole. */
@@ -129,8 +137,9 @@
     /** Guards the stack: a line that nests without end is malformed, and the scheduler goes on. */
     @Test
     void aLineThatNestsWithoutEndIsMalformed() {
-        Scenario s = new Scenario(1).play("desk1 send POST /pickup-order a 20000 x\nnode1 expect POST /pickup-order a x\n"
-            + "node1 send {\"a\":" + "[".repeat(50_000) + "\ndesk1 expect 500");
+        Scenario s = new Scenario(1)
+                .play("desk1 send POST /pickup-order a 20000 x\nnode1 expect POST /pickup-order a x\n"
+                        + "node1 send {\"a\":" + "[".repeat(50_000) + "\ndesk1 expect 500");
         assertThat(s.counters.of("nodes.malformed")).isEqualTo(1);
     }
 
@@ -188,7 +197,8 @@
         Scenario s = new Scenario(1).play("wait 4000\nlist expect GET /registry/instances?follow=1&since=1");
         s.play("list send {\"seq\":90,\"whole\":false,\"hosts\":[]}");
         s.platform.reload(s.config("127.0.0.1:8501"));
-        s.play("wait 2\nlist8501 expect GET /registry/instances?follow=1\nlist8501 send {rubbish\nlist8501 expect closed");
+        s.play(
+                "wait 2\nlist8501 expect GET /registry/instances?follow=1\nlist8501 send {rubbish\nlist8501 expect closed");
         s.play("list send {\"seq\":91,\"whole\":false,\"hosts\":[" + Scenario.host(2, "up", 0) + "]}");
         s.play("wait 1600\nlist8501 expect GET /registry/instances?follow=1\nlist expect nothing");
         s.play("list8501 send {\"seq\":3,\"whole\":true,\"hosts\":[" + Scenario.host(2, "up", 0) + "]}");
@@ -214,8 +224,11 @@
     /** Guards a node's good name: a probe that finds its kept connection ended is asked again on a new one. */
     @Test
     void aProbeOnAnEndedConnectionIsAskedAgain() {
-        Scenario s = new Scenario(1, Scenario.SETTINGS.replace("\"rules\"",
-            "\"report\":{\"via\":\"pull\",\"fields\":[\"x0\"]},\"rules\"")).play("""
+        Scenario s = new Scenario(
+                        1,
+                        Scenario.SETTINGS.replace(
+                                "\"rules\"", "\"report\":{\"via\":\"pull\",\"fields\":[\"x0\"]},\"rules\""))
+                .play("""
             desk1 send POST /route-plan a 8000 x
             node1 expect GET /stats
             node1 send "HTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\nx0=2"
@@ -260,8 +273,12 @@
 
     /** Guards against bad input: each has its status, and the connection ends. */
     @ParameterizedTest
-    @CsvSource({"400,rubbish\\r\\n", "400,POST / HTTP/1.1\\n", "400,GET / HTTP/2.0\\r\\n\\r\\n",
-        "400,POST /route-plan HTTP/1.1\\r\\n\\r\\n", "400,GET / HTTP/1.1\\r\\nA b: c\\r\\n\\r\\n",
+    @CsvSource({
+        "400,rubbish\\r\\n",
+        "400,POST / HTTP/1.1\\n",
+        "400,GET / HTTP/2.0\\r\\n\\r\\n",
+        "400,POST /route-plan HTTP/1.1\\r\\n\\r\\n",
+        "400,GET / HTTP/1.1\\r\\nA b: c\\r\\n\\r\\n",
         "400,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 1\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n",
         "400,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 1\\r\\nContent-Length: 2\\r\\n\\r\\n",
         "400,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: +1\\r\\n\\r\\n",
@@ -274,20 +291,25 @@
         "400,POST /route-\\351 HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n",
         "400,POST /route-plan HTTP/1.0\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n",
         "413,POST /route-plan HTTP/1.1\\r\\nHost: h\\r\\nContent-Length: 65537\\r\\n\\r\\n",
-        "404,POST /laundry HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n", "405,GET /route-plan HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n",
-        "405,POST /health/ready HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n"})
+        "404,POST /laundry HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n",
+        "405,GET /route-plan HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n",
+        "405,POST /health/ready HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n"
+    })
     void badInputIsAnsweredAndTheConnectionEnds(int status, String bytes) {
-        new Scenario(0).play("desk1 send \"" + bytes + "\"\ndesk1 expect \"HTTP/1.1 " + status + "*close*\"\n"
-            + "desk1 expect closed");
+        new Scenario(0)
+                .play("desk1 send \"" + bytes + "\"\ndesk1 expect \"HTTP/1.1 " + status + "*close*\"\n"
+                        + "desk1 expect closed");
     }
 
     /** Guards against heads without end and against peers that stop half-way. */
     @Test
     void longHeadsAndSlowPeersAreEnded() {
-        new Scenario(0).play("desk1 send \"GET / HTTP/1.1\\r\\nA: " + "x".repeat(20_000) + "\"\ndesk1 expect 431*\n"
-            + "desk1 expect closed");
-        new Scenario(0).play("desk1 send \"POST /route-plan HTTP/1.1\\r\\n\"\nwait 1900\ndesk1 expect nothing\n"
-            + "wait 500\ndesk1 expect 408\ndesk1 expect closed");
+        new Scenario(0)
+                .play("desk1 send \"GET / HTTP/1.1\\r\\nA: " + "x".repeat(20_000) + "\"\ndesk1 expect 431*\n"
+                        + "desk1 expect closed");
+        new Scenario(0)
+                .play("desk1 send \"POST /route-plan HTTP/1.1\\r\\n\"\nwait 1900\ndesk1 expect nothing\n"
+                        + "wait 500\ndesk1 expect 408\ndesk1 expect closed");
         new Scenario(0).play("desk1 expect nothing\nwait 2500\ndesk1 expect closed");
         new Scenario(0).play("desk1 expect nothing\nwait 1500\ndesk1 send \"P\"\nwait 1000\ndesk1 expect 408");
         new Scenario(0).play("desk1 send GET /health/ready\ndesk1 expect 200\nwait 9000\ndesk1 expect nothing");
--- a/src/test/java/plumpost/platform/RetriesTest.java
+++ b/src/test/java/plumpost/platform/RetriesTest.java
@@ -18,10 +18,10 @@
 class RetriesTest {
     private static final double WINDOW_MS = 900;
     /** Repeats of the order are dropped by the nodes of a group, for a time. */
-    private static final String GUARDED = Scenario.SETTINGS.replace("\"effect\":\"single_shot\"",
-        "\"effect\":\"guarded\",\"keyScope\":\"all\",\"windowMs\":900.0");
-    private static final String TURNED_AWAY =
-        "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String GUARDED = Scenario.SETTINGS.replace(
+            "\"effect\":\"single_shot\"", "\"effect\":\"guarded\",\"keyScope\":\"all\",\"windowMs\":900.0");
+
+    private static final String TURNED_AWAY = "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
 
     private static Peer order(SocketRig rig, Peer client, String id) {
         client.send(SocketRig.job("pickup-order", id, "", "towels"));
@@ -31,8 +31,10 @@
     /** The next connection to any node, within some time. */
     private static Peer again(SocketRig rig) {
         Peer[] next = new Peer[1];
-        rig.passUntil("another attempt", 3_000, () -> rig.nodes.stream().anyMatch(n -> next[0] == null
-            && (next[0] = n.poll()) != null));
+        rig.passUntil(
+                "another attempt",
+                3_000,
+                () -> rig.nodes.stream().anyMatch(n -> next[0] == null && (next[0] = n.poll()) != null));
         return next[0];
     }
 
@@ -172,8 +174,11 @@
     @Test
     void idleConnectionsFollowTheSettingsInForce() throws IOException {
         try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
-            rig.room.retune(SettingsReader.settings(Json.object("settings", Scenario.SETTINGS
-                .replace("\"keepaliveMs\":5000.0", "\"keepaliveMs\":800.0").getBytes(StandardCharsets.UTF_8))));
+            rig.room.retune(SettingsReader.settings(Json.object(
+                    "settings",
+                    Scenario.SETTINGS
+                            .replace("\"keepaliveMs\":5000.0", "\"keepaliveMs\":800.0")
+                            .getBytes(StandardCharsets.UTF_8))));
             Peer client = rig.client();
             client.send(SocketRig.job("route-plan", "a", "", "x"));
             Peer node = rig.nodes.get(0).accept();
@@ -201,7 +206,9 @@
             anew.expect("X-Txn: a");
             node.send(returned); // once more, some milliseconds late
             rig.pass(100);
-            assertThat(rig.counters.of("attempts.out")).as("beside the one that runs").isEqualTo(2);
+            assertThat(rig.counters.of("attempts.out"))
+                    .as("beside the one that runs")
+                    .isEqualTo(2);
             anew.send(SocketRig.done("a"));
             client.expect("r-a");
         }
@@ -228,8 +235,8 @@
     @ParameterizedTest
     @CsvSource({"100.0,300", "250.0,600", "0.0,600"})
     void aNodeThatTakesNothingIsLeftByTheSettings(String dial, double limit) throws IOException {
-        try (SocketRig rig = new SocketRig(
-            Scenario.SETTINGS.replace("\"dialTimeoutMs\":250.0", "\"dialTimeoutMs\":" + dial), 1)) {
+        try (SocketRig rig =
+                new SocketRig(Scenario.SETTINGS.replace("\"dialTimeoutMs\":250.0", "\"dialTimeoutMs\":" + dial), 1)) {
             Peer client = rig.client();
             client.send(SocketRig.job("route-plan", "a", "", "x"));
             Peer node = rig.nodes.get(0).accept();
