--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -24,6 +24,9 @@
     private static final double LONGEST_SLEEP_MS = 500;
     private static final double LINGER_MS = 500;
     private static final double RETRY_MS = 50;
+    /** Newcomers that a listener takes in one turn: timers and other connections come between a flood of them. */
+    private static final int MOST_ACCEPTED = 64;
+
     private static final int BUFFER = 64 * 1024;
     private static final int MOST_UNREAD = 2 << 20;
     /** Reads of a whole buffer at a close: more is a flood, whose sender may be reset. */
@@ -220,13 +223,12 @@
         @Override
         public void ready(SelectionKey k) {
             try {
-                for (SocketChannel c = accept(); c != null; c = accept()) {
-                    Socket s = new Socket(c, this);
-                    s.up(users.apply(s));
-                    open++;
-                    counters.count("net.accepted");
-                    s.user.opened();
-                    s.look(); // what a newcomer sent is known before anyone is shed for the next one
+                for (int accepted = 0; accepted < MOST_ACCEPTED; accepted++) {
+                    SocketChannel newcomer = accept();
+                    if (newcomer == null) {
+                        return;
+                    }
+                    take(newcomer);
                 }
             } catch (IOException e) {
                 // Out of descriptors or the like: look again in a while instead of spinning on a ready key.
@@ -236,6 +238,15 @@
             }
         }
 
+        private void take(SocketChannel newcomer) throws IOException {
+            Socket s = new Socket(newcomer, this);
+            s.up(users.apply(s));
+            open++;
+            counters.count("net.accepted");
+            s.user.opened();
+            s.look(); // what a newcomer sent is known before anyone is shed for the next one
+        }
+
         /** The next newcomer. The last place goes to one only when it is known who may leave for the one after. */
         private SocketChannel accept() throws IOException {
             if (open > most && !room()) {
--- a/src/test/java/plumpost/net/SelectorLoopTest.java
+++ b/src/test/java/plumpost/net/SelectorLoopTest.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -85,6 +86,28 @@
         assertThat(places).hasSizeBetween(2, 3); // the last place is given before the next newcomer is known
     }
 
+    /** Guards timers against a flood of newcomers: one turn takes a part of them, and the others come in later ones. */
+    @Test
+    @Timeout(20)
+    void aFloodOfNewcomersIsTakenOverSeveralTurns() throws Exception {
+        SelectorLoop loop = new SelectorLoop(clock, new TimerWheel(clock.nowMs()), counters, words -> {});
+        var listener = loop.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                connection -> user(connection, "", () -> {}),
+                1_000,
+                () -> false);
+        List<SocketChannel> flood = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            flood.add(SocketChannel.open(listener.address()));
+        }
+        loop.turn(0);
+        assertThat(counters.of("net.accepted")).isBetween(1L, 64L);
+        loop.run(() -> counters.of("net.accepted") == 200);
+        for (SocketChannel client : flood) {
+            client.close();
+        }
+    }
+
     /**
      * Guards against a reading that empties the buffer of the one around it: a front desk's request was taken again
      * and again because sending it looked at another connection first (calm day, 724 sends after the answer).
