--- a/src/main/java/plumpost/cli/FleetHost.java
+++ b/src/main/java/plumpost/cli/FleetHost.java
@@ -5,10 +5,10 @@
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeConfig;
 import plumpost.config.PeersConfig;
-import plumpost.control.Console;
-import plumpost.dispatch.DispatchRoom;
-import plumpost.gearman.GearmanDoor;
-import plumpost.net.Kit;
+import plumpost.control.ControlOperations;
+import plumpost.dispatch.DispatchCore;
+import plumpost.gearman.GearmanFront;
+import plumpost.net.LoopContext;
 import plumpost.net.SelectorLoop;
 import plumpost.peers.Fleet;
 import plumpost.peers.Host;
@@ -17,12 +17,12 @@
 
 /** What the fleet asks of this scheduler, carried out by its core and its fronts. */
 final class FleetHost implements Host {
-    private final DispatchRoom room;
+    private final DispatchCore room;
     private final Platform platform;
-    private final GearmanDoor gearman;
+    private final GearmanFront gearman;
 
     /** A host; {@code gearman} may be null. */
-    FleetHost(DispatchRoom room, Platform platform, GearmanDoor gearman) {
+    FleetHost(DispatchCore room, Platform platform, GearmanFront gearman) {
         this.room = room;
         this.platform = platform;
         this.gearman = gearman;
@@ -32,11 +32,11 @@
     static Fleet begin(
             NodeConfig config,
             String data,
-            DispatchRoom room,
+            DispatchCore room,
             Platform platform,
-            GearmanDoor gearman,
-            Console console,
-            Kit kit,
+            GearmanFront gearman,
+            ControlOperations console,
+            LoopContext kit,
             SelectorLoop loop) {
         PeersConfig peers = PeersConfig.read(config.peers(), config.name(), data, config.discovery() != null);
         List<String> classes =
--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -15,19 +15,19 @@
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeConfig;
-import plumpost.control.Console;
-import plumpost.control.ControlDoor;
+import plumpost.control.ControlOperations;
+import plumpost.control.ControlServer;
 import plumpost.control.SharedBans;
 import plumpost.count.Counters;
-import plumpost.dispatch.DispatchRoom;
+import plumpost.dispatch.DispatchCore;
 import plumpost.front.Front;
-import plumpost.gearman.GearmanDoor;
+import plumpost.gearman.GearmanFront;
 import plumpost.http.AnswerReader;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.log.Logs;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.net.SelectorLoop;
 import plumpost.peers.Fleet;
 import plumpost.platform.Platform;
@@ -54,7 +54,7 @@
     private final Counters counters = new Counters();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final SelectorLoop loop;
-    private final DispatchRoom room;
+    private final DispatchCore room;
     private final Platform platform;
     private final List<Front> fronts = new ArrayList<>(2);
     /** Listeners that the platform holds and shares with the next process: let go of at SIGTERM, never closed for it. */
@@ -80,7 +80,7 @@
         log = Logs.sink(
                 config.name(), config.peers() != null && config.logFormat() == null ? "text" : config.logFormat());
         loop = new SelectorLoop(clock, wheel, counters, this::log);
-        room = new DispatchRoom(
+        room = new DispatchCore(
                 config.settings(),
                 config.seed(),
                 clock,
@@ -88,12 +88,12 @@
                 counters,
                 bounds(Runtime.getRuntime().maxMemory(), config.gearman()),
                 this::log);
-        Kit kit = new Kit(loop, clock, wheel, counters, this::log);
+        LoopContext kit = new LoopContext(loop, clock, wheel, counters, this::log);
         platform = new Platform(config, room, kit, loop::lagMs);
         fronts.add(platform);
-        GearmanDoor gearman = config.gearman() == null
+        GearmanFront gearman = config.gearman() == null
                 ? null
-                : new GearmanDoor(
+                : new GearmanFront(
                         config, Main.version(), room, kit, () -> new Thread(() -> System.exit(0), "shutdown").start());
         if (gearman != null) {
             fronts.add(gearman);
@@ -101,10 +101,10 @@
         // In a fleet the log keeps the bans, and the data directory belongs to one process.
         sharedBans =
                 config.ops() == null || config.peers() != null ? null : new SharedBans(sharedDirectory(), room, kit);
-        Console console =
-                new Console(room, counters, sharedBans, () -> serving && Double.isNaN(stopAt) && platform.listed());
+        ControlOperations console = new ControlOperations(
+                room, counters, sharedBans, () -> serving && Double.isNaN(stopAt) && platform.listed());
         if (config.ops() != null) {
-            fronts.add(new ControlDoor(config.ops(), controlPlaces(config.sockets()), kit, console));
+            fronts.add(new ControlServer(config.ops(), controlPlaces(config.sockets()), kit, console));
         }
         fleet = config.peers() == null
                 ? null
@@ -123,9 +123,9 @@
     }
 
     /** What the core may hold: a fifth of the heap for bodies of open jobs, a tenth for kept outcomes. */
-    static DispatchRoom.Bounds bounds(long heap, GearmanConfig gearman) {
+    static DispatchCore.Bounds bounds(long heap, GearmanConfig gearman) {
         GearmanConfig.Limits said = gearman == null ? GearmanConfig.Limits.USUAL : gearman.limits();
-        return new DispatchRoom.Bounds(
+        return new DispatchCore.Bounds(
                 said.openJobs() > 0 ? said.openJobs() : (int) Math.min(4096, heap >> 14),
                 said.jobBytes() > 0 ? said.jobBytes() : heap / 5,
                 said.keptOutcomes() > 0 ? said.keptOutcomes() : (int) Math.min(16_384, heap >> 12),
--- a/src/main/java/plumpost/control/Console.java
+++ b/src/main/java/plumpost/control/ControlOperations.java
@@ -7,22 +7,22 @@
 import plumpost.count.Counters;
 import plumpost.count.Statsd;
 import plumpost.dispatch.Bans;
-import plumpost.dispatch.DispatchRoom;
+import plumpost.dispatch.DispatchCore;
 import plumpost.peers.Fleet;
 
 /** What the operators' calls reach in one process: its readiness, its figures, and the bans shared with its twin. */
-public final class Console implements ControlDoor.Operations {
+public final class ControlOperations implements ControlServer.Operations {
     /** The figures' prefix. */
     public static final String PREFIX = "node";
 
-    private final DispatchRoom room;
+    private final DispatchCore room;
     private final Counters counters;
     private final SharedBans shared;
     private final BooleanSupplier ready;
     private Fleet fleet;
 
     /** A console on a core; {@code shared} may be null where no other process is to be told. */
-    public Console(DispatchRoom room, Counters counters, SharedBans shared, BooleanSupplier ready) {
+    public ControlOperations(DispatchCore room, Counters counters, SharedBans shared, BooleanSupplier ready) {
         this.room = room;
         this.counters = counters;
         this.shared = shared;
@@ -41,7 +41,7 @@
     @Override
     public void change(String node, boolean out, BiConsumer<Bans.Said, String> then) {
         if (fleet == null) {
-            ControlDoor.Operations.super.change(node, out, then);
+            ControlServer.Operations.super.change(node, out, then);
             return;
         }
         Bans.Said here = room.known(node) ? out ? room.offline(node) : Bans.Said.CHANGED : Bans.Said.UNKNOWN;
--- a/src/main/java/plumpost/control/ControlDoor.java
+++ b/src/main/java/plumpost/control/ControlServer.java
@@ -15,14 +15,14 @@
 import plumpost.http.RequestReader;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 
 /**
  * The operators' listener: one HTTP/1.1 call a connection, answered in the turn in which it is whole and then closed.
  * A caller that does not finish its call in time, or that is the oldest unfinished one when all places are taken,
  * is cut: a slow or silent caller costs only itself.
  */
-public final class ControlDoor implements Front {
+public final class ControlServer implements Front {
     /** A call's body is empty; this is room for one that carries a few words. */
     static final int BODY_LIMIT = 1024;
     /** A whole call is due so long after connecting; callers are known to hold half a call for 4 s. */
@@ -34,7 +34,7 @@
 
     private final InetSocketAddress at;
     private final int places;
-    private final Kit kit;
+    private final LoopContext kit;
     private final Operations ops;
     /** Unfinished calls, oldest first. */
     private final Set<Call> calls = new LinkedHashSet<>();
@@ -63,7 +63,7 @@
     }
 
     /** A listener at an address with room for so many callers at once. */
-    public ControlDoor(InetSocketAddress at, int places, Kit kit, Operations ops) {
+    public ControlServer(InetSocketAddress at, int places, LoopContext kit, Operations ops) {
         this.at = at;
         this.places = places;
         this.kit = kit;
--- a/src/main/java/plumpost/control/SharedBans.java
+++ b/src/main/java/plumpost/control/SharedBans.java
@@ -6,8 +6,8 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import plumpost.dispatch.DispatchRoom;
-import plumpost.net.Kit;
+import plumpost.dispatch.DispatchCore;
+import plumpost.net.LoopContext;
 
 /**
  * Hands the operators' bans over between the processes of one scheduler, through a file in the directory that they
@@ -23,12 +23,12 @@
     static final String NAME = "plumpost-bans";
 
     private final Path file;
-    private final DispatchRoom room;
-    private final Kit kit;
+    private final DispatchCore room;
+    private final LoopContext kit;
     private String last = "";
 
     /** Bans kept in a file of the shared directory. */
-    public SharedBans(Path directory, DispatchRoom room, Kit kit) {
+    public SharedBans(Path directory, DispatchCore room, LoopContext kit) {
         this.file = directory.resolve(NAME);
         this.room = room;
         this.kit = kit;
--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -8,7 +8,7 @@
 
 /** One try of a job on one route node. A link reports through it; once it has ended, further reports are dropped. */
 public final class Attempt {
-    final LedgerEntry job;
+    final OpenJob job;
     final int number;
     final String node;
     final NodeLink link;
@@ -20,9 +20,9 @@
     /** Whether it waits for the right to be sent: until then no node has seen it. */
     boolean held;
 
-    private final DispatchRoom room;
+    private final DispatchCore room;
 
-    Attempt(DispatchRoom room, LedgerEntry job, String node, NodeLink link, WorkerEntry on, double sentAt) {
+    Attempt(DispatchCore room, OpenJob job, String node, NodeLink link, WorkerEntry on, double sentAt) {
         this.on = on;
         this.room = room;
         this.job = job;
@@ -33,7 +33,7 @@
     }
 
     /** The job that is tried. */
-    public JobSheet sheet() {
+    public JobRequest sheet() {
         return job.sheet;
     }
 
--- a/src/main/java/plumpost/dispatch/DispatchRoom.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -25,7 +25,7 @@
  * The core: keeps the ledger of jobs, drives the decision module and carries out its actions. The rules' guards are
  * here, once for all fronts. It deals in jobs, attempts and outcomes and knows no wire; one thread owns it.
  */
-public final class DispatchRoom {
+public final class DispatchCore {
     /** Attempts that may be out on a node still cold, whatever the module says: a last guard against a flood. */
     private static final int COLD_OUT = 4;
     /** After the client's time is up the module has this long to answer; then the core fails the job itself. */
@@ -33,7 +33,7 @@
     /** What an open job takes beside its body, measured on 100,000 Gearman jobs; the module has half of it. */
     private static final int ENTRY_BYTES = 1100;
 
-    private final ClassBook book;
+    private final JobClassRegistry book;
     private Dispatcher.Settings set;
     private final Clock clock;
     private final TimerWheel wheel;
@@ -42,10 +42,10 @@
     private final Bounds bounds;
     private final Dispatcher logic;
     private final KeptOutcomes kept;
-    private final Roster roster = new Roster();
-    private final Map<String, LedgerEntry> ledger = new HashMap<>();
-    private final Tallies tallies = new Tallies();
-    private final Map<String, LedgerEntry> byUnique = new HashMap<>();
+    private final WorkerRegistry roster = new WorkerRegistry();
+    private final Map<String, OpenJob> ledger = new HashMap<>();
+    private final OpenJobCounts tallies = new OpenJobCounts();
+    private final Map<String, OpenJob> byUnique = new HashMap<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
     private boolean busy;
@@ -60,7 +60,7 @@
     }
 
     /** A core with an empty ledger and no node yet. */
-    public DispatchRoom(
+    public DispatchCore(
             Dispatcher.Settings settings,
             long seed,
             Clock clock,
@@ -72,7 +72,7 @@
     }
 
     /** A core that drives the module which is made for its actions. */
-    DispatchRoom(
+    DispatchCore(
             Dispatcher.Settings settings,
             Clock clock,
             TimerWheel wheel,
@@ -81,7 +81,7 @@
             Consumer<String> log,
             Function<Dispatcher.Actions, Dispatcher> module) {
         this.set = settings;
-        this.book = new ClassBook(settings);
+        this.book = new JobClassRegistry(settings);
         this.clock = clock;
         this.wheel = wheel;
         this.counters = counters;
@@ -101,12 +101,12 @@
     }
 
     /** Counts the open jobs of a kind of work. */
-    public Tallies.Tally tally(int work) {
+    public OpenJobCounts.Tally tally(int work) {
         return tallies.of(work);
     }
 
     /** Visits the open jobs in no order. */
-    public void each(Consumer<LedgerEntry> visitor) {
+    public void each(Consumer<OpenJob> visitor) {
         ledger.values().forEach(visitor);
     }
 
@@ -116,12 +116,12 @@
     }
 
     /** The open job of an id, or null. */
-    public LedgerEntry entry(String id) {
+    public OpenJob entry(String id) {
         return ledger.get(id);
     }
 
     /** The open job under a unique key, as its front put that together, or null. */
-    public LedgerEntry entryOf(String unique) {
+    public OpenJob entryOf(String unique) {
         return byUnique.get(unique);
     }
 
@@ -248,16 +248,16 @@
      * Takes a job; its reply-to gets exactly one final answer. A resubmit under a unique key joins the open job or
      * gets the kept outcome. Returns the entry that answers it, or null if it was answered at once.
      */
-    public LedgerEntry take(JobSheet sheet, ReplyTo replyTo) {
+    public OpenJob take(JobRequest sheet, ReplyTo replyTo) {
         return take(sheet, replyTo, null);
     }
 
     /** The same for a job that is handed out only under a right, where {@code rights} is not null. */
-    public LedgerEntry take(JobSheet sheet, ReplyTo replyTo, Rights rights) {
+    public OpenJob take(JobRequest sheet, ReplyTo replyTo, LeaseAuthority rights) {
         Dispatcher.JobClass cls = set.classes().get(sheet.cls());
         counters.count("jobs.in." + cls.name());
         if (sheet.unique() != null) {
-            LedgerEntry same = byUnique.get(sheet.unique());
+            OpenJob same = byUnique.get(sheet.unique());
             if (same != null) {
                 counters.count("jobs.joined");
                 same.waiting.add(replyTo);
@@ -294,7 +294,7 @@
             replyTo.refused(full ? 1000 : 0);
             return null;
         }
-        LedgerEntry e = new LedgerEntry(sheet, cls, nowMs() + sheet.patienceMs(), rights);
+        OpenJob e = new OpenJob(sheet, cls, nowMs() + sheet.patienceMs(), rights);
         e.waiting.add(replyTo);
         ledger.put(sheet.id(), e);
         heldBytes += bytes(sheet);
@@ -321,7 +321,7 @@
         return e;
     }
 
-    private static long bytes(JobSheet sheet) {
+    private static long bytes(JobRequest sheet) {
         return ENTRY_BYTES + sheet.fields().length() + sheet.body().remaining();
     }
 
@@ -329,7 +329,7 @@
      * One who waits for the job has gone. When none is left the job is given up, except under a unique key once it
      * may have run: its client may come again and must find the outcome of that run.
      */
-    public void gone(LedgerEntry e, ReplyTo replyTo) {
+    public void gone(OpenJob e, ReplyTo replyTo) {
         if (e.answered || !e.waiting.remove(replyTo) || !e.waiting.isEmpty()) {
             return;
         }
@@ -342,7 +342,7 @@
     }
 
     /** Calls a job off that no node has: who waits is told that it failed. False where a node has it. */
-    public boolean callOff(LedgerEntry e) {
+    public boolean callOff(OpenJob e) {
         if (e.answered || e.running() && !e.out().held) {
             return false;
         }
@@ -354,8 +354,8 @@
     }
 
     /** Calls off all jobs that are meant and that no node has; returns how many. */
-    public int drop(Predicate<LedgerEntry> meant) {
-        List<LedgerEntry> all = ledger.values().stream().filter(meant).toList();
+    public int drop(Predicate<OpenJob> meant) {
+        List<OpenJob> all = ledger.values().stream().filter(meant).toList();
         return (int) all.stream().filter(this::callOff).count();
     }
 
@@ -365,7 +365,7 @@
     }
 
     /** The scheduler ends before the job's time is up: it is given up now, while its client can still be told. */
-    public void cutShort(LedgerEntry e) {
+    public void cutShort(OpenJob e) {
         if (!e.answered) {
             counters.count("jobs.cut_short");
             if (e.mayHaveRun() && e.cls.effect() != Effect.FREE) {
@@ -378,7 +378,7 @@
         }
     }
 
-    private void timeUp(LedgerEntry e) {
+    private void timeUp(OpenJob e) {
         if (!e.answered) {
             drawBack(e, Ending.TIMEOUT);
             wheel.at(e.deadline + BACKSTOP_MS, () -> {
@@ -391,7 +391,7 @@
         }
     }
 
-    private void drawBack(LedgerEntry e, Ending how) {
+    private void drawBack(OpenJob e, Ending how) {
         Attempt a = e.out();
         if (a != null && a.held) {
             ended(a, Ending.MOOT, null, null);
@@ -442,7 +442,7 @@
 
     /** Tells a part of the result to all who wait; one that cannot be told truly ends the attempt. */
     void part(Attempt a, ByteBuffer more) {
-        LedgerEntry e = a.job;
+        OpenJob e = a.job;
         if (a.ending != null || e.answered) {
             return;
         }
@@ -494,7 +494,7 @@
         a.ending = how;
         tallies.moved(a.job, false);
         counters.count("attempts." + how.name().toLowerCase(Locale.ROOT));
-        Roster.Node n = roster.get(a.node);
+        WorkerRegistry.Node n = roster.get(a.node);
         if (n != null) {
             n.out = Math.max(0, n.out - 1); // a node dropped and listed anew began at 0
         }
@@ -512,7 +512,7 @@
 
     // ---- final answers ----
 
-    private void fail(LedgerEntry e) {
+    private void fail(OpenJob e) {
         answer(e, "failed", null, r -> {
             if (e.words == null) {
                 r.failed();
@@ -522,7 +522,7 @@
         });
     }
 
-    private void refuse(LedgerEntry e, double retryAfterMs) {
+    private void refuse(OpenJob e, double retryAfterMs) {
         if (e.mayHaveRun() && e.cls.effect() != Effect.FREE) {
             counters.count("guard.refusal");
             fail(e);
@@ -531,7 +531,7 @@
         }
     }
 
-    private void answer(LedgerEntry e, String how, ByteBuffer result, Consumer<ReplyTo> words) {
+    private void answer(OpenJob e, String how, ByteBuffer result, Consumer<ReplyTo> words) {
         List<ReplyTo> all = List.copyOf(e.waiting);
         close(e);
         counters.count("jobs." + how + "." + e.cls.name());
@@ -541,7 +541,7 @@
         all.forEach(words);
     }
 
-    private void close(LedgerEntry e) {
+    private void close(OpenJob e) {
         tallies.closed(e);
         e.answered = true;
         e.giveUp.cancel();
@@ -590,7 +590,7 @@
 
     /** The one place where attempts start for all fronts; what breaks a rule ends as never sent. */
     private void assign(String id, String node) {
-        LedgerEntry e = ledger.get(id);
+        OpenJob e = ledger.get(id);
         if (e == null) {
             counters.count("guard.over");
             return;
@@ -599,7 +599,7 @@
             moot(new Attempt(this, e, node, null, null, nowMs()));
             return;
         }
-        Roster.Node n = roster.get(node);
+        WorkerRegistry.Node n = roster.get(node);
         String broken = n == null
                         || !n.serving()
                         || roster.banned(node)
@@ -637,7 +637,7 @@
      * Whether nobody waits for a job any more: their end may have come since connections were last read, while the loop
      * was busy or the process was given no time.
      */
-    boolean left(LedgerEntry e) {
+    boolean left(OpenJob e) {
         List.copyOf(e.waiting).forEach(ReplyTo::look);
         return e.answered;
     }
@@ -650,20 +650,20 @@
                 new Dispatcher.Outcome(a.job.sheet.id(), a.number, a.node, Ending.MOOT, 0, a.job.answered, null)));
     }
 
-    private boolean cold(Roster.Node n) {
+    private boolean cold(WorkerRegistry.Node n) {
         double up = n.line.entry().cameUpMs();
         return up > 0 && nowMs() - up < set.rules().coldMs();
     }
 
     private void cancel(String id, int number) {
-        LedgerEntry e = ledger.get(id);
+        OpenJob e = ledger.get(id);
         if (e != null && number < e.attempts.size() && e.attempts.get(number) == e.out()) {
             drawBack(e, Ending.CANCELLED);
         }
     }
 
     private void probe(String node) {
-        Roster.Node n = roster.get(node);
+        WorkerRegistry.Node n = roster.get(node);
         counters.count("probes.out");
         double asked = nowMs();
         Probe reply = (how, report) -> {
@@ -682,8 +682,8 @@
         @Override
         public void assign(String job, String worker, double timeoutMs) {
             actions.add(() -> {
-                DispatchRoom.this.assign(job, worker);
-                LedgerEntry e = ledger.get(job);
+                DispatchCore.this.assign(job, worker);
+                OpenJob e = ledger.get(job);
                 Attempt a = e == null ? null : e.out();
                 if (timeoutMs > 0 && a != null) {
                     wheel.at(a.sentAt + timeoutMs, () -> {
@@ -697,17 +697,17 @@
 
         @Override
         public void refuse(String job, double retryAfterMs) {
-            finish(job, e -> DispatchRoom.this.refuse(e, retryAfterMs));
+            finish(job, e -> DispatchCore.this.refuse(e, retryAfterMs));
         }
 
         @Override
         public void fail(String job) {
-            finish(job, DispatchRoom.this::fail);
+            finish(job, DispatchCore.this::fail);
         }
 
-        private void finish(String job, Consumer<LedgerEntry> words) {
+        private void finish(String job, Consumer<OpenJob> words) {
             actions.add(() -> {
-                LedgerEntry e = ledger.get(job);
+                OpenJob e = ledger.get(job);
                 if (e != null) {
                     words.accept(e);
                     drawBack(e, Ending.CANCELLED);
@@ -717,12 +717,12 @@
 
         @Override
         public void cancel(String job, int attempt) {
-            actions.add(() -> DispatchRoom.this.cancel(job, attempt));
+            actions.add(() -> DispatchCore.this.cancel(job, attempt));
         }
 
         @Override
         public void probe(String worker) {
-            actions.add(() -> DispatchRoom.this.probe(worker));
+            actions.add(() -> DispatchCore.this.probe(worker));
         }
 
         @Override
--- a/src/main/java/plumpost/dispatch/ClassBook.java
+++ b/src/main/java/plumpost/dispatch/JobClassRegistry.java
@@ -12,7 +12,7 @@
  * that a file leaves out is no longer offered, after a short while in which jobs sent before the change still come.
  * Pure: the time is given.
  */
-public final class ClassBook {
+public final class JobClassRegistry {
     /** Names that one process may have known: beyond this a file is turned down, so that memory stays bounded. */
     public static final int MOST = 256;
     /** Jobs of a class that was just left out may still be under way to us: they are taken for so long. */
@@ -23,7 +23,7 @@
     private Settings now;
 
     /** The classes of the first settings, all offered. */
-    public ClassBook(Settings first) {
+    public JobClassRegistry(Settings first) {
         all.addAll(first.classes());
         goneAt = new double[all.size()];
         Arrays.fill(goneAt, Double.NaN);
--- a/src/main/java/plumpost/dispatch/JobSheet.java
+++ b/src/main/java/plumpost/dispatch/JobRequest.java
@@ -20,7 +20,7 @@
  * @param unique key under which a resubmit is the same job, with all that its front tells keys apart by, or null
  * @param work what the job is beside its class
  */
-public record JobSheet(
+public record JobRequest(
         String id,
         int cls,
         ByteBuffer target,
@@ -49,7 +49,7 @@
     public record Work(int kind, String name, String unique, String reducer, int priority, double aimMs) {}
 
     /** A job that comes without fields. */
-    public JobSheet(
+    public JobRequest(
             String id,
             int cls,
             ByteBuffer target,
@@ -67,7 +67,7 @@
     }
 
     /** A job of its class's own work. */
-    public JobSheet(
+    public JobRequest(
             String id,
             int cls,
             ByteBuffer target,
--- a/src/main/java/plumpost/dispatch/Rights.java
+++ b/src/main/java/plumpost/dispatch/LeaseAuthority.java
@@ -6,7 +6,7 @@
  * Port to an agreed ledger: the right to hand a job out. A job that comes with it is held back at its node's link until
  * the right is granted; one without costs nothing.
  */
-public interface Rights {
+public interface LeaseAuthority {
     /** Asks for the right to hand a job out once; then says, at once or later, whether it was granted. */
     void ask(Attempt a, Consumer<Boolean> then);
 
--- a/src/main/java/plumpost/dispatch/LedgerEntry.java
+++ b/src/main/java/plumpost/dispatch/OpenJob.java
@@ -8,8 +8,8 @@
 import plumpost.time.TimerWheel;
 
 /** A job in the ledger, from its taking to its final answer. */
-public final class LedgerEntry {
-    final JobSheet sheet;
+public final class OpenJob {
+    final JobRequest sheet;
     final JobClass cls;
     final double deadline;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -22,9 +22,9 @@
     Attempt teller;
     ByteBuffer words;
     /** Null where nothing but this scheduler decides on handing it out. */
-    final Rights rights;
+    final LeaseAuthority rights;
 
-    LedgerEntry(JobSheet sheet, JobClass cls, double deadline, Rights rights) {
+    OpenJob(JobRequest sheet, JobClass cls, double deadline, LeaseAuthority rights) {
         this.rights = rights;
         this.sheet = sheet;
         this.cls = cls;
@@ -73,7 +73,7 @@
     }
 
     /** The job as it was handed in. */
-    public JobSheet sheet() {
+    public JobRequest sheet() {
         return sheet;
     }
 
--- a/src/main/java/plumpost/dispatch/Tallies.java
+++ b/src/main/java/plumpost/dispatch/OpenJobCounts.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** Counts open jobs by kind of work, kept as jobs come, run and go, so that reading them costs nothing. */
-public final class Tallies {
+public final class OpenJobCounts {
     /** Open jobs of one kind of work: all, those that a node has, and those that wait by priority. */
     public static final class Tally {
         private long open;
@@ -37,13 +37,13 @@
         return all.get(kind);
     }
 
-    void taken(LedgerEntry e) {
+    void taken(OpenJob e) {
         Tally t = of(e.sheet.work().kind());
         t.open++;
         t.waiting[slot(e)]++;
     }
 
-    void moved(LedgerEntry e, boolean running) {
+    void moved(OpenJob e, boolean running) {
         if (e.tallied != running && !e.answered) {
             e.tallied = running;
             Tally t = of(e.sheet.work().kind());
@@ -52,7 +52,7 @@
         }
     }
 
-    void closed(LedgerEntry e) {
+    void closed(OpenJob e) {
         Tally t = of(e.sheet.work().kind());
         t.open--;
         if (e.tallied) {
@@ -62,7 +62,7 @@
         }
     }
 
-    private static int slot(LedgerEntry e) {
+    private static int slot(OpenJob e) {
         return 1 - Integer.signum(e.sheet.work().priority());
     }
 }
--- a/src/main/java/plumpost/dispatch/Roster.java
+++ b/src/main/java/plumpost/dispatch/WorkerRegistry.java
@@ -14,7 +14,7 @@
  * The route nodes as their lists told them, with the operators' bans over them: which nodes may get something new,
  * and what the module is to be told of each. No I/O; the core tells the module what this returns.
  */
-final class Roster {
+final class WorkerRegistry {
     /** One listed node, the list that named it, and the attempts out on it. */
     static final class Node {
         ListedNode line;
--- a/src/main/java/plumpost/fleet/engine/FleetMaker.java
+++ b/src/main/java/plumpost/fleet/engine/FleetMaker.java
@@ -21,7 +21,7 @@
 import plumpost.fleet.FleetCodec;
 import plumpost.fleet.Member;
 import plumpost.fleet.Outcome;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.peers.Fleet;
 import plumpost.peers.Host;
 
@@ -36,7 +36,7 @@
     }
 
     @Override
-    public Fleet make(PeersConfig config, Host host, Kit kit, Consumer<Runnable> loop) {
+    public Fleet make(PeersConfig config, Host host, LoopContext kit, Consumer<Runnable> loop) {
         DataDirectory data;
         try {
             data = new DataDirectory(config.data(), config.self().name(), config.group());
--- a/src/main/java/plumpost/gearman/AdminLines.java
+++ b/src/main/java/plumpost/gearman/AdminLines.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import plumpost.config.GearmanConfig;
-import plumpost.dispatch.LedgerEntry;
-import plumpost.dispatch.Tallies;
+import plumpost.dispatch.OpenJob;
+import plumpost.dispatch.OpenJobCounts;
 import plumpost.gearman.FunctionTable.Function;
 
 /** The admin's text lines: what is asked in a line, and the answer to it. What can harm is off until it is allowed. */
@@ -13,10 +13,10 @@
     private static final String ARGUMENTS =
             "ERR INVALID_ARGUMENTS An+incomplete+set+of+arguments+was+sent+to+this+" + "command\n";
 
-    private final GearmanDoor door;
+    private final GearmanFront door;
     private final String version;
 
-    AdminLines(GearmanDoor door, String version) {
+    AdminLines(GearmanFront door, String version) {
         this.door = door;
         this.version = version;
     }
@@ -71,7 +71,7 @@
     private String status() {
         StringBuilder all = new StringBuilder();
         for (Function f : door.functions.all()) {
-            Tallies.Tally t = door.room.tally(f.kind);
+            OpenJobCounts.Tally t = door.room.tally(f.kind);
             all.append(f.name)
                     .append('\t')
                     .append(t.open())
@@ -87,7 +87,7 @@
     private String priorities() {
         StringBuilder all = new StringBuilder();
         for (Function f : door.functions.all()) {
-            Tallies.Tally t = door.room.tally(f.kind);
+            OpenJobCounts.Tally t = door.room.tally(f.kind);
             all.append(f.name)
                     .append('\t')
                     .append(t.waiting(1))
@@ -148,7 +148,7 @@
         if (door.schedule.remove(door.schedule.of(id))) {
             return OK;
         }
-        LedgerEntry e = door.room.entry(id);
+        OpenJob e = door.room.entry(id);
         if (e == null) {
             return "ERR UNKNOWN_JOB\n";
         }
--- a/src/main/java/plumpost/gearman/ClientSide.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -10,27 +10,27 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import plumpost.dispatch.JobSheet;
-import plumpost.dispatch.LedgerEntry;
+import plumpost.dispatch.JobRequest;
+import plumpost.dispatch.OpenJob;
 import plumpost.gearman.FunctionTable.Function;
 import plumpost.gearman.Packet.Type;
 import plumpost.peers.Fleet;
 import plumpost.peers.Ledger;
 
 /** A client's side of a connection: what it submits, asks and is told. */
-final class ClientSide {
+final class ClientSession {
     private static final int UNIQUE_LIMIT = 1024;
     private static final int MOST_HELD = 256;
 
-    private final GearmanDoor door;
-    private final Caller caller;
+    private final GearmanFront door;
+    private final GearmanConnection caller;
     private final Set<Submission> waiting = new LinkedHashSet<>();
     private int background;
     private boolean exceptions;
     private boolean asking;
     private final ArrayDeque<Packet> held = new ArrayDeque<>(0);
 
-    ClientSide(GearmanDoor door, Caller caller) {
+    ClientSession(GearmanFront door, GearmanConnection caller) {
         this.door = door;
         this.caller = caller;
     }
@@ -95,7 +95,7 @@
             return;
         }
         String id = door.id(p.text(0));
-        LedgerEntry e = door.room.entry(id);
+        OpenJob e = door.room.entry(id);
         if (e == null && door.schedule.of(id) != null) {
             caller.write(Type.STATUS_RES, p.parts().get(0), 1, 0, 0, 0);
             return;
@@ -116,7 +116,7 @@
     }
 
     private void statusUnique(Packet p) {
-        LedgerEntry e = null;
+        OpenJob e = null;
         boolean later = false;
         for (Function f : door.functions.all()) {
             String key = key(f, p.text(0));
@@ -162,7 +162,7 @@
     }
 
     /** The job in a packet whose data is the given argument, or null where it is not taken and that was said. */
-    private JobSheet sheet(Packet p, int dataAt, String reducer, int priority, boolean inBackground) {
+    private JobRequest sheet(Packet p, int dataAt, String reducer, int priority, boolean inBackground) {
         String name = p.text(0);
         Function f = door.functions.find(name);
         if (f == null) {
@@ -187,7 +187,7 @@
         double patience = inBackground
                 ? door.config.backgroundMs()
                 : door.set.classes().get(f.cls).deadlineMs();
-        return new JobSheet(
+        return new JobRequest(
                 door.newId(),
                 f.cls,
                 null,
@@ -200,7 +200,7 @@
                 null,
                 false,
                 said.isEmpty() ? null : key(f, said),
-                new JobSheet.Work(
+                new JobRequest.Work(
                         f.kind,
                         f.name,
                         said.isEmpty() ? null : said,
@@ -210,7 +210,7 @@
     }
 
     private void submit(Packet p, int dataAt, String reducer, int priority, boolean inBackground) {
-        JobSheet sheet = sheet(p, dataAt, reducer, priority, inBackground);
+        JobRequest sheet = sheet(p, dataAt, reducer, priority, inBackground);
         if (sheet == null) {
             return;
         }
@@ -249,7 +249,7 @@
         }
         Submission s = new Submission(inBackground ? null : this, door.handle(sheet.id()));
         waiting.add(s);
-        LedgerEntry e = door.room.take(sheet, s);
+        OpenJob e = door.room.take(sheet, s);
         if (e != null) {
             s.handle = door.handle(e.sheet().id());
         }
@@ -262,7 +262,7 @@
     }
 
     /** A covered order: the fleet's first, then its client is told; who comes again joins it, or gets its outcome. */
-    private void order(JobSheet sheet, boolean inBackground) {
+    private void order(JobRequest sheet, boolean inBackground) {
         Ledger.Known same = door.orders.known(sheet.work().name(), sheet.work().unique());
         if (same != null) {
             created(same.id(), sheet, inBackground);
@@ -280,7 +280,7 @@
         }
     }
 
-    private void created(String handle, JobSheet sheet, boolean inBackground) {
+    private void created(String handle, JobRequest sheet, boolean inBackground) {
         Submission s = new Submission(inBackground ? null : this, handle);
         s.announce(caller);
         if (!inBackground) {
@@ -297,7 +297,7 @@
     }
 
     /** Whether a limit is reached; says which. */
-    private boolean full(JobSheet sheet) {
+    private boolean full(JobRequest sheet) {
         Function f = door.functions.of(sheet.work().kind());
         int most = f.most[1 - sheet.work().priority()];
         long same = door.room.tally(f.kind).waiting(sheet.work().priority());
@@ -343,11 +343,11 @@
     }
 
     private void later(Packet p, int dataAt, double atMs) {
-        JobSheet sheet = sheet(p, dataAt, null, 0, true);
+        JobRequest sheet = sheet(p, dataAt, null, 0, true);
         if (sheet == null) {
             return;
         }
-        LedgerEntry open = sheet.unique() == null ? null : door.room.entryOf(sheet.unique());
+        OpenJob open = sheet.unique() == null ? null : door.room.entryOf(sheet.unique());
         Schedule.Entry same = sheet.unique() == null ? null : door.schedule.ofUnique(sheet.unique());
         String lack = door.schedule.lack(sheet.body().remaining());
         if (open != null) {
--- a/src/main/java/plumpost/gearman/FleetJobs.java
+++ b/src/main/java/plumpost/gearman/FleetJobs.java
@@ -6,20 +6,20 @@
 import java.util.List;
 import java.util.Map;
 import plumpost.decision.Dispatcher;
-import plumpost.dispatch.JobSheet;
-import plumpost.dispatch.LedgerEntry;
+import plumpost.dispatch.JobRequest;
+import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.ReplyTo;
 import plumpost.gearman.FunctionTable.Function;
 import plumpost.peers.Fleet;
 
 /** Scheduled jobs of a fleet at one front: planned with the others, and run here where the fleet says so. */
 final class FleetJobs {
-    private final GearmanDoor door;
+    private final GearmanFront door;
     private final Fleet fleet;
-    private final Map<String, LedgerEntry> running = new HashMap<>();
+    private final Map<String, OpenJob> running = new HashMap<>();
     private final Map<String, Reply> replies = new HashMap<>();
 
-    FleetJobs(GearmanDoor door, Fleet fleet) {
+    FleetJobs(GearmanFront door, Fleet fleet) {
         this.door = door;
         this.fleet = fleet;
     }
@@ -29,7 +29,7 @@
     }
 
     /** Plans a job with the fleet; then says what its client is told. */
-    void plan(JobSheet sheet, double atMs, java.util.function.Consumer<Fleet.Said> then) {
+    void plan(JobRequest sheet, double atMs, java.util.function.Consumer<Fleet.Said> then) {
         byte[] body = new byte[sheet.body().remaining()];
         sheet.body().duplicate().get(body);
         String unique = sheet.work().unique();
@@ -41,7 +41,7 @@
     }
 
     /** The planned job under a function and key, or null. */
-    Fleet.Job under(JobSheet sheet) {
+    Fleet.Job under(JobRequest sheet) {
         return sheet.work().unique() == null
                 ? null
                 : fleet.planned(sheet.work().name(), sheet.work().unique());
@@ -55,7 +55,7 @@
         }
         String unique = job.unique().isEmpty() ? null : job.unique();
         double patience = door.config.backgroundMs();
-        JobSheet sheet = new JobSheet(
+        JobRequest sheet = new JobRequest(
                 door.newId(),
                 f.cls,
                 null,
@@ -67,10 +67,10 @@
                 0,
                 null,
                 false,
-                unique == null ? null : ClientSide.key(f, unique),
-                new JobSheet.Work(f.kind, f.name, unique, null, 0, patience));
+                unique == null ? null : ClientSession.key(f, unique),
+                new JobRequest.Work(f.kind, f.name, unique, null, 0, patience));
         Reply reply = new Reply(job.id());
-        LedgerEntry e = door.room.take(sheet, reply);
+        OpenJob e = door.room.take(sheet, reply);
         if (e != null && !reply.over) {
             running.put(job.id(), e);
             replies.put(job.id(), reply);
@@ -80,7 +80,7 @@
 
     /** What no worker has is called off; it goes back to the fleet as never seen by anybody. */
     void callBack(String id) {
-        LedgerEntry e = running.get(id);
+        OpenJob e = running.get(id);
         if (e != null) {
             Reply reply = replies.get(id);
             reply.unstarted = true;
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -8,10 +8,10 @@
 import java.util.function.Consumer;
 import plumpost.decision.Dispatcher.Effect;
 import plumpost.dispatch.Attempt;
-import plumpost.dispatch.JobSheet;
-import plumpost.dispatch.LedgerEntry;
+import plumpost.dispatch.JobRequest;
+import plumpost.dispatch.LeaseAuthority;
+import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.ReplyTo;
-import plumpost.dispatch.Rights;
 import plumpost.gearman.FunctionTable.Function;
 import plumpost.peers.Fleet;
 import plumpost.peers.Ledger;
@@ -21,7 +21,7 @@
  * scheduler's to try is in its core, and handed out only under a lease; whoever waits is answered by the ledger, wherever
  * the order ran. Its handle is the same at every scheduler.
  */
-final class FleetOrders implements Ledger.Holder, Rights {
+final class FleetOrders implements Ledger.Holder, LeaseAuthority {
     /** Orders of the fleet in this core at once: more wait where they are, or with nobody. */
     private static final int MOST_HERE = 256;
 
@@ -29,19 +29,19 @@
     /** The core's own word on an order whose time is up has so long to come through the log. */
     private static final double GRACE_MS = 100;
 
-    private final GearmanDoor door;
+    private final GearmanFront door;
     private final Ledger ledger;
-    private final Map<String, LedgerEntry> here = new HashMap<>();
+    private final Map<String, OpenJob> here = new HashMap<>();
     private final Map<String, Reply> replies = new HashMap<>();
     private final Map<String, List<Submission>> waiting = new HashMap<>();
 
-    FleetOrders(GearmanDoor door, Ledger ledger) {
+    FleetOrders(GearmanFront door, Ledger ledger) {
         this.door = door;
         this.ledger = ledger;
         ledger.at(this);
     }
 
-    boolean covers(JobSheet sheet) {
+    boolean covers(JobRequest sheet) {
         return ledger.covers(door.set.classes().get(sheet.cls()).name());
     }
 
@@ -60,14 +60,14 @@
 
     /** The share that is done, where it runs here. */
     double share(String id) {
-        LedgerEntry e = here.get(id);
+        OpenJob e = here.get(id);
         return e == null ? 0 : e.share();
     }
 
     // ---- clients ----
 
     /** Hands an order over to the fleet; then says what its client is told. */
-    void take(JobSheet sheet, boolean background, Consumer<Fleet.Said> then) {
+    void take(JobRequest sheet, boolean background, Consumer<Fleet.Said> then) {
         byte[] body = new byte[sheet.body().remaining()];
         sheet.body().duplicate().get(body);
         String unique = sheet.work().unique();
@@ -152,7 +152,7 @@
             return false;
         }
         String unique = o.unique().isEmpty() ? null : o.unique();
-        JobSheet sheet = new JobSheet(
+        JobRequest sheet = new JobRequest(
                 o.id(),
                 f.cls,
                 null,
@@ -165,11 +165,11 @@
                 null,
                 false,
                 null,
-                new JobSheet.Work(
+                new JobRequest.Work(
                         f.kind, f.name, unique, null, o.priority(), o.background() ? o.patienceMs() : Double.NaN));
         Reply reply = new Reply(o.id(), o.background());
         replies.put(o.id(), reply);
-        LedgerEntry e = door.room.take(sheet, reply, this);
+        OpenJob e = door.room.take(sheet, reply, this);
         if (e != null && !reply.over) {
             here.put(o.id(), e);
         }
@@ -178,7 +178,7 @@
 
     @Override
     public void drop(String id) {
-        LedgerEntry e = here.get(id);
+        OpenJob e = here.get(id);
         if (e != null) {
             replies.get(id).silent = true;
             door.room.callOff(e);
@@ -198,7 +198,7 @@
         return door.stopping() ? 0 : MOST_HERE - here.size();
     }
 
-    // ---- Rights ----
+    // ---- LeaseAuthority ----
 
     @Override
     public void ask(Attempt a, Consumer<Boolean> then) {
--- a/src/main/java/plumpost/gearman/Caller.java
+++ b/src/main/java/plumpost/gearman/GearmanConnection.java
@@ -7,7 +7,7 @@
 import plumpost.net.ConnectionHandler;
 
 /** One Gearman connection: a client, a worker, an admin, or all of them. Reads packets and hands them to its sides. */
-final class Caller implements ConnectionHandler {
+final class GearmanConnection implements ConnectionHandler {
     /** A packet on its way for longer than this, and than its size at a slow link's pace, ends the connection. */
     private static final double SLOW_MS = 10_000;
 
@@ -17,12 +17,12 @@
     private static final int PIECE = 64 * 1024;
 
     final Connection wire;
-    private final GearmanDoor door;
+    private final GearmanFront door;
     private final long number;
     private final PacketReader reader;
     private final double since;
-    private ClientSide client;
-    private WorkerSeat seat;
+    private ClientSession client;
+    private WorkerSession seat;
     private String clientId;
     private boolean over;
     private boolean reading;
@@ -30,7 +30,7 @@
     private boolean spoke;
     private ByteBuffer listing;
 
-    Caller(GearmanDoor door, Connection wire, long number) {
+    GearmanConnection(GearmanFront door, Connection wire, long number) {
         since = door.kit.clock().nowMs();
         this.door = door;
         this.number = number;
@@ -57,7 +57,7 @@
         return spoke ? 0 : now - since;
     }
 
-    WorkerSeat seat() {
+    WorkerSession seat() {
         return seat;
     }
 
@@ -183,7 +183,7 @@
                     GET_STATUS_UNIQUE,
                     OPTION_REQ -> {
                 if (client == null) {
-                    client = new ClientSide(door, this);
+                    client = new ClientSession(door, this);
                 }
                 client.packet(p);
             }
@@ -205,7 +205,7 @@
                     WORK_DATA,
                     WORK_WARNING -> {
                 if (seat == null) {
-                    seat = new WorkerSeat(door, this);
+                    seat = new WorkerSession(door, this);
                 }
                 seat.packet(p);
             }
--- a/src/main/java/plumpost/gearman/GearmanDoor.java
+++ b/src/main/java/plumpost/gearman/GearmanFront.java
@@ -11,20 +11,20 @@
 import plumpost.config.NodeConfig;
 import plumpost.decision.Dispatcher;
 import plumpost.decision.Dispatcher.ListMode;
-import plumpost.dispatch.DispatchRoom;
-import plumpost.dispatch.JobSheet;
+import plumpost.dispatch.DispatchCore;
+import plumpost.dispatch.JobRequest;
 import plumpost.dispatch.ListedNode;
 import plumpost.dispatch.NodeList;
 import plumpost.front.Front;
 import plumpost.front.Listeners;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.peers.Fleet;
 import plumpost.time.TimerWheel;
 
 /** The Gearman front: takes clients and workers in; its workers are the route nodes of a node list of its own. */
-public final class GearmanDoor implements NodeList, Front {
+public final class GearmanFront implements NodeList, Front {
     private static final HexFormat HEX = HexFormat.of();
     private static final double SWEEP_MS = 500;
     /** A packet follows its connection at once: while places run short, one without is a stranger's after this. */
@@ -32,12 +32,12 @@
     /** A scheduled job whose time has come while the ledger is full is tried again so often. */
     private static final double AGAIN_MS = 100;
 
-    final DispatchRoom room;
-    final Kit kit;
+    final DispatchCore room;
+    final LoopContext kit;
     final Dispatcher.Settings set;
     final GearmanConfig config;
     final FunctionTable functions;
-    final WorkerBook book;
+    final WorkerHistory book;
     final Schedule schedule;
     final AdminLines admin;
     final PacketReader.Budget reading;
@@ -45,8 +45,8 @@
     private final int places;
     private final String handles;
     private final long firstId;
-    private final Set<Caller> callers = new LinkedHashSet<>();
-    Caller lister;
+    private final Set<GearmanConnection> callers = new LinkedHashSet<>();
+    GearmanConnection lister;
     private TimerWheel.Timer next;
     private long ids;
     private long taken;
@@ -57,7 +57,7 @@
     FleetOrders orders;
 
     /** A front whose handles carry the scheduler's name, and whose job ids start anew with each seed. */
-    public GearmanDoor(NodeConfig node, String version, DispatchRoom room, Kit kit, Runnable shutdown) {
+    public GearmanFront(NodeConfig node, String version, DispatchCore room, LoopContext kit, Runnable shutdown) {
         this.config = node.gearman();
         this.handles = "H:" + node.name() + ':';
         this.firstId = node.seed() ^ Double.doubleToLongBits(kit.clock().nowMs()) * 0x9E3779B97F4A7C15L;
@@ -67,7 +67,7 @@
         this.shutdown = shutdown;
         places = config.limits().connections() > 0 ? config.limits().connections() : node.sockets() / 8;
         functions = new FunctionTable(set.classes(), config);
-        book = new WorkerBook(config.returnMs());
+        book = new WorkerHistory(config.returnMs());
         schedule = new Schedule(config.limits().scheduled(), config.limits().scheduledBytes());
         admin = new AdminLines(this, version);
         reading = new PacketReader.Budget(config.limits().readingBytes());
@@ -83,7 +83,7 @@
 
     /** Takes a connection in. */
     public ConnectionHandler accept(Connection wire) {
-        Caller c = new Caller(this, wire, ++taken);
+        GearmanConnection c = new GearmanConnection(this, wire, ++taken);
         callers.add(c);
         return c;
     }
@@ -123,7 +123,7 @@
         return stopping;
     }
 
-    Collection<Caller> callers() {
+    Collection<GearmanConnection> callers() {
         return callers;
     }
 
@@ -144,7 +144,7 @@
         room.listed(this, ListMode.INCREMENTAL, List.of(line));
     }
 
-    void left(Caller c) {
+    void left(GearmanConnection c) {
         callers.remove(c);
     }
 
@@ -176,7 +176,7 @@
 
     // ---- scheduled jobs ----
 
-    void later(JobSheet sheet, double atMs) {
+    void later(JobRequest sheet, double atMs) {
         schedule.add(sheet, atMs);
         lookAt(atMs);
     }
@@ -214,7 +214,7 @@
     /** Ends the connection that has said nothing for longest; false while each has spoken or is new. */
     public boolean shed() {
         double now = kit.clock().nowMs();
-        for (Caller c : callers) { // in the order in which they came
+        for (GearmanConnection c : callers) { // in the order in which they came
             if (c.silentFor(now) > NEWCOMER_MS) {
                 kit.counters().count("gearman.shed");
                 callers.remove(c);
@@ -227,7 +227,7 @@
 
     private void sweep() {
         double now = kit.clock().nowMs();
-        for (Caller c : new ArrayList<>(callers)) {
+        for (GearmanConnection c : new ArrayList<>(callers)) {
             if (c.slow(now)) {
                 kit.counters().count("gearman.slow");
                 c.error("timeout", "too slow");
--- a/src/main/java/plumpost/gearman/Schedule.java
+++ b/src/main/java/plumpost/gearman/Schedule.java
@@ -9,12 +9,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeSet;
-import plumpost.dispatch.JobSheet;
+import plumpost.dispatch.JobRequest;
 
 /** Jobs that wait for their time, bounded in number and bytes; does no I/O and keeps no clock. */
 final class Schedule {
     /** A job and its time in Unix milliseconds. */
-    record Entry(JobSheet sheet, double atMs, long order) {}
+    record Entry(JobRequest sheet, double atMs, long order) {}
 
     private final int most;
     private final long mostBytes;
@@ -37,7 +37,7 @@
                 : bytes + data > mostBytes ? "limits.scheduledBytes " + mostBytes : null;
     }
 
-    void add(JobSheet sheet, double atMs) {
+    void add(JobRequest sheet, double atMs) {
         Entry e = new Entry(sheet, atMs, order++);
         byTime.add(e);
         byId.put(sheet.id(), e);
--- a/src/main/java/plumpost/gearman/Submission.java
+++ b/src/main/java/plumpost/gearman/Submission.java
@@ -3,22 +3,22 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import plumpost.dispatch.LedgerEntry;
+import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.ReplyTo;
 import plumpost.gearman.Packet.Type;
 
 /** One job that a client has submitted: its JOB_CREATED, news, and one final packet where a client waits for it. */
 final class Submission implements ReplyTo {
-    private final ClientSide client;
+    private final ClientSession client;
     String handle;
-    LedgerEntry entry;
+    OpenJob entry;
     private List<Runnable> early = new ArrayList<>(0);
     private Runnable whenDone;
     private boolean done;
     private int told;
 
     /** A submission; in the background, without a client who waits, where that is null. */
-    Submission(ClientSide client, String handle) {
+    Submission(ClientSession client, String handle) {
         this.client = client;
         this.handle = handle;
     }
@@ -44,7 +44,7 @@
     }
 
     /** JOB_CREATED comes first, also where the core has answered at once. */
-    void announce(Caller to) {
+    void announce(GearmanConnection to) {
         to.write(Type.JOB_CREATED, handle);
         List<Runnable> words = early;
         early = null;
--- a/src/main/java/plumpost/gearman/WorkerBook.java
+++ b/src/main/java/plumpost/gearman/WorkerHistory.java
@@ -8,7 +8,7 @@
  * that only lost its connection is not cold again, and how often it left jobs ungrabbed, so that one that flaps is
  * given time before it is listed again. Bounded; does no I/O.
  */
-final class WorkerBook {
+final class WorkerHistory {
     private static final int MOST = 10_000;
     private static final double FIRST_DELAY_MS = 100;
     private static final double MOST_DELAY_MS = 10_000;
@@ -29,7 +29,7 @@
         }
     };
 
-    WorkerBook(double returnMs) {
+    WorkerHistory(double returnMs) {
         this.returnMs = returnMs;
     }
 
--- a/src/main/java/plumpost/gearman/WorkerSeat.java
+++ b/src/main/java/plumpost/gearman/WorkerSession.java
@@ -11,7 +11,7 @@
 import plumpost.decision.Dispatcher.Phase;
 import plumpost.decision.Dispatcher.WorkerEntry;
 import plumpost.dispatch.Attempt;
-import plumpost.dispatch.JobSheet;
+import plumpost.dispatch.JobRequest;
 import plumpost.dispatch.ListedNode;
 import plumpost.dispatch.NodeLink;
 import plumpost.dispatch.Probe;
@@ -24,12 +24,12 @@
  * has not been grabbed never ran; what was grabbed when the worker is lost may have run. It is listed from its first
  * grab or sleep on, and drains while it still works on a job that was given up, or sleeps through one it was woken for.
  */
-final class WorkerSeat implements NodeLink {
+final class WorkerSession implements NodeLink {
     /** A worker that was woken grabs within this time, or what waits for it goes elsewhere. */
     private static final double GRAB_MS = 1_000;
 
-    private final GearmanDoor door;
-    private final Caller caller;
+    private final GearmanFront door;
+    private final GearmanConnection caller;
     private final String id;
     private final Map<Function, Double> limits = new LinkedHashMap<>(4);
     private final ArrayDeque<Attempt> waiting = new ArrayDeque<>(2);
@@ -47,7 +47,7 @@
     private Phase told = Phase.DELETED;
     private TimerWheel.Timer grab;
 
-    WorkerSeat(GearmanDoor door, Caller caller) {
+    WorkerSession(GearmanFront door, GearmanConnection caller) {
         this.door = door;
         this.caller = caller;
         this.id = "gearman-" + door.newId();
@@ -284,7 +284,7 @@
     }
 
     private void assign(Type type, Attempt a) {
-        JobSheet s = a.sheet();
+        JobRequest s = a.sheet();
         running = a;
         busy = true;
         if (grab != null) { // else it would end a later sleep
--- a/src/main/java/plumpost/net/Kit.java
+++ b/src/main/java/plumpost/net/LoopContext.java
@@ -6,4 +6,4 @@
 import plumpost.time.TimerWheel;
 
 /** What every protocol's side works with: connections, time, timers, counters and the log. */
-public record Kit(Network network, Clock clock, TimerWheel wheel, Counters counters, Consumer<String> log) {}
+public record LoopContext(Network network, Clock clock, TimerWheel wheel, Counters counters, Consumer<String> log) {}
--- a/src/main/java/plumpost/peers/Fleet.java
+++ b/src/main/java/plumpost/peers/Fleet.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import plumpost.config.PeersConfig;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 
 /**
  * What a scheduler has of its fleet where its file has {@code peers}: the rest of the program sees only this. All calls
@@ -29,7 +29,7 @@
          *
          * @param loop has something run on the scheduler's loop
          */
-        Fleet make(PeersConfig config, Host host, Kit kit, Consumer<Runnable> loop);
+        Fleet make(PeersConfig config, Host host, LoopContext kit, Consumer<Runnable> loop);
 
         /** Runs a command against a fleet that runs: show, yield or remove; the answer's lines, or bad input. */
         String call(PeersConfig config, String command, String argument);
--- a/src/main/java/plumpost/platform/Gone.java
+++ b/src/main/java/plumpost/platform/AbsentLink.java
@@ -6,7 +6,7 @@
 import plumpost.dispatch.Probe;
 
 /** The link to a node that is listed as gone without an address: nothing reaches it. */
-enum Gone implements NodeLink {
+enum AbsentLink implements NodeLink {
     LINK;
 
     @Override
--- a/src/main/java/plumpost/platform/DiscoveryCall.java
+++ b/src/main/java/plumpost/platform/DiscoveryCall.java
@@ -12,7 +12,7 @@
 import plumpost.http.BadMessage;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.time.TimerWheel;
 
 /**
@@ -65,7 +65,7 @@
         void failed(DiscoveryCall call, Failure failure, String detail);
     }
 
-    private final Kit kit;
+    private final LoopContext kit;
     private final NodeListReader reader;
     private final Listener listener;
     private final InetSocketAddress service;
@@ -81,7 +81,7 @@
     private boolean over;
 
     /** Opens a call for what changed after the version {@code since}, or for {@link #WHOLE_LIST}. */
-    DiscoveryCall(Kit kit, NodeListReader reader, InetSocketAddress service, long since, Listener listener) {
+    DiscoveryCall(LoopContext kit, NodeListReader reader, InetSocketAddress service, long since, Listener listener) {
         this.kit = kit;
         this.reader = reader;
         this.service = service;
--- a/src/main/java/plumpost/platform/FrontDoor.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -10,20 +10,20 @@
 import plumpost.config.Json.Fields;
 import plumpost.config.LoadReports;
 import plumpost.decision.Dispatcher.JobClass;
-import plumpost.dispatch.DispatchRoom;
-import plumpost.dispatch.JobSheet;
-import plumpost.dispatch.LedgerEntry;
+import plumpost.dispatch.DispatchCore;
+import plumpost.dispatch.JobRequest;
+import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.ReplyTo;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.time.TimerWheel;
 
 /** The thin front for the platform's protocol: front desks hand jobs in by HTTP and wait for the answer. */
-final class FrontDoor {
+final class HttpFront {
     /** Fields that a link to a route node words itself; all others pass on, such as the key under which it drops repeats. */
     private static final Set<String> REWORDED = Set.of("x-txn", "x-lane", "x-remaining-ms");
 
@@ -48,8 +48,8 @@
     /** So long before it all that was taken late is answered, and nothing more is taken: the answers go out and are read. */
     private static final double LAST_CALL_MS = 300;
 
-    private final DispatchRoom room;
-    private final Kit kit;
+    private final DispatchCore room;
+    private final LoopContext kit;
     private final Lag lag;
     private final Set<ClientConnection> desks = new LinkedHashSet<>();
     private final NodeListWatch list;
@@ -66,7 +66,7 @@
         double ms();
     }
 
-    FrontDoor(DispatchRoom room, Kit kit, Lag lag, NodeListWatch list) {
+    HttpFront(DispatchCore room, LoopContext kit, Lag lag, NodeListWatch list) {
         this.list = list;
         this.room = room;
         this.kit = kit;
@@ -183,7 +183,7 @@
     private final class ClientConnection implements ConnectionHandler, ReplyTo {
         private final Connection wire;
         private final RequestReader reader = new RequestReader(BODY_LIMIT);
-        private LedgerEntry entry;
+        private OpenJob entry;
         private ByteBuffer ahead = ByteBuffer.allocate(0);
         /** What is being read. */
         private ByteBuffer from = ahead;
@@ -342,7 +342,7 @@
                 kit.counters().count("front.bad.405");
                 answer(405, Answers.ascii(""), "Allow: POST\r\n", true);
             } else {
-                JobSheet sheet;
+                JobRequest sheet;
                 try {
                     sheet = sheet(cls);
                 } catch (BadInput | NumberFormatException e) {
@@ -375,7 +375,7 @@
             }
         }
 
-        private JobSheet sheet(int cls) {
+        private JobRequest sheet(int cls) {
             var head = reader.head();
             JobClass c = room.settings().classes().get(cls);
             String id = head.only("X-Txn");
@@ -398,7 +398,7 @@
             if (!(slots > 0 && slots <= MOST_SLOTS)) {
                 throw new BadInput("X-Labels");
             }
-            return new JobSheet(
+            return new JobRequest(
                     id,
                     cls,
                     reader.target(),
@@ -412,7 +412,7 @@
                     key(),
                     "1".equals(head.field("X-Resent")),
                     null,
-                    new JobSheet.Work(cls, null, null, null, 0, Double.NaN));
+                    new JobRequest.Work(cls, null, null, null, 0, Double.NaN));
         }
 
         private String key() {
--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -12,11 +12,11 @@
 import plumpost.config.NodeListReader;
 import plumpost.decision.Dispatcher.ListMode;
 import plumpost.decision.Dispatcher.Phase;
-import plumpost.dispatch.DispatchRoom;
+import plumpost.dispatch.DispatchCore;
 import plumpost.dispatch.ListedNode;
 import plumpost.dispatch.NodeLink;
 import plumpost.dispatch.NodeList;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 
 /**
  * Keeps a watch open on discovery's node list. A new process asks before it serves, since the list in its file may be
@@ -50,10 +50,10 @@
     /** ... but over no more than this part of the time in which the settings want each scheduler to ask. */
     private static final double MOST_SPREAD_PART = 1.0 / 3;
 
-    private final Kit kit;
+    private final LoopContext kit;
     private final NodeListReader reader;
-    private final RouteNodes nodes;
-    private final DispatchRoom room;
+    private final WorkerLinks nodes;
+    private final DispatchCore room;
     private final SplittableRandom random;
     private InetSocketAddress service;
     private long version = DiscoveryCall.WHOLE_LIST;
@@ -79,12 +79,12 @@
     private boolean asks = true;
 
     NodeListWatch(
-            Kit kit,
+            LoopContext kit,
             InetSocketAddress discovery,
             long seed,
             NodeListReader reader,
-            RouteNodes nodes,
-            DispatchRoom room) {
+            WorkerLinks nodes,
+            DispatchCore room) {
         this.random = new SplittableRandom(seed);
         this.kit = kit;
         this.service = discovery;
@@ -254,7 +254,7 @@
         told = true;
         List<ListedNode> lines = new ArrayList<>();
         for (NodeListReader.Line line : listing.lines()) {
-            NodeLink link = line.dial() == null ? Gone.LINK : nodes.at(line.dial());
+            NodeLink link = line.dial() == null ? AbsentLink.LINK : nodes.at(line.dial());
             if (mode == ListMode.INCREMENTAL || line.entry().phase() != Phase.DELETED) {
                 lines.add(new ListedNode(line.entry(), link));
             }
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -4,26 +4,26 @@
 import java.util.function.DoubleSupplier;
 import plumpost.config.NodeConfig;
 import plumpost.config.NodeListReader;
-import plumpost.dispatch.DispatchRoom;
+import plumpost.dispatch.DispatchCore;
 import plumpost.front.Front;
 import plumpost.front.Listeners;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 
 /** The platform's side of a scheduler: its front, its links to route nodes and its watch on the node list. */
 public final class Platform implements Front {
     private static final long UNREAD = 2 << 20;
 
-    private final FrontDoor door;
+    private final HttpFront door;
     private final NodeListWatch watch;
     private final NodeListReader reader;
     private final NodeConfig config;
-    private final DispatchRoom room;
-    private final Kit kit;
+    private final DispatchCore room;
+    private final LoopContext kit;
 
     /** Joins the platform's protocol to a core; {@code lag} tells how long bytes may have lain unread. */
-    public Platform(NodeConfig config, DispatchRoom room, Kit kit, DoubleSupplier lag) {
+    public Platform(NodeConfig config, DispatchCore room, LoopContext kit, DoubleSupplier lag) {
         this.config = config;
         this.room = room;
         this.kit = kit;
@@ -32,9 +32,9 @@
             kit.counters().count("list.malformed_line");
             kit.log().accept("malformed node list line: " + why);
         });
-        RouteNodes nodes = new RouteNodes(kit, room::settings, nodeConnections);
+        WorkerLinks nodes = new WorkerLinks(kit, room::settings, nodeConnections);
         watch = new NodeListWatch(kit, config.discovery(), config.seed(), reader, nodes, room);
-        door = new FrontDoor(room, kit, lag::getAsDouble, watch);
+        door = new HttpFront(room, kit, lag::getAsDouble, watch);
     }
 
     /** Connections that front desks may hold open together. */
--- a/src/main/java/plumpost/platform/WarmUp.java
+++ b/src/main/java/plumpost/platform/WarmUp.java
@@ -8,13 +8,13 @@
 import plumpost.config.Json;
 import plumpost.config.NodeConfig;
 import plumpost.count.Counters;
-import plumpost.dispatch.DispatchRoom;
+import plumpost.dispatch.DispatchCore;
 import plumpost.http.Answers;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.net.Network;
 import plumpost.time.TimerWheel;
 
@@ -50,15 +50,16 @@
                 null);
         TimerWheel wheel = new TimerWheel(now);
         Counters counters = new Counters();
-        DispatchRoom room = new DispatchRoom(
+        DispatchCore room = new DispatchCore(
                 config.settings(),
                 1,
                 () -> now,
                 wheel,
                 counters,
-                new DispatchRoom.Bounds(JOBS, 1 << 20, 16, 1 << 16),
+                new DispatchCore.Bounds(JOBS, 1 << 20, 16, 1 << 16),
                 words -> {});
-        Platform platform = new Platform(config, room, new Kit(this, () -> now, wheel, counters, words -> {}), () -> 0);
+        Platform platform =
+                new Platform(config, room, new LoopContext(this, () -> now, wheel, counters, words -> {}), () -> 0);
         platform.begin();
         MemoryConnection desk = new MemoryConnection();
         ConnectionHandler front = platform.accept(desk);
--- a/src/main/java/plumpost/platform/RouteNodes.java
+++ b/src/main/java/plumpost/platform/WorkerLinks.java
@@ -22,11 +22,11 @@
 import plumpost.http.BadMessage;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.time.TimerWheel;
 
 /** The route nodes that speak HTTP: one link each, with its pool of connections. */
-final class RouteNodes {
+final class WorkerLinks {
     private static final int ANSWER_LIMIT = 256 * 1024;
     /** Where the settings do not say how long a connection may take to come up. */
     private static final double DIAL_MS = 250;
@@ -41,14 +41,14 @@
     /** Idle connections are retired at this part of the time after which the node may close them. */
     private static final double RETIRE_AT = 0.5;
 
-    private final Kit kit;
+    private final LoopContext kit;
     private final Supplier<Dispatcher.Settings> settings;
     private final int mostConnections;
     private final Map<InetSocketAddress, Node> nodes = new HashMap<>();
     private int connections;
 
     /** Links whose figures follow the settings in force, which SIGHUP may change. */
-    RouteNodes(Kit kit, Supplier<Dispatcher.Settings> settings, int mostConnections) {
+    WorkerLinks(LoopContext kit, Supplier<Dispatcher.Settings> settings, int mostConnections) {
         this.kit = kit;
         this.settings = settings;
         this.mostConnections = mostConnections;
@@ -195,7 +195,7 @@
         }
 
         private void dial() {
-            if (connections > mostConnections && !RouteNodes.this.room()) {
+            if (connections > mostConnections && !WorkerLinks.this.room()) {
                 // Our own lack and no fault of the node's: nothing was sent, nothing is learned.
                 kit.counters().count("nodes.no_connection");
                 kit.wheel().at(kit.clock().nowMs(), () -> end(Ending.MOOT));
--- a/src/test/java/plumpost/CrowdedPeersTest.java
+++ b/src/test/java/plumpost/CrowdedPeersTest.java
@@ -16,13 +16,13 @@
 import plumpost.config.NodeConfig;
 import plumpost.config.SettingsReader;
 import plumpost.count.Counters;
-import plumpost.dispatch.DispatchRoom;
+import plumpost.dispatch.DispatchCore;
 import plumpost.http.AnswerReader;
 import plumpost.http.BadMessage;
 import plumpost.http.RequestReader;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.net.SelectorLoop;
 import plumpost.platform.Platform;
 import plumpost.time.TimerWheel;
@@ -197,16 +197,16 @@
                 Json.object("known", "{\"seq\":1,\"whole\":true,\"hosts\":[]}".getBytes(StandardCharsets.UTF_8));
         NodeConfig config = new NodeConfig(
                 "t", anywhere(), discovery, 7, 1024, SettingsReader.settings(raw), raw, known, null, null, null);
-        DispatchRoom room = new DispatchRoom(
+        DispatchCore room = new DispatchCore(
                 config.settings(),
                 7,
                 () -> now,
                 wheel,
                 counters,
-                new DispatchRoom.Bounds(1000, 1 << 24, JOBS, 1 << 24),
+                new DispatchCore.Bounds(1000, 1 << 24, JOBS, 1 << 24),
                 log::add);
         Platform platform =
-                new Platform(config, room, new Kit(loop, () -> now, wheel, counters, log::add), loop::lagMs);
+                new Platform(config, room, new LoopContext(loop, () -> now, wheel, counters, log::add), loop::lagMs);
         InetSocketAddress front =
                 loop.listen(anywhere(), platform::accept, 100, () -> false).address();
         platform.begin();
--- a/src/test/java/plumpost/LoopbackTest.java
+++ b/src/test/java/plumpost/LoopbackTest.java
@@ -18,8 +18,8 @@
 import plumpost.config.NodeConfig;
 import plumpost.config.SettingsReader;
 import plumpost.count.Counters;
-import plumpost.dispatch.DispatchRoom;
-import plumpost.gearman.GearmanDoor;
+import plumpost.dispatch.DispatchCore;
+import plumpost.gearman.GearmanFront;
 import plumpost.gearman.Packet;
 import plumpost.gearman.PacketReader;
 import plumpost.http.AnswerReader;
@@ -27,7 +27,7 @@
 import plumpost.http.RequestReader;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.net.SelectorLoop;
 import plumpost.platform.Platform;
 import plumpost.time.TimerWheel;
@@ -340,17 +340,17 @@
                 GearmanConfig.usual(anywhere()),
                 null,
                 null);
-        DispatchRoom room = new DispatchRoom(
+        DispatchCore room = new DispatchCore(
                 config.settings(),
                 7,
                 () -> now,
                 wheel,
                 counters,
-                new DispatchRoom.Bounds(1000, 1 << 24, JOBS, 1 << 24),
+                new DispatchCore.Bounds(1000, 1 << 24, JOBS, 1 << 24),
                 log::add);
-        Kit kit = new Kit(loop, () -> now, wheel, counters, log::add);
+        LoopContext kit = new LoopContext(loop, () -> now, wheel, counters, log::add);
         Platform platform = new Platform(config, room, kit, loop::lagMs);
-        GearmanDoor door = new GearmanDoor(config, "0", room, kit, () -> {});
+        GearmanFront door = new GearmanFront(config, "0", room, kit, () -> {});
         front = loop.listen(anywhere(), platform::accept, 100, () -> false).address();
         gearman = loop.listen(anywhere(), door::accept, 100, () -> false).address();
         platform.begin();
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -17,17 +17,17 @@
 import plumpost.config.NodeConfig;
 import plumpost.config.NodeListReader;
 import plumpost.config.SettingsReader;
-import plumpost.control.Console;
-import plumpost.control.ControlDoor;
+import plumpost.control.ControlOperations;
+import plumpost.control.ControlServer;
 import plumpost.count.Counters;
-import plumpost.dispatch.DispatchRoom;
-import plumpost.gearman.GearmanDoor;
+import plumpost.dispatch.DispatchCore;
+import plumpost.gearman.GearmanFront;
 import plumpost.gearman.Packet;
 import plumpost.lab.script.Rig;
 import plumpost.lab.script.Script;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.platform.Platform;
 import plumpost.time.TimerWheel;
 
@@ -61,12 +61,12 @@
     public final Counters counters = new Counters();
     public final List<String> log = new ArrayList<>();
     public final Platform platform;
-    public final GearmanDoor gearman;
-    public final ControlDoor control;
+    public final GearmanFront gearman;
+    public final ControlServer control;
     /** What the operators' ready call says. */
     public boolean serving = true;
 
-    public final DispatchRoom room;
+    public final DispatchCore room;
     private final NodeConfig config;
     public boolean stopped;
     private final TimerWheel wheel = new TimerWheel(now);
@@ -111,24 +111,27 @@
                 gearmanConfig,
                 null,
                 null);
-        room = new DispatchRoom(
+        room = new DispatchCore(
                 config.settings(),
                 7,
                 () -> now,
                 wheel,
                 counters,
-                new DispatchRoom.Bounds(
+                new DispatchCore.Bounds(
                         openJobs,
                         Math.max(1 << 20, openJobs * 2048L),
                         64,
                         1 << 20,
                         gearmanConfig.limits().packetBytes()),
                 log::add);
-        Kit kit = new Kit(this::dial, () -> now, wheel, counters, log::add);
+        LoopContext kit = new LoopContext(this::dial, () -> now, wheel, counters, log::add);
         platform = new Platform(config, room, kit, () -> 0);
-        gearman = new GearmanDoor(config, "0", room, kit, () -> stopped = true);
-        control = new ControlDoor(
-                new InetSocketAddress("127.0.0.1", 9600), 16, kit, new Console(room, counters, null, () -> serving));
+        gearman = new GearmanFront(config, "0", room, kit, () -> stopped = true);
+        control = new ControlServer(
+                new InetSocketAddress("127.0.0.1", 9600),
+                16,
+                kit,
+                new ControlOperations(room, counters, null, () -> serving));
         platform.begin();
         platform.ready();
         if (config.settings().listOnRequest()) {
--- a/src/test/java/plumpost/SocketRig.java
+++ b/src/test/java/plumpost/SocketRig.java
@@ -18,10 +18,10 @@
 import plumpost.config.NodeConfig;
 import plumpost.config.SettingsReader;
 import plumpost.count.Counters;
-import plumpost.dispatch.DispatchRoom;
-import plumpost.gearman.GearmanDoor;
+import plumpost.dispatch.DispatchCore;
+import plumpost.gearman.GearmanFront;
 import plumpost.gearman.Packet;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.net.SelectorLoop;
 import plumpost.platform.Platform;
 import plumpost.time.TimerWheel;
@@ -39,9 +39,9 @@
     public final Listener discovery = new Listener();
     public final List<Listener> nodes = new ArrayList<>();
     public final SelectorLoop loop;
-    public final DispatchRoom room;
+    public final DispatchCore room;
     public final Platform platform;
-    private final Kit kit;
+    private final LoopContext kit;
     private final TimerWheel wheel = new TimerWheel(now);
     private final List<Peer> peers = new ArrayList<>();
     private final NodeConfig config;
@@ -87,15 +87,15 @@
                 null,
                 null);
         loop = new SelectorLoop(() -> now, wheel, counters, log::add);
-        room = new DispatchRoom(
+        room = new DispatchCore(
                 config.settings(),
                 7,
                 () -> now,
                 wheel,
                 counters,
-                new DispatchRoom.Bounds(64, 1 << 20, 64, 1 << 20),
+                new DispatchCore.Bounds(64, 1 << 20, 64, 1 << 20),
                 log::add);
-        kit = new Kit(loop, () -> now, wheel, counters, log::add);
+        kit = new LoopContext(loop, () -> now, wheel, counters, log::add);
         platform = new Platform(config, room, kit, loop::lagMs);
         platform.open((at, users, most, batched, unread, shed) -> {
             front = loop.listen(at, users, most, unread, shed).address();
@@ -156,7 +156,7 @@
                 GearmanConfig.usual(null),
                 null,
                 null);
-        GearmanDoor gearman = new GearmanDoor(withGearman, "0", room, kit, () -> {});
+        GearmanFront gearman = new GearmanFront(withGearman, "0", room, kit, () -> {});
         return new Peer(SocketChannel.open(
                 loop.listen(anywhere(), gearman::accept, 8, () -> false).address()));
     }
--- a/src/test/java/plumpost/control/ControlTest.java
+++ b/src/test/java/plumpost/control/ControlTest.java
@@ -130,7 +130,8 @@
             ops1 send POST /control/workers/node1/offline
             ops1 expect 200 *
             """);
-        assertThat(new Console(s.room, s.counters, null, () -> true).figures()).isEqualTo("""
+        assertThat(new ControlOperations(s.room, s.counters, null, () -> true).figures())
+                .isEqualTo("""
             node.succeeded.route-plan:1|c
             node.declined.route-plan:0|c
             node.aborted.route-plan:0|c
--- a/src/test/java/plumpost/control/CrowdedListenerTest.java
+++ b/src/test/java/plumpost/control/CrowdedListenerTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Timeout;
 import plumpost.count.Counters;
 import plumpost.dispatch.Bans;
-import plumpost.net.Kit;
+import plumpost.net.LoopContext;
 import plumpost.net.SelectorLoop;
 import plumpost.time.SystemClock;
 import plumpost.time.TimerWheel;
@@ -34,9 +34,9 @@
         TimerWheel wheel = new TimerWheel(clock.nowMs());
         Counters counters = new Counters();
         SelectorLoop loop = new SelectorLoop(clock, wheel, counters, words -> {});
-        Kit kit = new Kit(loop, clock, wheel, counters, words -> {});
-        ControlDoor door = new ControlDoor(
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 32, kit, new ControlDoor.Operations() {
+        LoopContext kit = new LoopContext(loop, clock, wheel, counters, words -> {});
+        ControlServer door = new ControlServer(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 32, kit, new ControlServer.Operations() {
                     @Override
                     public boolean ready() {
                         return true;
--- a/src/test/java/plumpost/control/SharedBansTest.java
+++ b/src/test/java/plumpost/control/SharedBansTest.java
@@ -19,7 +19,7 @@
         Scenario fresh = new Scenario(1);
         SharedBans oldFile = new SharedBans(dir, old.room, kit(old));
         SharedBans freshFile = new SharedBans(dir, fresh.room, kit(fresh));
-        Console oldDesk = new Console(old.room, old.counters, oldFile, () -> true);
+        ControlOperations oldDesk = new ControlOperations(old.room, old.counters, oldFile, () -> true);
         oldFile.begin();
         freshFile.begin();
         assertThat(oldDesk.offline("node1")).isEqualTo(plumpost.dispatch.Bans.Said.CHANGED);
@@ -30,7 +30,7 @@
             wait 300
             node1 expect nothing
             """);
-        new Console(fresh.room, fresh.counters, freshFile, () -> true).online("node1");
+        new ControlOperations(fresh.room, fresh.counters, freshFile, () -> true).online("node1");
         old.play("wait " + (SharedBans.LOOK_MS + 4));
         assertThat(old.room.avoided()).isZero();
     }
@@ -45,7 +45,7 @@
         assertThat(fresh.room.online("node1")).isEqualTo(plumpost.dispatch.Bans.Said.CHANGED);
     }
 
-    private static plumpost.net.Kit kit(Scenario s) {
-        return new plumpost.net.Kit(null, () -> s.now, s.wheel(), s.counters, s.log::add);
+    private static plumpost.net.LoopContext kit(Scenario s) {
+        return new plumpost.net.LoopContext(null, () -> s.now, s.wheel(), s.counters, s.log::add);
     }
 }
--- a/src/test/java/plumpost/dispatch/ClassBookTest.java
+++ b/src/test/java/plumpost/dispatch/ClassBookTest.java
@@ -34,7 +34,7 @@
     @Test
     void namesKeepTheirNumbers() {
         Settings first = settings(Scenario.SETTINGS);
-        ClassBook book = new ClassBook(first);
+        JobClassRegistry book = new JobClassRegistry(first);
         Settings next = settings(RETUNED);
         assertThat(next.classes()).extracting(c -> c.name()).containsExactly("route-plan-r2", "route-plan");
         Settings merged = book.retune(next, 0);
@@ -44,19 +44,20 @@
         assertThat(merged.classes().get(2).effect()).isEqualTo(Effect.SINGLE_SHOT);
         assertThat(merged.limits().maxAttempts()).isEqualTo(2);
         assertThat(book.offered("route-plan-r2", 0)).isEqualTo(2);
-        assertThat(book.offered("pickup-order", ClassBook.GONE_MS - 1)).isEqualTo(1);
-        assertThat(book.offered("pickup-order", ClassBook.GONE_MS)).isEqualTo(-1);
+        assertThat(book.offered("pickup-order", JobClassRegistry.GONE_MS - 1)).isEqualTo(1);
+        assertThat(book.offered("pickup-order", JobClassRegistry.GONE_MS)).isEqualTo(-1);
         assertThat(book.offered("nothing", 0)).isEqualTo(-1);
         book.retune(first, 5_000);
         assertThat(book.offered("pickup-order", 5_000)).isEqualTo(1);
-        assertThat(book.offered("route-plan-r2", 5_000 + ClassBook.GONE_MS)).isEqualTo(-1);
+        assertThat(book.offered("route-plan-r2", 5_000 + JobClassRegistry.GONE_MS))
+                .isEqualTo(-1);
     }
 
     /** Guards the memory: a stream of files with new names ends in a no that changes nothing. */
     @Test
     void namesAreBounded() {
-        ClassBook book = new ClassBook(settings(Scenario.SETTINGS));
-        for (int i = 0; i < ClassBook.MOST - 2; i++) {
+        JobClassRegistry book = new JobClassRegistry(settings(Scenario.SETTINGS));
+        for (int i = 0; i < JobClassRegistry.MOST - 2; i++) {
             book.retune(settings(Scenario.SETTINGS.replace("\"route-plan\"", "\"c" + i + "\"")), i);
         }
         Settings before = book.settings();
--- a/src/test/java/plumpost/dispatch/GuardsTest.java
+++ b/src/test/java/plumpost/dispatch/GuardsTest.java
@@ -49,12 +49,12 @@
     };
 
     /** A core whose module does nothing by itself: the test asks in its place. */
-    private final DispatchRoom room = new DispatchRoom(
+    private final DispatchCore room = new DispatchCore(
             SettingsReader.settings(Json.object("settings", Scenario.SETTINGS.getBytes(StandardCharsets.UTF_8))),
             () -> now,
             wheel,
             counters,
-            new DispatchRoom.Bounds(5, 1 << 16, 2, 1 << 16),
+            new DispatchCore.Bounds(5, 1 << 16, 2, 1 << 16),
             words -> {},
             actions -> {
                 ask = actions;
@@ -75,9 +75,9 @@
         take(id, cls, unique, null);
     }
 
-    private void take(String id, int cls, String unique, Rights rights) {
+    private void take(String id, int cls, String unique, LeaseAuthority rights) {
         room.take(
-                new JobSheet(
+                new JobRequest(
                         id, cls, null, ByteBuffer.allocate(1), 1000, Double.NaN, 1, Double.NaN, 0, null, false, unique),
                 new ReplyTo() {
                     @Override
@@ -132,7 +132,7 @@
     void aJobUnderARightIsHeldBackUntilItIsGranted() {
         List<java.util.function.Consumer<Boolean>> asked = new ArrayList<>();
         List<String> said = new ArrayList<>();
-        Rights rights = new Rights() {
+        LeaseAuthority rights = new LeaseAuthority() {
             @Override
             public void ask(Attempt a, java.util.function.Consumer<Boolean> then) {
                 asked.add(then);
--- a/src/test/java/plumpost/lab/LabServer.java
+++ b/src/test/java/plumpost/lab/LabServer.java
@@ -11,9 +11,9 @@
 import plumpost.config.NodeConfig;
 import plumpost.config.SettingsReader;
 import plumpost.count.Counters;
-import plumpost.dispatch.DispatchRoom;
-import plumpost.gearman.GearmanDoor;
-import plumpost.net.Kit;
+import plumpost.dispatch.DispatchCore;
+import plumpost.gearman.GearmanFront;
+import plumpost.net.LoopContext;
 import plumpost.net.SelectorLoop;
 import plumpost.time.SystemClock;
 import plumpost.time.TimerWheel;
@@ -33,17 +33,17 @@
         SelectorLoop loop = new SelectorLoop(clock, wheel, counters, words -> {});
         NodeConfig node =
                 new NodeConfig("lab", null, null, 7, 4096, SettingsReader.settings(raw), raw, raw, config, null, null);
-        DispatchRoom room = new DispatchRoom(
+        DispatchCore room = new DispatchCore(
                 node.settings(),
                 7,
                 clock,
                 wheel,
                 counters,
-                new DispatchRoom.Bounds(
+                new DispatchCore.Bounds(
                         200_000, 64 << 20, 100_000, 64 << 20, config.limits().packetBytes()),
                 words -> {});
-        GearmanDoor door =
-                new GearmanDoor(node, "0", room, new Kit(loop, clock, wheel, counters, words -> {}), () -> {});
+        GearmanFront door =
+                new GearmanFront(node, "0", room, new LoopContext(loop, clock, wheel, counters, words -> {}), () -> {});
         InetSocketAddress[] at = new InetSocketAddress[1];
         door.open((to, users, most, batched, unread, shed) -> at[0] = loop.listen(
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), users, most, unread, shed)
