Tell the module of an attempt whose client was found to have left meanwhile

Cause: a client with several jobs is found to be gone by the look for the first; the second job's assign found no entry, was counted as the module's error, and the module never heard how that attempt ended: its count of the worker's jobs stayed too high. Change: the job is remembered when the module asks; where it was abandoned since, the attempt ends as never sent. An assign for a job that was answered counts as guard.over as before (GuardsTest). ClientsThatLeftTest's Gearman case has two jobs of one client now and fails without this; green with it, as is FaultsTest.

--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -335,6 +335,7 @@
         }
         counters.count("jobs.client_gone");
         if (e.sheet.unique() == null || !e.mayHaveRun()) {
+            e.abandoned = true;
             close(e);
             event(() -> logic.clientGone(nowMs(), e.sheet.id()));
             drawBack(e, Ending.CANCELLED);
@@ -589,13 +590,12 @@
     }
 
     /** The one place where attempts start for all fronts; what breaks a rule ends as never sent. */
-    private void assign(String id, String node) {
-        OpenJob e = ledger.get(id);
-        if (e == null) {
+    private void assign(String id, OpenJob e, String node) {
+        if (e == null || e.answered && !e.abandoned) {
             counters.count("guard.over");
             return;
         }
-        if (left(e)) {
+        if (e.abandoned || left(e)) {
             moot(new Attempt(this, e, node, null, null, nowMs()));
             return;
         }
@@ -681,9 +681,9 @@
     private final class Carrier implements Dispatcher.Actions {
         @Override
         public void assign(String job, String worker, double timeoutMs) {
+            OpenJob e = ledger.get(job); // its client may be found to have left before this is carried out
             actions.add(() -> {
-                DispatchCore.this.assign(job, worker);
-                OpenJob e = ledger.get(job);
+                DispatchCore.this.assign(job, e, worker);
                 Attempt a = e == null ? null : e.out();
                 if (timeoutMs > 0 && a != null) {
                     wheel.at(a.sentAt + timeoutMs, () -> {
--- a/src/main/java/plumpost/dispatch/OpenJob.java
+++ b/src/main/java/plumpost/dispatch/OpenJob.java
@@ -15,6 +15,9 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     final List<ReplyTo> waiting = new ArrayList<>(1);
     boolean answered;
+    /** Nobody waits for it any more. */
+    boolean abandoned;
+
     TimerWheel.Timer giveUp;
     double share;
     boolean tallied;
--- a/src/test/java/plumpost/platform/ClientsThatLeftTest.java
+++ b/src/test/java/plumpost/platform/ClientsThatLeftTest.java
@@ -193,7 +193,8 @@
                 rig.platform.told("{\"seq\":2,\"whole\":true,\"hosts\":[" + rig.host(0, "draining") + "]}");
                 Peer client = rig.gearmanClient();
                 client.send(Packet.Type.SUBMIT_JOB, cls, "", "towels");
-                rig.until("held", () -> rig.room.open() == 1);
+                client.send(Packet.Type.SUBMIT_JOB, cls, "", "towels"); // found to be gone by the look for the first
+                rig.until("held", () -> rig.room.open() == 2);
                 rig.after(10, () -> leave(end, client));
                 rig.after(
                         390,
@@ -202,6 +203,12 @@
                 assertThat(rig.counters.of("attempts.out")).isZero();
                 assertThat(sentOn(rig, 1_000)).isFalse();
                 assertThat(rig.room.open()).isZero();
+                assertThat(rig.counters.toString()).doesNotContain("guard.");
+                for (int next = 1; next <= 2; next++) { // and the module does not wait for what was never sent
+                    rig.client().send(job("route-plan", "z" + next));
+                    int out = next;
+                    rig.until("it goes out", () -> rig.counters.of("attempts.out") == out);
+                }
             }
         }
     }
