Begin docs/CAPACITY.md: lab scale measures a scheduler's costs by size

Cause: the fleet ahead (17,000 workers) decides the design, and no figure by size was measured on real processes. lab scale: hollow workers, an emulated discovery and clients on one loop round a real scheduler process, and the module alone, by a seed; slopes by least squares; the page's tables and plot come from docs/capacity.json, which a test compares. Begun, not whole: fleets with peers, hollow schedulers, teams, gangs and failures are not measured; the page says so.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run; the commands behind them are Maven's and java's.
 CONFIG ?= deploy/gearman.json
 
-.PHONY: build test lint format run bench-gearman faults-gearman fleet-cost fleet-test kill-test conformance clean
+.PHONY: build test lint format run bench-gearman faults-gearman fleet-cost scale fleet-test kill-test conformance clean
 
 build: ## the jar, without tests
 	mvn -q -B -DskipTests package
@@ -27,6 +27,10 @@
 conformance: build ## the conformance suite over TCP, its table by packet type
 	tools/conformance
 
+scale: build ## what the roles cost by size, about 13 minutes; then the page's tables and plot
+	java -jar target/plumpost.jar lab scale --seed $(or $(SEED),1) --json docs/capacity.json
+	java -jar target/plumpost.jar lab scale --json docs/capacity.json --page docs/CAPACITY.md --plot docs/capacity.png
+
 fleet-cost: build ## what a fleet of 3, 5 and 20 processes costs at rest, about four minutes
 	for f in "--processes 3" "--processes 5" "--processes 5 --followers 15"; do \
 	  java -jar target/plumpost.jar lab fleet $$f --rest 30 || exit 1; done
--- a/src/main/java/plumpost/lab/LabMain.java
+++ b/src/main/java/plumpost/lab/LabMain.java
@@ -21,13 +21,14 @@
 import plumpost.lab.gearman.LoadResult;
 import plumpost.lab.gearman.LoadRun;
 import plumpost.lab.gearman.ServiceTime;
+import plumpost.lab.scale.ScaleMain;
 import plumpost.lab.script.Conformance;
 import plumpost.lab.script.Script;
 import plumpost.lab.script.TcpRig;
 
-/** The laboratory's commands: {@code conformance}, {@code gearman} and {@code fleet}. Targets are loopback addresses only. */
+/** The laboratory's commands: {@code conformance}, {@code gearman}, {@code fleet} and {@code scale}. Targets are loopback addresses only. */
 public final class LabMain {
-    private static final String USAGE = "plumpost lab conformance|gearman|fleet [options]";
+    private static final String USAGE = "plumpost lab conformance|gearman|fleet|scale [options]";
 
     private LabMain() {}
 
@@ -36,6 +37,9 @@
         if (args.length > 0 && args[0].equals("fleet")) {
             return FleetLabMain.run(Arrays.copyOfRange(args, 1, args.length), out, err);
         }
+        if (args.length > 0 && args[0].equals("scale")) {
+            return ScaleMain.run(Arrays.copyOfRange(args, 1, args.length), out, err);
+        }
         Options options = new Options();
         options.addOption("t", "target", true, "the server's address, 127.0.0.1:4730 where it is not given");
         options.addOption(null, "on", true, "conformance: the server's set-up, usual, open or tight (usual)");
--- /dev/null
+++ b/src/main/java/plumpost/lab/scale/EmulatedDiscovery.java
@@ -0,0 +1,122 @@
+package plumpost.lab.scale;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import plumpost.http.Answers;
+import plumpost.http.BadMessage;
+import plumpost.http.RequestReader;
+import plumpost.net.Connection;
+import plumpost.net.ConnectionHandler;
+import plumpost.net.SelectorLoop;
+import plumpost.time.Clock;
+import plumpost.time.TimerWheel;
+
+/** The discovery service of a scale run: tells the whole list to each caller, and each change to all that watch. */
+final class EmulatedDiscovery {
+    private static final double EMPTY_LINE_MS = 2_000;
+    private static final int MOST_CALLERS = 10_000;
+
+    private final HollowWorkers workers;
+    private final int zones;
+    private final TimerWheel wheel;
+    private final Clock clock;
+    private final Set<Connection> watches = new LinkedHashSet<>();
+    private final InetSocketAddress address;
+    private long version = 1;
+    private long changedLines;
+
+    EmulatedDiscovery(SelectorLoop loop, TimerWheel wheel, Clock clock, HollowWorkers workers, int zones)
+            throws IOException {
+        this.workers = workers;
+        this.zones = zones;
+        this.wheel = wheel;
+        this.clock = clock;
+        InetSocketAddress anywhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        address = loop.listen(anywhere, Call::new, MOST_CALLERS, () -> false).address();
+        sendEmptyLine();
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Lines of changes that were told to a watch, counted once however many watch. */
+    long changedLines() {
+        return changedLines;
+    }
+
+    /** Tells all that watch that a worker drains or is up again; one that comes back has started just now. */
+    void change(int worker, boolean up) {
+        version++;
+        changedLines++;
+        String line = object(false, line(worker, up ? "up" : "draining", up ? clock.nowMs() : 0));
+        watches.forEach(watch -> watch.write(Answers.ascii(chunk(line))));
+    }
+
+    private void sendEmptyLine() {
+        watches.forEach(watch -> watch.write(Answers.ascii(chunk("\n"))));
+        wheel.at(clock.nowMs() + EMPTY_LINE_MS, this::sendEmptyLine);
+    }
+
+    private String wholeList() {
+        return object(
+                true,
+                IntStream.range(0, workers.count())
+                        .mapToObj(worker -> line(worker, "up", 0))
+                        .collect(Collectors.joining(",")));
+    }
+
+    private String object(boolean whole, String lines) {
+        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + lines + "]}\n";
+    }
+
+    private String line(int worker, String health, double startedAtMs) {
+        InetSocketAddress at = workers.address(worker);
+        return "{\"host\":\"w-" + worker + "\",\"dial\":\"" + at.getHostString() + ":" + at.getPort()
+                + "\",\"site\":\"zone-" + worker % zones + "\",\"class\":\"m1\",\"block\":0,\"health\":\"" + health
+                + "\",\"share\":1.0,\"born_ms\":" + (long) startedAtMs + "}";
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** The names of the zones that the list speaks of. */
+    static List<String> zoneNames(int zones) {
+        return IntStream.range(0, zones).mapToObj(zone -> "zone-" + zone).toList();
+    }
+
+    private final class Call implements ConnectionHandler {
+        private final Connection connection;
+        private final RequestReader reader = new RequestReader(1024);
+
+        Call(Connection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void bytes(ByteBuffer in) {
+            try {
+                if (reader.feed(in)) {
+                    connection.write(Answers.ascii(
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(wholeList())));
+                    watches.add(connection);
+                }
+            } catch (BadMessage e) {
+                connection.cut();
+            }
+        }
+
+        @Override
+        public void ended() {
+            watches.remove(connection);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/plumpost/lab/scale/ModuleCost.java
@@ -0,0 +1,185 @@
+package plumpost.lab.scale;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import plumpost.decision.Dispatcher;
+import plumpost.decision.Dispatcher.Ending;
+import plumpost.decision.Dispatcher.ListMode;
+import plumpost.decision.Dispatcher.LoadReport;
+import plumpost.decision.Dispatcher.Phase;
+import plumpost.decision.Dispatcher.WorkerEntry;
+import plumpost.decision.Logic;
+
+/** The decision module alone, without I/O: what a job and a changed line of the list cost it, by the number of workers. */
+final class ModuleCost implements Dispatcher.Actions {
+    private static final int WARM_UP_JOBS = 300;
+    private static final double RUN_MS = 1_000;
+    private static final int CHANGES = 40;
+
+    /** A job that was given to a worker, and when it ends. */
+    private record Running(String job, int attempt, String worker, double endsAt) {}
+
+    private final List<Running> running = new ArrayList<>();
+    /** Given to a worker, and not yet told as started. */
+    private final List<Running> fresh = new ArrayList<>();
+
+    private final List<Running> cancelled = new ArrayList<>();
+    private final Map<String, Integer> attempts = new HashMap<>();
+    private final List<String> probed = new ArrayList<>();
+    private final Logic logic;
+    private final SplittableRandom random;
+    private final List<WorkerEntry> workers = new ArrayList<>();
+    private final int zones;
+    private double now = 1;
+    private long assigned;
+
+    private ModuleCost(Dispatcher.Settings settings, int workerCount, long seed) {
+        random = new SplittableRandom(seed);
+        logic = new Logic(settings, seed, this);
+        zones = settings.zones();
+        for (int i = 0; i < workerCount; i++) {
+            workers.add(entry(i, Phase.SERVING));
+        }
+        logic.workers(now, ListMode.FULL, workers);
+    }
+
+    private WorkerEntry entry(int worker, Phase phase) {
+        return new WorkerEntry("w-" + worker, worker % zones, 0, 0, phase, 1, 0);
+    }
+
+    /** Plays jobs at a rate against so many workers; figures in microseconds of processor time. */
+    static Map<String, Double> measure(
+            Dispatcher.Settings settings, int workerCount, double jobsPerSecond, int jobs, long seed) {
+        ModuleCost play = new ModuleCost(settings, workerCount, seed);
+        play.jobs(WARM_UP_JOBS, jobsPerSecond);
+        double usPerJob = play.jobs(jobs, jobsPerSecond);
+        double usPerChange = play.changes();
+        Map<String, Double> figures = new LinkedHashMap<>();
+        figures.put("us_per_job", usPerJob);
+        figures.put("us_per_changed_line", usPerChange);
+        figures.put("jobs_assigned_share", play.assigned / (double) (jobs + WARM_UP_JOBS));
+        return figures;
+    }
+
+    private double jobs(int count, double jobsPerSecond) {
+        long spent = 0;
+        for (int i = 0; i < count; i++) {
+            now += -Math.log(1 - random.nextDouble()) * 1000 / jobsPerSecond;
+            String id = "j-" + now;
+            Dispatcher.Job job = new Dispatcher.Job(id, 0, 0, null, 8_000, RUN_MS, 1, Double.NaN, false);
+            long begin = System.nanoTime();
+            endDue();
+            logic.arrived(now, job);
+            answer();
+            logic.timer(now, 0);
+            answer();
+            spent += System.nanoTime() - begin;
+        }
+        return spent / 1e3 / count;
+    }
+
+    private void endDue() {
+        for (int i = 0; i < running.size(); i++) {
+            Running each = running.get(i);
+            if (each.endsAt <= now) {
+                running.remove(i--);
+                end(each, Ending.OK);
+            }
+        }
+    }
+
+    private void end(Running each, Ending how) {
+        boolean over = how == Ending.OK;
+        if (over) {
+            attempts.remove(each.job);
+        }
+        logic.ended(now, new Dispatcher.Outcome(each.job, each.attempt, each.worker, how, RUN_MS, over, null));
+    }
+
+    /** Tells the module what its actions lead to at once: probes' results, starts, ends of what it cancelled. */
+    private void answer() {
+        while (!probed.isEmpty() || !fresh.isEmpty() || !cancelled.isEmpty()) {
+            for (String worker : take(probed)) {
+                LoadReport report = new LoadReport(0, 0, RUN_MS, Double.NaN, 4, Double.NaN);
+                logic.probed(now, worker, Ending.OK, 1, report);
+            }
+            for (Running each : take(fresh)) {
+                logic.started(now, each.job, each.attempt, each.worker);
+            }
+            for (Running each : take(cancelled)) {
+                end(each, Ending.CANCELLED);
+            }
+        }
+    }
+
+    private static <T> List<T> take(List<T> all) {
+        List<T> taken = List.copyOf(all);
+        all.clear();
+        return taken;
+    }
+
+    private double changes() {
+        long begin = System.nanoTime();
+        for (int i = 0; i < CHANGES; i++) {
+            int worker = random.nextInt(workers.size());
+            logic.workers(
+                    now, ListMode.INCREMENTAL, List.of(entry(worker, i % 2 == 0 ? Phase.DRAINING : Phase.SERVING)));
+        }
+        return (System.nanoTime() - begin) / 1e3 / CHANGES;
+    }
+
+    @Override
+    public void assign(String job, String worker, double timeoutMs) {
+        int attempt = attempts.merge(job, 1, Integer::sum) - 1;
+        if (attempt == 0) {
+            assigned++;
+        }
+        Running begun = new Running(job, attempt, worker, now + RUN_MS);
+        running.add(begun);
+        fresh.add(begun);
+    }
+
+    @Override
+    public void refuse(String job, double retryAfterMs) {
+        // counted as not assigned
+    }
+
+    @Override
+    public void fail(String job) {
+        // counted as not assigned
+    }
+
+    @Override
+    public void cancel(String job, int attempt) {
+        for (Running each : List.copyOf(running)) {
+            if (each.job.equals(job) && each.attempt == attempt) {
+                running.remove(each);
+                cancelled.add(each);
+            }
+        }
+    }
+
+    @Override
+    public void probe(String worker) {
+        probed.add(worker);
+    }
+
+    @Override
+    public void timer(double atMs, long token) {
+        // the module is asked at each job
+    }
+
+    @Override
+    public void subscribe() {
+        // the list is told by this play
+    }
+
+    @Override
+    public void log(String words) {
+        // not looked at
+    }
+}
--- /dev/null
+++ b/src/main/java/plumpost/lab/scale/ScaleRun.java
@@ -0,0 +1,285 @@
+package plumpost.lab.scale;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import plumpost.config.Json;
+import plumpost.config.SettingsReader;
+import plumpost.count.Counters;
+import plumpost.net.SelectorLoop;
+import plumpost.time.SystemClock;
+import plumpost.time.TimerWheel;
+
+/** Plays a scale run: the module alone, then real schedulers against hollow workers, one play after the other. */
+final class ScaleRun {
+    /** The role whose figures are of a scheduler's whole process. */
+    static final String SCHEDULER = "scheduler process";
+    /** The role whose figures are of the decision module alone. */
+    static final String MODULE = "decision module";
+    /** The same without load reports, where own counts alone tell of room. */
+    static final String MODULE_WITHOUT_REPORTS = "decision module, no reports";
+
+    /** A process that has served some hundred jobs has its code compiled, as one in service has. */
+    private static final double WARM_UP_JOBS_PER_SECOND = 240;
+    /** Well under what a hollow worker says it has room for, so that no job of the warm-up is given up. */
+    private static final double WARM_UP_JOBS_PER_SECOND_OF_WORKER = 4;
+
+    private static final long WARM_UP_MS = 6_000;
+    private static final long SETTLE_MS = 2_000;
+    /** Where the laboratory's own loop came later than this, it was the limit. */
+    private static final double MOST_LAG_MS = 100;
+    /** Where the laboratory's process used more of one core than this, it was the limit. */
+    private static final double MOST_OWN_CORE = 0.9;
+
+    private final ScalePlan plan;
+    private final PrintStream out;
+    private final List<Measurement> measurements = new ArrayList<>();
+
+    ScaleRun(ScalePlan plan, PrintStream out) {
+        this.plan = plan;
+        this.out = out;
+    }
+
+    List<Measurement> measurements() {
+        return measurements;
+    }
+
+    /** Plays all; {@code each} is told of the measurements so far after every play. */
+    void run(Consumer<List<Measurement>> each) throws IOException, InterruptedException {
+        for (int play = 0; play < plan.plays(); play++) {
+            for (int workers : plan.moduleWorkers()) {
+                add(module(MODULE, settings("pull"), workers, play), each);
+                add(module(MODULE_WITHOUT_REPORTS, settings("silent"), workers, play), each);
+            }
+            for (int workers : plan.workers()) {
+                add(process("workers", workers, workers, ScalePlan.BASE_JOBS_PER_SECOND, 0, play), each);
+            }
+            for (double rate : plan.jobsPerSecond()) {
+                add(process("jobs a second", rate, ScalePlan.BASE_WORKERS, rate, 0, play), each);
+            }
+            for (double changes : plan.changesPerSecond()) {
+                int workers = Math.min(
+                        ScalePlan.BASE_WORKERS * 10,
+                        plan.workers().get(plan.workers().size() - 1));
+                double rate = ScalePlan.BASE_JOBS_PER_SECOND;
+                add(process("changed lines a second", changes, workers, rate, changes, play), each);
+            }
+        }
+    }
+
+    private void add(Measurement measured, Consumer<List<Measurement>> each) {
+        measurements.add(measured);
+        out.println(measured);
+        each.accept(measurements);
+    }
+
+    private Measurement module(String role, String settings, int workers, int play) {
+        var parsed = SettingsReader.settings(Json.object("settings", settings.getBytes(StandardCharsets.UTF_8)));
+        Map<String, Double> figures = ModuleCost.measure(
+                parsed, workers, ScalePlan.BASE_JOBS_PER_SECOND, plan.moduleJobs(), plan.seed() + play);
+        return new Measurement(role, "workers", workers, play, true, figures);
+    }
+
+    private Measurement process(String axis, double size, int workers, double rate, double changes, int play)
+            throws IOException, InterruptedException {
+        try (HollowSide hollow = new HollowSide(workers);
+                SchedulerProcess scheduler = new SchedulerProcess(hollow.configuration())) {
+            double warmUp = Math.min(WARM_UP_JOBS_PER_SECOND, WARM_UP_JOBS_PER_SECOND_OF_WORKER * workers);
+            JobSource jobs = hollow.startJobs(scheduler, Math.max(rate, warmUp), plan.seed() + play);
+            Thread.sleep(WARM_UP_MS);
+            hollow.rate(jobs, rate);
+            hollow.startChanges(changes);
+            Thread.sleep(SETTLE_MS);
+            hollow.resetLag();
+            SchedulerProcess.Account before = scheduler.account();
+            double ownBefore = ownCpuSeconds();
+            long sentBefore = hollow.on(jobs::sent);
+            Thread.sleep(plan.seconds() * 1000L);
+            SchedulerProcess.Account after = scheduler.account();
+            long sent = hollow.on(jobs::sent) - sentBefore;
+            double ownCores = (ownCpuSeconds() - ownBefore) / plan.seconds();
+            boolean valid = hollow.worstLagMs() < MOST_LAG_MS && ownCores < MOST_OWN_CORE;
+            hollow.stopJobs(jobs);
+            return new Measurement(SCHEDULER, axis, size, play, valid, figures(before, after, sent, jobs, hollow));
+        }
+    }
+
+    private Map<String, Double> figures(
+            SchedulerProcess.Account before,
+            SchedulerProcess.Account after,
+            long sent,
+            JobSource jobs,
+            HollowSide hollow) {
+        double cpu = after.cpuSeconds() - before.cpuSeconds();
+        Map<String, Double> figures = new LinkedHashMap<>();
+        figures.put("cpu_percent", 100 * cpu / plan.seconds());
+        figures.put("us_per_job", cpu * 1e6 / Math.max(1, sent));
+        figures.put("resident_mb", after.residentKb() / 1024.0);
+        figures.put("descriptors", (double) after.descriptors());
+        figures.put("read_kb_s", (after.bytesRead() - before.bytesRead()) / 1024.0 / plan.seconds());
+        figures.put("written_kb_s", (after.bytesWritten() - before.bytesWritten()) / 1024.0 / plan.seconds());
+        figures.put("jobs_sent", (double) jobs.sent());
+        figures.put("jobs_served", (double) jobs.served());
+        figures.put("jobs_refused", (double) jobs.refused());
+        figures.put("jobs_failed", (double) jobs.failed());
+        figures.put("changed_lines", (double) hollow.changedLines());
+        figures.put("lab_lag_ms", hollow.worstLagMs());
+        return figures;
+    }
+
+    private static double ownCpuSeconds() throws IOException {
+        String stat = Files.readString(Path.of("/proc/self/stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / 100.0;
+    }
+
+    /** The settings of the fleet ahead, as the platform would give them to one scheduler; how load reports come. */
+    static String settings(String reports) {
+        String zones = String.join("\",\"", EmulatedDiscovery.zoneNames(ScalePlan.ZONES));
+        return "{\"balancers\":" + ScalePlan.SCHEDULERS + ",\"index\":0,\"locality\":0,\"dcs\":[\"" + zones
+                + "\"],\"shapes\":[\"m1\"],\"membershipMode\":\"on_request\",\"granularityMs\":2.0,\"classes\":["
+                + "{\"name\":\"route-plan\",\"sloMs\":600.0,\"deadlineMs\":8000.0,\"effect\":\"free\"},"
+                + "{\"name\":\"pickup-order\",\"sloMs\":400.0,\"deadlineMs\":20000.0,\"effect\":\"single_shot\","
+                + "\"importance\":10.0}],\"familyInfo\":{\"classStretch\":[2.0,2.0],\"classPriority\":[0,0],"
+                + "\"tellsStart\":true,\"reportX0\":\"free slots\"},\"report\":{\"via\":\"" + reports + "\",\"fields\":"
+                + "[\"inflight\",\"queue\",\"x0\"]},\"ceilings\":{\"maxAttempts\":6,\"cancelling\":true,\"probes\":true,"
+                + "\"dialTimeoutMs\":250.0,\"keepaliveMs\":5000.0},\"rules\":{\"coldFrom\":0.32,\"coldMs\":8900.0,"
+                + "\"fallMs\":1000.0,\"fallMultiple\":3.0,\"graceToAnswerMs\":8.0,\"mustAskInMs\":10000.0,"
+                + "\"stopSendingWithinMs\":400.0}}";
+    }
+
+    /** Hollow workers, discovery and clients on one loop with a thread of its own. */
+    private final class HollowSide implements AutoCloseable {
+        private static final double LAG_LOOK_MS = 10;
+
+        private final SystemClock clock = new SystemClock();
+        private final TimerWheel wheel = new TimerWheel(clock.nowMs());
+        private final SelectorLoop loop = new SelectorLoop(clock, wheel, new Counters(), words -> {});
+        private final HollowWorkers workers;
+        private final EmulatedDiscovery discovery;
+        private final Path folder = Files.createTempDirectory("plumpost-scale");
+        private final Thread thread = new Thread(this::turn, "hollow side");
+        private volatile boolean over;
+        private volatile double worstLagMs;
+        private int nextChanged;
+
+        HollowSide(int count) throws IOException {
+            workers = new HollowWorkers(loop, wheel, clock, count, ScalePlan.SERVICE_MS);
+            discovery = new EmulatedDiscovery(loop, wheel, clock, workers, ScalePlan.ZONES);
+            watchLag();
+            thread.start();
+        }
+
+        private void turn() {
+            try {
+                loop.run(() -> over);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        private void watchLag() {
+            double due = clock.nowMs() + LAG_LOOK_MS;
+            wheel.at(due, () -> {
+                worstLagMs = Math.max(worstLagMs, clock.nowMs() - due);
+                watchLag();
+            });
+        }
+
+        double worstLagMs() {
+            return worstLagMs;
+        }
+
+        void resetLag() {
+            worstLagMs = 0;
+        }
+
+        long changedLines() {
+            return discovery.changedLines();
+        }
+
+        Path configuration() throws IOException {
+            String address = discovery.address().getHostString() + ":"
+                    + discovery.address().getPort();
+            return Files.writeString(
+                    folder.resolve("scheduler.json"),
+                    "{\"name\":\"s0\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\"" + address
+                            + "\",\"limits\":{\"memory_mb\":192,\"sockets\":1024},\"known\":{\"seq\":0,\"whole\":true,"
+                            + "\"hosts\":[]},\"settings\":" + settings("pull") + "}");
+        }
+
+        JobSource startJobs(SchedulerProcess scheduler, double rate, long seed) throws InterruptedException {
+            double serviceMs = ScalePlan.SERVICE_MS;
+            JobSource jobs = new JobSource(loop, wheel, clock, seed, scheduler.front(), rate, serviceMs);
+            on(() -> {
+                jobs.start();
+                return 0L;
+            });
+            return jobs;
+        }
+
+        void rate(JobSource jobs, double perSecond) throws InterruptedException {
+            on(() -> {
+                jobs.rate(perSecond);
+                return 0L;
+            });
+        }
+
+        void stopJobs(JobSource jobs) throws InterruptedException {
+            on(() -> {
+                jobs.stop();
+                return 0L;
+            });
+            Thread.sleep((long) (2 * ScalePlan.SERVICE_MS)); // what is out still ends
+        }
+
+        /** Has one worker after the other drain and come back. */
+        void startChanges(double linesPerSecond) throws InterruptedException {
+            if (linesPerSecond > 0) {
+                on(() -> {
+                    change(1000 / linesPerSecond);
+                    return 0L;
+                });
+            }
+        }
+
+        private void change(double everyMs) {
+            discovery.change(nextChanged / 2 % workers.count(), nextChanged % 2 == 1);
+            nextChanged++;
+            wheel.at(clock.nowMs() + everyMs, () -> change(everyMs));
+        }
+
+        /** Does something on the loop's thread and returns what it gives. */
+        long on(java.util.function.LongSupplier what) throws InterruptedException {
+            CountDownLatch done = new CountDownLatch(1);
+            long[] result = new long[1];
+            loop.onLoop(() -> {
+                result[0] = what.getAsLong();
+                done.countDown();
+            });
+            done.await();
+            return result[0];
+        }
+
+        @Override
+        public void close() throws IOException {
+            over = true;
+            loop.onLoop(() -> {});
+            try {
+                thread.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            Files.deleteIfExists(folder.resolve("scheduler.json"));
+            Files.deleteIfExists(folder);
+        }
+    }
+}
