--- a/src/main/java/plumpost/platform/NodeListWatch.java
+++ b/src/main/java/plumpost/platform/NodeListWatch.java
@@ -315,7 +315,8 @@
         if (failure == DiscoveryCall.Failure.VERSION_WENT_BACK) {
             version = DiscoveryCall.WHOLE_LIST;
         }
-        if (failure == DiscoveryCall.Failure.UNREACHABLE) {
+        // Where lists are pushed, what the agent has counts from a process's first moment, reached or not.
+        if (failure == DiscoveryCall.Failure.UNREACHABLE && room.settings().listOnRequest()) {
             serveByFile("discovery cannot be reached");
         }
         if (asked) {
--- a/src/test/java/plumpost/platform/ListWatchTest.java
+++ b/src/test/java/plumpost/platform/ListWatchTest.java
@@ -374,6 +374,19 @@
         }
     }
 
+    /** Guards a start while the agent that pushes lists refuses connections: what it has counts all the same. */
+    @Test
+    void aProcessWhoseAgentRefusesConnectionsDoesNotServeByItsFileAtOnce() throws IOException {
+        try (SocketRig rig = SocketRig.unanswered(PUSHED, 1)) {
+            rig.discovery.close();
+            rig.platform.ready();
+            rig.pass(4_900);
+            assertReady(rig, 503);
+            rig.pass(200);
+            assertReady(rig, 200);
+        }
+    }
+
     /** Guards drains where lists are pushed: a watch that ends is open again within the time that a drain leaves. */
     @Test
     void aPushedListIsWatchedAgainAtOnce() throws IOException {
