Plan a cold worker's budget by work and by number apart

Cause: counts each job as one of mean work against the part that is planned of the budget by hints (0.4). Change: six tenths of the budget by number; by N = 3 that leaves 8.5 jobs allowed where 1.8 are planned.

--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -15,7 +15,7 @@
     static final double SLOT_GAIN = 0.1; // how fast a kind's slots follow what reports say
     static final int DRAWS = 6; // for each probe: asked is the one where the job should end first
     static final double FEE_WEIGHT = 3; // times to the aim that sending at full price is worth
-    static final double COLD_PART = 0.4; // of a cold worker's budget is planned for; chance needs the rest
+    static final double COLD_PART = 0.4, COLD_JOBS = 0.6; // planned of a cold budget, by work and by number
     static final double EJECT_MS = 500, EJECT_MAX_MS = 8_000; // ejection of a failing worker
     static final double EJECT_CAP = 0.5; // beyond this part of the fleet the cause is not the workers
     static final double PROMPT_GAIN = 0.1; // how fast the share of attempts that start at once follows
@@ -674,7 +674,7 @@
         double share = rule.coldFrom() + (1 - rule.coldFrom()) * Math.max(0, age) / rule.coldMs();
         Kind k = kinds[w.kind];
         double rate = COLD_PART * rule.fallMultiple() * share * k.slots * k.speed();
-        double need = Math.max(r.cost, meanCost); // hints are rough, and the rule counts jobs of mean work
+        double need = Math.max(r.cost, meanCost * COLD_PART / COLD_JOBS); // the rule counts jobs of mean work
         // A draw from the seed spreads the first jobs of all dispatchers evenly over time.
         double saved = (now - Math.max(w.lastSent, w.coldSince)) * (rate / set.balancers())
             + (w.lastSent < w.coldSince ? w.coldDraw * need : 0);
