Ask again for another owner where a fleet's test is told that nobody else can take it

Cause: FleetRig.ownerBesideTheLeader asks until the owner does not lead, and a refusal, right while the other members are late, threw out of that wait. Change: that refusal, and no other, is asked again within the same patience. What the test checks is as before.

--- a/src/test/java/plumpost/lab/fleet/FleetRig.java
+++ b/src/test/java/plumpost/lab/fleet/FleetRig.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.TestInfo;
+import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
 import plumpost.lab.fleet.FleetLab.One;
 
@@ -126,7 +127,7 @@
                 return false;
             }
             if (FleetLab.owner(f, "schedule").equals(f.text("leader"))) {
-                lab.call(lab.all().get(0), "yield", "schedule");
+                yieldSchedule();
                 return false;
             }
             return true;
@@ -134,6 +135,15 @@
         return lab.one(owner("schedule"));
     }
 
+    /** Asks for another owner; refused while the others are late or suspect, and then asked again. */
+    private void yieldSchedule() throws Exception {
+        try {
+            lab.call(lab.all().get(0), "yield", "schedule");
+        } catch (BadInput e) {
+            assertThat(e).hasMessageContaining("nobody else can take schedule");
+        }
+    }
+
     static void until(String what, Callable<Boolean> holds) throws Exception {
         for (long end = System.nanoTime() + PATIENCE_MS * 1_000_000; !holds.call(); Thread.sleep(100)) {
             assertThat(System.nanoTime()).as("waited long enough until " + what).isLessThan(end);
