Test that first calls for the list are spread by the fleet's size

ListWatchTest.firstCallsAreSpreadByTheFleetsSize: a lone process asks at once, one of a hundred by a draw within 3 s. No change to the program.

--- a/src/test/java/plumpost/platform/ListWatchTest.java
+++ b/src/test/java/plumpost/platform/ListWatchTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -387,6 +388,23 @@
         }
     }
 
+    /** Guards discovery's queue: after a common start the first calls of a large fleet come spread, a lone one at once. */
+    @Test
+    void firstCallsAreSpreadByTheFleetsSize() throws IOException {
+        String largeFleet = Scenario.SETTINGS.replace("\"balancers\":1,", "\"balancers\":100,");
+        for (String settings : List.of(Scenario.SETTINGS, largeFleet)) {
+            try (SocketRig rig = SocketRig.unanswered(settings, 1)) {
+                double start = rig.now;
+                watch(rig);
+                if (settings.equals(largeFleet)) {
+                    assertThat(rig.now - start).as("a draw from the seed").isBetween(100.0, 99 * 30.0 + 10);
+                } else {
+                    assertThat(rig.now - start).isLessThanOrEqualTo(10);
+                }
+            }
+        }
+    }
+
     /** Guards drains where lists are pushed: a watch that ends is open again within the time that a drain leaves. */
     @Test
     void aPushedListIsWatchedAgainAtOnce() throws IOException {
