--- a/src/main/java/plumpost/lab/scale/ScaleRun.java
+++ b/src/main/java/plumpost/lab/scale/ScaleRun.java
@@ -14,6 +14,7 @@
 import plumpost.config.Json;
 import plumpost.config.SettingsReader;
 import plumpost.count.Counters;
+import plumpost.lab.SchedulerProcess;
 import plumpost.net.SelectorLoop;
 import plumpost.time.SystemClock;
 import plumpost.time.TimerWheel;
--- /dev/null
+++ b/src/test/java/plumpost/cli/HangingWorkers.java
@@ -0,0 +1,112 @@
+package plumpost.cli;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Workers that take each request, say that it has started, and never end it; their probes are answered. */
+final class HangingWorkers implements Closeable {
+    private static final Pattern ID = Pattern.compile("X-Txn: ([!-~]+)\r\n");
+    private static final int BACKLOG = 512;
+
+    private final List<ServerSocket> sockets = new ArrayList<>();
+    private final Set<String> taken = ConcurrentHashMap.newKeySet();
+
+    HangingWorkers(int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            ServerSocket socket = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+            sockets.add(socket);
+            daemon(() -> accept(socket));
+        }
+    }
+
+    private static void daemon(Runnable what) {
+        Thread thread = new Thread(what, "hanging worker");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept(ServerSocket socket) {
+        while (!socket.isClosed()) {
+            try {
+                Socket caller = socket.accept();
+                daemon(() -> serve(caller));
+            } catch (IOException e) {
+                return; // closed
+            }
+        }
+    }
+
+    private void serve(Socket caller) {
+        try (caller) {
+            StringBuilder text = new StringBuilder();
+            byte[] bytes = new byte[4096];
+            for (int n = caller.getInputStream().read(bytes);
+                    n > 0;
+                    n = caller.getInputStream().read(bytes)) {
+                text.append(new String(bytes, 0, n, StandardCharsets.US_ASCII));
+                if (text.toString().startsWith("GET ") && text.toString().endsWith("\r\n\r\n")) {
+                    write(caller, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\ninflight=0,queue=0,x0=4");
+                    text.setLength(0);
+                } else if (text.toString().endsWith("\r\n\r\nx")) {
+                    take(caller, text.toString());
+                    text.setLength(0);
+                }
+            }
+        } catch (IOException e) {
+            // The scheduler gives attempts up by closing, or is killed: that is what is tested.
+            return;
+        }
+    }
+
+    private void take(Socket caller, String request) throws IOException {
+        Matcher id = ID.matcher(request);
+        if (id.find()) {
+            taken.add(id.group(1));
+            String line = "{\"id\":\"" + id.group(1) + "\",\"state\":\"started\"}\n";
+            write(
+                    caller,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(line.length())
+                            + "\r\n" + line + "\r\n");
+        }
+    }
+
+    private static void write(Socket to, String text) throws IOException {
+        to.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Their lines of a node list. */
+    String lines() {
+        return IntStream.range(0, sockets.size())
+                .mapToObj(i -> "{\"host\":\"w" + i + "\",\"dial\":\"127.0.0.1:"
+                        + sockets.get(i).getLocalPort()
+                        + "\",\"site\":\"p\",\"class\":\"k\",\"health\":\"up\",\"share\":1.0,\"born_ms\":0}")
+                .collect(Collectors.joining(","));
+    }
+
+    boolean hasTaken(String id) {
+        return taken.contains(id);
+    }
+
+    int taken() {
+        return taken.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/plumpost/cli/ShutdownFaultsIT.java
@@ -0,0 +1,138 @@
+package plumpost.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import plumpost.Scenario;
+import plumpost.lab.SchedulerProcess;
+import plumpost.lab.faults.FaultLibrary;
+
+/**
+ * The incident of 2026-12-02 with real processes: a scheduler is told to end while its worker takes requests and never ends
+ * them; clients go on sending on the connections that stay open, and SIGKILL comes 3.7 s after SIGTERM. Whatever disturbs the
+ * process meanwhile, what was forwarded has its final answer before that.
+ */
+class ShutdownFaultsIT {
+    /** The protocol: SIGKILL comes no sooner than the longest deadline, counted as 3 s at the most, plus 0.7 s. */
+    private static final long KILL_AFTER_MS = 3_700;
+
+    /** The protocol: what came later than that after SIGTERM is lost where SIGKILL finds it unanswered. */
+    private static final long TAKEN_LATE_MS = 700;
+
+    private static final int CLIENTS = 120;
+    /** More than requests that are sent on, so that each finds room. */
+    private static final int WORKERS = 60;
+
+    private static final long FIRST_REQUEST_MS = 200;
+    private static final long LAST_REQUEST_MS = 3_600;
+    /** Every third request comes in two pieces so far apart. */
+    private static final long BETWEEN_PIECES_MS = 100;
+
+    private static final long HOUR_MS = 3_600_000;
+    /** The users' terms: a process may be held up for so long between reading its clock and writing. */
+    private static final long HOLD_UP_MS = 150;
+
+    @TempDir
+    private Path folder;
+
+    /** What disturbs the scheduler in its shutdown. */
+    enum Disturbance {
+        NONE,
+        SUSPENDED_AT_THE_SIGNAL,
+        SUSPENDED_AT_THE_LAST_CALL,
+        SUSPENDED_AGAIN_AND_AGAIN,
+        HELD_UP_AFTER_CLOCK_READS,
+        WALL_CLOCK_STEPS_BACK,
+        WALL_CLOCK_STEPS_FORWARD,
+        WALL_CLOCK_STEPS_TWICE
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    @Timeout(120)
+    void whatWasForwardedIsAnsweredBeforeTheKill(Disturbance disturbance) throws Exception {
+        try (HangingWorkers workers = new HangingWorkers(WORKERS);
+                FaultLibrary faults = new FaultLibrary(null);
+                SchedulerProcess scheduler = new SchedulerProcess(configuration(workers), faults.environment())) {
+            scheduler.awaitReady();
+            List<RestingClient> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(new RestingClient(scheduler.front(), "request-" + i, i % 3 == 0));
+            }
+            if (disturbance == Disturbance.SUSPENDED_AT_THE_SIGNAL) {
+                scheduler.suspend();
+            }
+            Timeline timeline = new Timeline();
+            scheduler.terminate();
+            disturb(timeline, disturbance, scheduler, faults);
+            for (int i = 0; i < CLIENTS; i++) {
+                RestingClient client = clients.get(i);
+                long at = FIRST_REQUEST_MS + (LAST_REQUEST_MS - FIRST_REQUEST_MS) * i / (CLIENTS - 1);
+                if (client.sendsInPieces()) {
+                    timeline.at(at, client::sendFirstPiece);
+                    timeline.at(Math.min(at + BETWEEN_PIECES_MS, LAST_REQUEST_MS), client::sendLastPiece);
+                } else {
+                    timeline.at(at, client::sendWhole);
+                }
+            }
+            timeline.at(KILL_AFTER_MS, scheduler::kill);
+            timeline.play();
+            scheduler.awaitEnd(TimeUnit.SECONDS.toMillis(10));
+            List<String> lost = new ArrayList<>();
+            for (RestingClient client : clients) {
+                client.awaitEnd();
+                long sentMs = timeline.since(client.sentAtNs());
+                boolean taken = workers.hasTaken(client.id()) || client.endedByReset();
+                if (client.sentAtNs() > 0 && sentMs > TAKEN_LATE_MS && taken && !client.answered()) {
+                    lost.add(client.id() + " sent whole " + sentMs + " ms after SIGTERM");
+                }
+            }
+            assertThat(lost)
+                    .as("forwarded or read, and never answered; log %s", scheduler.log())
+                    .isEmpty();
+            assertThat(workers.taken()).as("requests that were sent on").isPositive();
+        }
+    }
+
+    private static void disturb(
+            Timeline timeline, Disturbance disturbance, SchedulerProcess scheduler, FaultLibrary faults) {
+        switch (disturbance) {
+            case NONE -> {}
+            case SUSPENDED_AT_THE_SIGNAL -> timeline.at(HOLD_UP_MS, scheduler::resume);
+            case SUSPENDED_AT_THE_LAST_CALL -> suspendAt(timeline, scheduler, 3_000, 3_600, 100);
+            case SUSPENDED_AGAIN_AND_AGAIN -> suspendAt(timeline, scheduler, 20, 3_600, 250);
+            case HELD_UP_AFTER_CLOCK_READS -> timeline.at(0, () -> faults.holdUp(HOLD_UP_MS, 100));
+            case WALL_CLOCK_STEPS_BACK -> timeline.at(0, () -> faults.stepWallClock(-HOUR_MS));
+            case WALL_CLOCK_STEPS_FORWARD -> timeline.at(0, () -> faults.stepWallClock(HOUR_MS));
+            case WALL_CLOCK_STEPS_TWICE -> {
+                timeline.at(0, () -> faults.stepWallClock(HOUR_MS));
+                timeline.at(600, () -> faults.stepWallClock(-HOUR_MS));
+            }
+            default -> throw new IllegalArgumentException(disturbance.name());
+        }
+    }
+
+    private static void suspendAt(Timeline timeline, SchedulerProcess scheduler, long fromMs, long toMs, long gapMs) {
+        for (long at = fromMs; at + HOLD_UP_MS < toMs; at += HOLD_UP_MS + gapMs) {
+            timeline.at(at, scheduler::suspend);
+            timeline.at(at + HOLD_UP_MS, scheduler::resume);
+        }
+    }
+
+    private Path configuration(HangingWorkers workers) throws IOException {
+        return Files.writeString(
+                folder.resolve("scheduler.json"),
+                "{\"name\":\"s0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"limits\":{\"sockets\":1024},\"known\":{\"seq\":1,"
+                        + "\"whole\":true,\"hosts\":[" + workers.lines() + "]},\"settings\":"
+                        + Scenario.SETTINGS + "}");
+    }
+}
--- /dev/null
+++ b/src/test/java/plumpost/time/TimerFaultsTest.java
@@ -0,0 +1,26 @@
+package plumpost.time;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** One timer's fault must not cost the others their turn: a deadline would pass without its answer. */
+class TimerFaultsTest {
+    @Test
+    void theOthersOfATickRunThoughOneOfThemFails() {
+        TimerWheel wheel = new TimerWheel(0);
+        List<String> ran = new ArrayList<>();
+        wheel.at(10, () -> ran.add("before"));
+        wheel.at(10, () -> {
+            throw new IllegalStateException("of one timer");
+        });
+        wheel.at(10, () -> ran.add("after"));
+        wheel.at(20, () -> ran.add("later"));
+        assertThatThrownBy(() -> wheel.turnTo(30)).hasMessage("of one timer");
+        wheel.turnTo(30);
+        assertThat(ran).containsExactly("before", "after", "later");
+    }
+}
