Start where the platform tells of peers; optional parts never keep it from serving

Class: an optional part of the platform's configuration of a kind that a reader does not expect. Change: fields of a start are lenient: an optional one of another kind counts as not given and is logged with name and value; check still refuses it, and so does SIGHUP where the file in force had none of it. peers is the fleet's section only where it is an object with one of its settings; plumpost_fleet is its name that cannot collide. A list in the file that cannot be read is passed over.

--- a/src/main/java/plumpost/cli/Main.java
+++ b/src/main/java/plumpost/cli/Main.java
@@ -9,6 +9,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import plumpost.benchlink.WireHost;
+import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeConfig;
 import plumpost.config.PeersConfig;
@@ -56,7 +57,11 @@
                     return new Serve(Serve.file(line.getOptionValue("config")), null).rehearse();
                 }
                 case "check" -> {
-                    NodeConfig c = NodeConfig.read(Serve.file(line.getOptionValue("config")), System.getenv());
+                    Json.Fields file = NodeConfig.parse(Serve.file(line.getOptionValue("config")));
+                    NodeConfig c = NodeConfig.from(file, System.getenv());
+                    if (!file.passedOver().isEmpty()) {
+                        throw new BadInput(file.passedOver().get(0)); // it would serve all the same
+                    }
                     if (c.peers() != null) {
                         PeersConfig.read(c.peers(), c.name(), null, c.discovery() != null);
                     }
--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -80,9 +80,10 @@
         this.file = file;
         lastFile = NodeConfig.parse(file);
         config = NodeConfig.from(lastFile, System.getenv());
-        inheritedFd = System.getenv("NODE_FD");
         log = Logs.sink(
                 config.name(), config.peers() != null && config.logFormat() == null ? "text" : config.logFormat());
+        inheritedFd = System.getenv("NODE_FD");
+        lastFile.passedOver().forEach(this::log);
         loop = new SelectorLoop(clock, wheel, counters, this::log);
         room = new DispatchCore(
                 config.settings(),
--- a/src/main/java/plumpost/config/Json.java
+++ b/src/main/java/plumpost/config/Json.java
@@ -91,14 +91,43 @@
         }
     }
 
-    /** The named fields of one object of the wire, with the checks that every reader needs. */
-    public record Fields(String where, Map<String, Object> map) {
+    /**
+     * The named fields of one object of the wire, with the checks that every reader needs.
+     *
+     * @param where names the object in messages
+     * @param map its fields
+     * @param passedOver null where a field of another kind than its reader wants is bad input; else what was passed over as if
+     *     it were not given, in words, shared by an object and those in it
+     */
+    public record Fields(String where, Map<String, Object> map, List<String> passedOver) {
+        /** Fields of which none may be of another kind than its reader wants. */
+        public Fields(String where, Map<String, Object> map) {
+            this(where, map, null);
+        }
+
+        /** The same fields, where an optional one of another kind counts as not given. */
+        public Fields lenient() {
+            return new Fields(where, map, new ArrayList<>());
+        }
+
         private <T> T get(String name, Class<T> type, String kind) {
             Object v = map.get(name);
-            if (v != null && !type.isInstance(v)) {
+            if (v == null || type.isInstance(v)) {
+                return type.cast(v);
+            }
+            if (passedOver == null) {
                 throw new BadInput(where + ": field " + name + " is not " + kind);
             }
-            return type.cast(v);
+            passOver(name, v, kind);
+            return null;
+        }
+
+        /** Passes a field's value over, or throws where that is not allowed. */
+        void passOver(String name, Object value, String kind) {
+            if (passedOver == null) {
+                throw new BadInput(where + ": field " + name + " is " + value + ", not " + kind);
+            }
+            passedOver.add(where + ": field " + name + " is " + value + ", not " + kind + ", and is passed over");
         }
 
         private <T> T need(String name, T v) {
@@ -185,12 +214,32 @@
 
         /** An object that must be there. */
         public Fields object(String name) {
-            return fields(where + "." + name, need(name, map.get(name)));
+            return fields(where + "." + name, need(name, map.get(name)), passedOver);
         }
 
         /** An object, or one without fields. */
         public Fields objectOrEmpty(String name) {
-            return has(name) ? object(name) : new Fields(where + "." + name, Map.of());
+            return get(name, Map.class, "an object") == null
+                    ? new Fields(where + "." + name, Map.of(), passedOver)
+                    : object(name);
+        }
+
+        /** The objects of a list that must be there. */
+        public List<Fields> objects(String name) {
+            List<Fields> all = new ArrayList<>();
+            for (Object item : list(name)) {
+                all.add(fields(where + "." + name + "[" + all.size() + "]", item, passedOver));
+            }
+            return all;
+        }
+
+        /** The objects of a list, or none. */
+        public List<Fields> objectsOrNone(String name) {
+            return listOrEmpty(name).stream().allMatch(Map.class::isInstance)
+                            && has(name)
+                            && map.get(name) instanceof List
+                    ? objects(name)
+                    : List.of();
         }
 
         /** A list that must be there. */
@@ -200,7 +249,25 @@
 
         /** A list, or an empty one. */
         public List<?> listOrEmpty(String name) {
-            return has(name) ? list(name) : List.of();
+            List<?> items = get(name, List.class, "a list");
+            return items == null ? List.of() : items;
+        }
+
+        /** A word that names a constant; one that names none counts as not given where that is allowed. */
+        public <E extends Enum<E>> E oneOf(String name, Class<E> type, E otherwise) {
+            String word = text(name, null);
+            for (E constant : type.getEnumConstants()) {
+                if (constant.name().equalsIgnoreCase(word)) {
+                    return constant;
+                }
+            }
+            if (word != null && passedOver == null) {
+                return oneOf(name, type);
+            }
+            if (word != null) {
+                passOver(name, word, "a word that is known");
+            }
+            return otherwise;
         }
 
         /** A word that must be there and name a constant. */
@@ -216,11 +283,15 @@
 
     /** The value as an object's fields. */
     public static Fields fields(String where, Object value) {
+        return fields(where, value, null);
+    }
+
+    private static Fields fields(String where, Object value, List<String> passedOver) {
         if (!(value instanceof Map<?, ?> map)) {
             throw new BadInput(where + " is not an object");
         }
         Map<String, Object> named = new LinkedHashMap<>();
         map.forEach((k, v) -> named.put((String) k, v));
-        return new Fields(where, named);
+        return new Fields(where, named, passedOver);
     }
 }
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
@@ -63,6 +64,8 @@
      * some 10 ms, and the module takes a start for prompt within four times its granularity.
      */
     static final double LINK_MS = 2.5;
+    /** The fleet's section under a name that no platform's page uses. */
+    static final String FLEET = "plumpost_fleet";
 
     private static final SettingsReader.Host REAL_HOST =
             new SettingsReader.Host(LINK_MS, HoldUp.MS, HoldUp.LEAST_LEFT_MS);
@@ -83,7 +86,14 @@
         if (gap != null) {
             throw new BadInput("configuration: key " + gap + " is missing");
         }
-        return reread(whole, environment);
+        NodeConfig taken = reread(whole, environment);
+        for (String passedOver : whole.passedOver() == null ? List.<String>of() : whole.passedOver()) {
+            if (last.passedOver() == null || !last.passedOver().contains(passedOver)) {
+                throw new BadInput(
+                        passedOver); // at the start it would be better than nothing, now the old file is better
+            }
+        }
+        return taken;
     }
 
     /** Reads the file and lets the environment's NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before it. */
@@ -91,10 +101,13 @@
         return from(parse(file), environment);
     }
 
-    /** The file as JSON, before anything is taken from it; an empty or cut-off file is bad input. */
+    /**
+     * The file as JSON, before anything is taken from it; an empty or cut-off file is bad input. Its optional parts may be of
+     * kinds that are not known here: a platform's newer page must not keep this program from serving.
+     */
     public static Fields parse(Path file) {
         try {
-            return Json.object("configuration", Files.readAllBytes(file));
+            return Json.object("configuration", Files.readAllBytes(file)).lenient();
         } catch (IOException e) {
             throw new BadInput("configuration " + file + " cannot be read");
         }
@@ -113,15 +126,15 @@
                 environment.getOrDefault("NODE_NAME", f.text("name", "plumpost")),
                 address(environment, "NODE_LISTEN", f, "listen"),
                 address(environment, "NODE_DISCOVERY", f, "discovery"),
-                seed(f.text("seed", "0")),
+                seed(f),
                 (int) f.objectOrEmpty("limits").number("sockets", 1024),
                 settings,
                 raw,
                 f.objectOrEmpty("known"),
-                f.has("gearman") ? GearmanConfig.read(f.object("gearman"), raw) : null,
-                f.has("log") ? logFormat(f.object("log")) : null,
+                isObject(f, "gearman") ? GearmanConfig.read(strict(f, "gearman"), raw) : null,
+                isObject(f, "log") ? logFormat(strict(f, "log")) : null,
                 address(environment, "NODE_OPS", f, "ops"),
-                f.has("peers") ? f.object("peers") : null);
+                fleetSection(f));
         if (c.listen == null && c.gearman == null) {
             throw new BadInput("configuration: neither listen nor gearman.listen is given");
         }
@@ -131,6 +144,29 @@
         return c;
     }
 
+    /** Whether an optional section of this program's own is given; something else under its name is passed over. */
+    private static boolean isObject(Fields f, String name) {
+        return !f.objectOrEmpty(name).map().isEmpty() || f.map().get(name) instanceof Map;
+    }
+
+    /** A section of this program's own: what is misspelt there is bad input. */
+    private static Fields strict(Fields f, String name) {
+        return Json.fields(f.where() + "." + name, f.map().get(name));
+    }
+
+    /**
+     * The section on this program's fleet, or null. Its own name is {@value #FLEET}. Under {@code peers} stands either that
+     * section or what the platform tells of other schedulers (addresses, in whatever form), which is not used here.
+     */
+    private static Fields fleetSection(Fields f) {
+        if (f.has(FLEET)) {
+            return strict(f, FLEET);
+        }
+        boolean fleet = f.map().get("peers") instanceof Map<?, ?> section
+                && PeersConfig.SETTINGS.stream().anyMatch(section::containsKey);
+        return fleet ? strict(f, "peers") : null;
+    }
+
     private static String logFormat(Fields f) {
         f.only("format");
         String format = f.text("format", "text");
@@ -153,11 +189,14 @@
                         environment.containsKey(variable) ? variable : "configuration: " + field, text);
     }
 
-    private static long seed(String text) {
+    /** The seed's number; a text that is no hexadecimal number still differs from start to start. */
+    private static long seed(Fields f) {
+        String text = f.text("seed", "0");
         try {
             return new BigInteger(text, 16).longValue();
         } catch (NumberFormatException e) {
-            throw new BadInput("configuration: seed is not hexadecimal");
+            f.passOver("seed", text, "hexadecimal");
+            return text.hashCode();
         }
     }
 }
--- a/src/main/java/plumpost/config/PeersConfig.java
+++ b/src/main/java/plumpost/config/PeersConfig.java
@@ -51,22 +51,25 @@
     /** One scheduler: three or five of all have a vote. */
     public record Member(String name, InetSocketAddress address, String site, boolean vote) {}
 
+    /** The names of the section's settings. */
+    static final List<String> SETTINGS = List.of(
+            "group",
+            "data",
+            "members",
+            "beatMs",
+            "lostMs",
+            "discoveryAgeMs",
+            "snapshotEvery",
+            "covers",
+            "awaitMs",
+            "keepMs");
+
     /** Members at once: what the fleet's book holds as well. */
     public static final int MOST_MEMBERS = 1024;
 
     /** Reads the section for the scheduler of that name; {@code dataBefore}, where not null, goes before its {@code data}. */
     public static PeersConfig read(Fields f, String name, String dataBefore, boolean asks) {
-        f.only(
-                "group",
-                "data",
-                "members",
-                "beatMs",
-                "lostMs",
-                "discoveryAgeMs",
-                "snapshotEvery",
-                "covers",
-                "awaitMs",
-                "keepMs");
+        f.only(SETTINGS.toArray(String[]::new));
         List<Member> members = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Object o : f.list("members")) {
--- a/src/main/java/plumpost/config/SettingsReader.java
+++ b/src/main/java/plumpost/config/SettingsReader.java
@@ -33,10 +33,9 @@
         Fields rules = c.object("rules");
         Fields fees = c.objectOrEmpty("fees");
         Fields report = c.objectOrEmpty("report");
-        double granularity = c.number("granularityMs", 1) + host.coarserMs();
+        double granularity = Math.max(0, c.number("granularityMs", 1)) + host.coarserMs();
         List<Dispatcher.JobClass> classes = new ArrayList<>();
-        for (Object o : c.list("classes")) {
-            Fields k = Json.fields("config.classes", o);
+        for (Fields k : c.objects("classes")) {
             int i = classes.size();
             classes.add(new Dispatcher.JobClass(
                     k.text("name", "class " + i),
@@ -44,7 +43,11 @@
                     k.number("aimStretch", item(info, "classStretch", i, 0)),
                     k.number("deadlineMs"),
                     k.oneOf("effect", Dispatcher.Effect.class),
-                    k.has("keyScope") ? k.oneOf("keyScope", Dispatcher.Scope.class) : Dispatcher.Scope.ALL,
+                    // A scope that is not known is the narrowest: a repeat there is harmless in any.
+                    k.oneOf(
+                            "keyScope",
+                            Dispatcher.Scope.class,
+                            k.has("keyScope") ? Dispatcher.Scope.CELL : Dispatcher.Scope.ALL),
                     window(k.number("windowMs", 0), host),
                     k.number("importance", 1),
                     k.number("lateWorth", 0),
@@ -52,15 +55,14 @@
                     (int) item(info, "classPriority", i, 0)));
         }
         List<Dispatcher.Tenant> tenants = new ArrayList<>();
-        for (Object o : c.listOrEmpty("tenants")) {
-            Fields t = Json.fields("config.tenants", o);
+        for (Fields t : c.objectsOrNone("tenants")) {
             tenants.add(new Dispatcher.Tenant(
                     t.text("name", "tenant " + tenants.size()),
                     t.number("quotaPerS", Double.POSITIVE_INFINITY),
                     t.number("share", 0)));
         }
         return new Dispatcher.Settings(
-                (int) c.number("balancers", 1),
+                (int) Math.max(1, c.number("balancers", 1)),
                 (int) c.number("index", 0),
                 (int) c.number("locality", 0),
                 Math.max(1, c.listOrEmpty("dcs").size()),
@@ -92,7 +94,7 @@
                         fees.number("peer", 0),
                         fees.number("lateFail", 0),
                         fees.number("waste", 0)),
-                switch (report.text("via", "silent")) {
+                switch (report.text("via", "silent")) { // a way that is not known tells nothing
                     case "piggyback" -> Dispatcher.Reports.PIGGYBACK;
                     case "pull" -> Dispatcher.Reports.PULL;
                     default -> Dispatcher.Reports.SILENT;
@@ -101,7 +103,7 @@
                         && info.text("reportX0", "free slots").equals("free slots"),
                 c.text("membershipMode", "pushed").equals("on_request"),
                 info.flag("tellsStart", false),
-                info.number("progressMs", 0),
+                Math.max(0, info.number("progressMs", 0)),
                 c.text("worthBy", "request").equals("work"),
                 c.number("overShareWorth", 1),
                 granularity,
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.function.DoubleSupplier;
+import plumpost.config.Json.BadInput;
 import plumpost.config.NodeConfig;
 import plumpost.config.NodeListReader;
 import plumpost.dispatch.DispatchCore;
@@ -72,7 +73,21 @@
     /** Asks discovery for the list; the one as last had serves only where discovery tells none in time. */
     public void begin() {
         room.add(watch);
-        watch.begin(config.known().has("seq") ? reader.read(config.known()) : null);
+        watch.begin(lastList());
+    }
+
+    /** The list of the file, or null where there is none that can be read: discovery tells the true one. */
+    private NodeListReader.Listing lastList() {
+        if (!config.known().has("seq")) {
+            return null;
+        }
+        try {
+            return reader.read(config.known());
+        } catch (BadInput e) {
+            kit.counters().count("list.malformed");
+            kit.log().accept("the file's node list is passed over: " + e.getMessage());
+            return null;
+        }
     }
 
     /** Discovery's word as another scheduler of the fleet has heard it: one line of the node list. */
--- /dev/null
+++ b/src/test/java/plumpost/config/OptionalPartsTest.java
@@ -0,0 +1,184 @@
+package plumpost.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import plumpost.config.Json.BadInput;
+import plumpost.config.Json.Fields;
+
+/** Parts of the platform's configuration that are optional or not known here never keep the program from serving. */
+class OptionalPartsTest {
+    /** All that the platform's pages tell, on a deployment whose schedulers may talk. */
+    private static final String WHOLE = """
+        {"name":"n3","listen":"127.0.0.1:8000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+        "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},
+        "peers":["127.0.0.1:9001","127.0.0.1:9002"],"peers_all":"127.0.0.1:9100","peer_listen":"127.0.0.1:9000",
+        "known":{"seq":41,"whole":true,"hosts":[{"host":"w","dial":"127.0.0.1:1","site":"p","class":"k","block":3,
+          "health":"up","share":1.0,"born_ms":0}]},
+        "settings":{"balancers":3,"index":1,"locality":0,"tier":0,"family":"jobs","layers":["route-nodes"],
+        "membershipMode":"on_request","granularityMs":2.0,"overShareWorth":0.1,"weights":"rough","worthBy":"work",
+        "dcs":["p"],"shapes":["k"],"tenants":[{"name":"t","quotaPerS":5.0,"share":0.4}],
+        "clients":{"marksRetry":false},"scoreParts":{"whole":0.55},
+        "classes":[{"name":"a","sloMs":600.0,"aimStretch":1.0,"deadlineMs":8000.0,"effect":"guarded","keyScope":"zone",
+          "windowMs":5000.0,"importance":1.0,"lateWorth":0.0,"stream":false}],
+        "ceilings":{"cancelling":true,"cpuUsPerS":8000,"dialTimeoutMs":250.0,"keepaliveMs":5000.0,"maxAttempts":6,
+          "maxOpen":20000,"maxRetryAfterMs":2000.0,"multiplex":1,"parallelTries":false,"peers":true,"probes":true,
+          "retryAfter":false},
+        "familyInfo":{"classKind":[-1],"classPriority":[0],"classStretch":[2.0],"memoryUnit":"slots","notes":"1",
+          "progressMs":2000.0,"queueOrder":"fifo","reportX0":"free slots","tellsStart":true},
+        "fees":{"crossZone":0.03,"handshake":0.0,"lateFail":0.05,"peer":0.0,"probe":0.0016,"waste":0.015},
+        "report":{"fields":["latency_ms","x0"],"via":"pull"},
+        "rules":{"coldFrom":0.32,"coldMs":8900.0,"fallMs":1000.0,"fallMultiple":3.0,"graceToAnswerMs":8.0,
+          "mustAskInMs":10000.0,"stopSendingWithinMs":400.0}}}""";
+
+    /** Without these there is nothing to serve, or nothing to serve by. */
+    private static final List<String> REQUIRED = List.of(
+            "listen",
+            "settings",
+            "settings.classes",
+            "settings.classes.sloMs",
+            "settings.classes.deadlineMs",
+            "settings.classes.effect",
+            "settings.rules");
+    /** Limits in use: a number out of their range is a wrong limit, and is told as one. */
+    private static final List<String> RANGES = List.of("limits.sockets", "settings.ceilings.maxAttempts");
+
+    @TempDir
+    private Path folder;
+
+    private static List<Object> kinds() {
+        List<Object> all = new ArrayList<>(List.of(true, 70L, 70.5, "", "text", List.of(), List.of("a", 1L, Map.of())));
+        all.addAll(
+                List.of(Map.of(), Map.of("127.0.0.1:9001", "n1"), Map.of("n1", Map.of("address", "127.0.0.1:9001"))));
+        all.add(null);
+        return all;
+    }
+
+    private static List<String> paths(String at, Object value) {
+        List<String> all = new ArrayList<>();
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((name, inner) -> {
+                String path = at.isEmpty() ? (String) name : at + "." + name;
+                all.add(path);
+                all.addAll(paths(path, inner));
+            });
+        } else if (value instanceof List<?> list && !list.isEmpty()) {
+            all.addAll(paths(at, list.get(0)));
+        }
+        return all;
+    }
+
+    /** The value with another in the place of a path; a list stands for its first item. */
+    private static Object with(Object whole, List<String> path, Object value) {
+        if (path.isEmpty()) {
+            return value;
+        }
+        if (whole instanceof List<?> list) {
+            return List.of(with(list.get(0), path, value));
+        }
+        Map<String, Object> copy = new LinkedHashMap<>();
+        ((Map<?, ?>) whole)
+                .forEach((name, inner) -> copy.put(
+                        (String) name,
+                        name.equals(path.get(0)) ? with(inner, path.subList(1, path.size()), value) : inner));
+        return copy;
+    }
+
+    private static Fields whole() {
+        return Json.object("configuration", WHOLE.getBytes(StandardCharsets.UTF_8))
+                .lenient();
+    }
+
+    private static NodeConfig with(String path, Object value) {
+        Object changed = with(whole().map(), List.of(path.split("\\.")), value);
+        return NodeConfig.from(Json.fields("configuration", changed).lenient(), Map.of());
+    }
+
+    /** Guards the start: each kind of value in each optional place, the platform's talk of peers among them. */
+    @Test
+    void noOptionalPartKeepsTheProgramFromServing() {
+        int played = 0;
+        for (String path : paths("", whole().map())) {
+            for (Object value : kinds()) {
+                boolean range = RANGES.contains(path) && value instanceof Number;
+                if (!REQUIRED.contains(path) && !range && !(path.equals("discovery") && value instanceof String)) {
+                    NodeConfig config = with(path, value);
+                    assertThat(config.peers()).as(path + " " + value).isNull();
+                    assertThat(config.listen().getPort()).isEqualTo(8000);
+                    played++;
+                }
+            }
+        }
+        assertThat(played).isGreaterThan(700);
+    }
+
+    /** Guards the same for keys that no page has yet, at the top and in each object. */
+    @Test
+    void unknownKeysArePassedOver() {
+        for (Object value : kinds()) {
+            for (String path : List.of("", "limits.", "settings.", "settings.rules.", "settings.ceilings.", "known.")) {
+                Object changed = with(whole().map(), List.of((path + "unheard_of").split("\\.")), value);
+                Map<String, Object> grown =
+                        new LinkedHashMap<>(Json.fields("c", changed).map());
+                grown.put("unheard_of", value);
+                assertThat(NodeConfig.from(Json.fields("configuration", grown).lenient(), Map.of())
+                                .name())
+                        .isEqualTo("n3");
+            }
+        }
+    }
+
+    /** Guards whoever looks for the cause: what is passed over is told by its name, its value and what was wanted. */
+    @Test
+    void whatIsPassedOverIsTold() throws IOException {
+        Path file = folder.resolve("c.json");
+        Files.writeString(file, WHOLE.replace("\"tellsStart\":true", "\"tellsStart\":\"maybe\""));
+        Fields read = NodeConfig.parse(file);
+        assertThat(NodeConfig.from(read, Map.of()).settings().tellsStart()).isFalse();
+        assertThat(read.passedOver())
+                .containsExactly("configuration.settings.familyInfo: field tellsStart is maybe, not true or false,"
+                        + " and is passed over");
+    }
+
+    /** Guards a running scheduler: at SIGHUP a value that would be passed over is a bad file, and the old one holds. */
+    @Test
+    void atSighupTheOldFileIsBetter() {
+        Fields bad = Json.object(
+                        "configuration",
+                        WHOLE.replace("\"probes\":true", "\"probes\":7").getBytes(StandardCharsets.UTF_8))
+                .lenient();
+        assertThatThrownBy(() -> NodeConfig.again(whole(), bad, Map.of()))
+                .isInstanceOf(BadInput.class)
+                .hasMessageContaining("field probes is 7");
+        Fields again = Json.fields("configuration", bad.map()).lenient();
+        assertThat(NodeConfig.again(bad, again, Map.of()).name())
+                .as("a file like the one of the start")
+                .isEqualTo("n3");
+    }
+
+    /** Guards fleets: the section holds under both names, and one that is misspelt is told and not taken for addresses. */
+    @ParameterizedTest
+    @ValueSource(strings = {"peers", "plumpost_fleet"})
+    void theFleetsSectionKeepsWorking(String name) {
+        Map<String, Object> section = Map.of("data", "/nowhere", "members", List.of());
+        Map<String, Object> grown = new LinkedHashMap<>(whole().map());
+        grown.put(name, section);
+        NodeConfig config = NodeConfig.from(Json.fields("configuration", grown).lenient(), Map.of());
+        assertThat(config.peers().map()).isEqualTo(section);
+        assertThatThrownBy(() -> PeersConfig.read(config.peers(), "n3", null, false))
+                .isInstanceOf(BadInput.class)
+                .hasMessageContaining("members gives 0 a vote");
+    }
+}
