--- a/src/test/java/plumpost/control/SharedBansTest.java
+++ b/src/test/java/plumpost/control/SharedBansTest.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import plumpost.Scenario;
@@ -45,6 +47,53 @@
         assertThat(fresh.room.online("node1")).isEqualTo(plumpost.dispatch.Bans.Said.CHANGED);
     }
 
+    /**
+     * Guards a ban against a disk that fails for a while: it holds here, is not acknowledged before it is kept for the next
+     * process, is kept as soon as the disk works again, and the outage is told once.
+     */
+    @Test
+    void aBanIsAcknowledgedOnceItIsKept(@TempDir Path dir) throws IOException {
+        Path blocked = Files.createDirectories(dir.resolve(SharedBans.NAME + ".new/occupied")); // every write fails
+        Scenario s = new Scenario(2);
+        SharedBans shared = new SharedBans(dir, s.room, kit(s));
+        ControlOperations operations = new ControlOperations(s.room, s.counters, shared, () -> true);
+        shared.begin();
+        List<String> answers = new ArrayList<>();
+        operations.change("node1", true, (said, why) -> answers.add(said + " " + why));
+        operations.change("node1", true, (said, why) -> answers.add(said + " " + why));
+        assertThat(answers).allMatch(answer -> answer.startsWith("null ") && answer.contains("node1"));
+        assertThat(s.room.avoided()).as("it holds here").isEqualTo(1);
+        s.play("wait 1000");
+        assertThat(s.counters.of("bans.file_unwritten"))
+                .as("an outage is counted once")
+                .isEqualTo(1);
+        Files.delete(blocked);
+        Files.delete(blocked.getParent());
+        s.play("wait 300");
+        assertThat(Files.readString(dir.resolve(SharedBans.NAME))).isEqualTo("node1\n");
+        operations.change("node1", true, (said, why) -> answers.add(said + " " + why));
+        assertThat(answers).last().asString().startsWith("SAME");
+        assertThat(s.log.stream().filter(line -> line.contains("bans"))).hasSize(2);
+    }
+
+    /** Guards a ban that is not kept yet against the other process's file: neither undoes the other. */
+    @Test
+    void whatIsNotKeptYetIsNotUndoneByTheOtherProcess(@TempDir Path dir) throws IOException {
+        Scenario s = new Scenario(2);
+        SharedBans shared = new SharedBans(dir, s.room, kit(s));
+        ControlOperations operations = new ControlOperations(s.room, s.counters, shared, () -> true);
+        shared.begin();
+        Path blocked = Files.createDirectories(dir.resolve(SharedBans.NAME + ".new/occupied"));
+        operations.change("node1", true, (said, why) -> {});
+        Files.writeString(dir.resolve(SharedBans.NAME), "node2\n");
+        s.play("wait 300");
+        assertThat(s.room.avoided()).as("both hold").isEqualTo(2);
+        Files.delete(blocked);
+        Files.delete(blocked.getParent());
+        s.play("wait 300");
+        assertThat(Files.readString(dir.resolve(SharedBans.NAME))).isEqualTo("node1\nnode2\n");
+    }
+
     private static plumpost.net.LoopContext kit(Scenario s) {
         return new plumpost.net.LoopContext(null, () -> s.now, s.wheel(), s.counters, s.log::add);
     }
