--- a/src/main/java/plumpost/control/ControlOperations.java
+++ b/src/main/java/plumpost/control/ControlOperations.java
@@ -41,7 +41,11 @@
     @Override
     public void change(String node, boolean out, BiConsumer<Bans.Said, String> then) {
         if (fleet == null) {
-            ControlServer.Operations.super.change(node, out, then);
+            Bans.Said said = change(node, out);
+            boolean owed = said != Bans.Said.UNKNOWN && shared != null && !shared.kept();
+            String why = "worker " + node + (out ? " is out" : " is back") + " in this process only: "
+                    + "the next one cannot be told, the shared folder takes no file";
+            then.accept(owed ? null : said, owed ? why : "");
             return;
         }
         Bans.Said here = room.known(node) ? out ? room.offline(node) : Bans.Said.CHANGED : Bans.Said.UNKNOWN;
@@ -88,7 +92,7 @@
         }
         Bans.Said said = out ? room.offline(node) : room.online(node);
         if (said == Bans.Said.CHANGED && shared != null) {
-            shared.write();
+            shared.changed(node, out);
         }
         return said;
     }
--- a/src/main/java/plumpost/lab/LabMain.java
+++ b/src/main/java/plumpost/lab/LabMain.java
@@ -25,10 +25,11 @@
 import plumpost.lab.script.Conformance;
 import plumpost.lab.script.Script;
 import plumpost.lab.script.TcpRig;
+import plumpost.lab.soak.SoakMain;
 
-/** The laboratory's commands: {@code conformance}, {@code gearman}, {@code fleet} and {@code scale}. Targets are loopback addresses only. */
+/** The laboratory's commands: {@code conformance}, {@code gearman}, {@code fleet}, {@code scale} and {@code soak}. Targets are loopback addresses only. */
 public final class LabMain {
-    private static final String USAGE = "plumpost lab conformance|gearman|fleet|scale [options]";
+    private static final String USAGE = "plumpost lab conformance|gearman|fleet|scale|soak [options]";
 
     private LabMain() {}
 
@@ -37,6 +38,9 @@
         if (args.length > 0 && args[0].equals("fleet")) {
             return FleetLabMain.run(Arrays.copyOfRange(args, 1, args.length), out, err);
         }
+        if (args.length > 0 && args[0].equals("soak")) {
+            return SoakMain.run(Arrays.copyOfRange(args, 1, args.length), out, err);
+        }
         if (args.length > 0 && args[0].equals("scale")) {
             return ScaleMain.run(Arrays.copyOfRange(args, 1, args.length), out, err);
         }
--- /dev/null
+++ b/src/main/java/plumpost/lab/soak/SoakMain.java
@@ -0,0 +1,73 @@
+package plumpost.lab.soak;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** The command {@code lab soak}: fault soaks with one seed after another; 1 where any rule was broken. */
+public final class SoakMain {
+    private static final String USAGE = "plumpost lab soak [options]";
+    private static final int MOST_SCHEDULERS = 40;
+
+    private SoakMain() {}
+
+    /** Plays the soaks that the arguments ask for and tells of each on {@code out}. */
+    public static int run(String[] args, PrintStream out, PrintStream err) throws IOException {
+        Options options = new Options();
+        options.addOption(null, "seed", true, "first seed (1)");
+        options.addOption(null, "seeds", true, "how many seeds, one after another (1)");
+        options.addOption(null, "processes", true, "schedulers, 1 to 40 (10)");
+        options.addOption(null, "workers", true, "workers at the start (20)");
+        options.addOption(null, "seconds", true, "how long clients send (30)");
+        options.addOption(null, "rate", true, "requests a second for each scheduler (15)");
+        options.addOption(null, "faults", true, "faults that begin in a second (2)");
+        options.addOption("h", "help", false, "tells these options");
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            if (line.hasOption("help")) {
+                new HelpFormatter().printHelp(USAGE, options);
+                return 0;
+            }
+            long first = number(line, "seed", 1, 0, Integer.MAX_VALUE);
+            List<Long> broken = new ArrayList<>();
+            long seeds = number(line, "seeds", 1, 1, 100_000);
+            for (long seed = first; seed < first + seeds; seed++) {
+                SoakPlan plan = new SoakPlan(
+                        seed,
+                        (int) number(line, "processes", 10, 1, MOST_SCHEDULERS),
+                        (int) number(line, "workers", 20, 2, 500),
+                        (int) number(line, "seconds", 30, 5, 86_400),
+                        number(line, "rate", 15, 1, 1_000),
+                        number(line, "faults", 2, 0, 1_000));
+                try (SoakRun run = new SoakRun(plan, out)) {
+                    if (!run.run().isEmpty()) {
+                        broken.add(seed);
+                    }
+                }
+            }
+            out.println(seeds + " seeds, rules broken with " + (broken.isEmpty() ? "none" : broken.toString()));
+            return broken.isEmpty() ? 0 : 1;
+        } catch (ParseException e) {
+            err.println("plumpost lab soak: " + e.getMessage());
+            return 2;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 1;
+        }
+    }
+
+    private static long number(CommandLine line, String option, long otherwise, long least, long most)
+            throws ParseException {
+        String given = line.getOptionValue(option, Long.toString(otherwise));
+        if (!given.matches("[0-9]{1,9}") || Long.parseLong(given) < least || Long.parseLong(given) > most) {
+            throw new ParseException("--" + option + " is " + given + ", not from " + least + " to " + most);
+        }
+        return Long.parseLong(given);
+    }
+}
