--- a/src/main/java/plumpost/lab/soak/SoakMain.java
+++ b/src/main/java/plumpost/lab/soak/SoakMain.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.HelpFormatter;
@@ -27,6 +29,7 @@
         options.addOption(null, "seconds", true, "how long clients send (30)");
         options.addOption(null, "rate", true, "requests a second for each scheduler (15)");
         options.addOption(null, "faults", true, "faults that begin in a second (2)");
+        options.addOption(null, "kinds", true, "kinds of faults, with commas between (all)");
         options.addOption("h", "help", false, "tells these options");
         try {
             CommandLine line = new DefaultParser().parse(options, args);
@@ -44,7 +47,8 @@
                         (int) number(line, "workers", 20, 2, 500),
                         (int) number(line, "seconds", 30, 5, 86_400),
                         number(line, "rate", 15, 1, 1_000),
-                        number(line, "faults", 2, 0, 1_000));
+                        number(line, "faults", 2, 0, 1_000),
+                        kinds(line));
                 try (SoakRun run = new SoakRun(plan, out)) {
                     if (!run.run().isEmpty()) {
                         broken.add(seed);
@@ -62,6 +66,22 @@
         }
     }
 
+    private static Set<FaultKind> kinds(CommandLine line) throws ParseException {
+        Set<FaultKind> all = EnumSet.allOf(FaultKind.class);
+        String given = line.getOptionValue("kinds");
+        if (given == null) {
+            return all;
+        }
+        Set<FaultKind> kinds = EnumSet.noneOf(FaultKind.class);
+        for (String name : given.split(",")) {
+            kinds.add(all.stream()
+                    .filter(kind -> kind.name().equalsIgnoreCase(name.replace('-', '_')))
+                    .findFirst()
+                    .orElseThrow(() -> new ParseException("--kinds names " + name + ", not one of " + all)));
+        }
+        return kinds;
+    }
+
     private static long number(CommandLine line, String option, long otherwise, long least, long most)
             throws ParseException {
         String given = line.getOptionValue(option, Long.toString(otherwise));
