Take an interrupted read for what it is, not for the end of its connection

Ruled out by the soak's times of faults: accept, socket, connect and epoll_wait errors (the closes came with reads only), restarts, wall clock. Change: a count below -1 is no end; broken connections, failed accepts and dials are counted by error (net.broken.*, net.accept_failed.*, net.dial_failed.*).

--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -10,6 +10,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.BooleanSupplier;
@@ -29,6 +30,10 @@
 
     private static final int BUFFER = 64 * 1024;
     private static final int MOST_UNREAD = 2 << 20;
+    /** What a read returns at the end of a connection. */
+    private static final int END = -1;
+
+    private static final int LONGEST_ERROR_NAME = 40;
     /** Reads of a whole buffer at a close: more is a flood, whose sender may be reset. */
     private static final int MOST_AWAY = 16;
 
@@ -127,6 +132,13 @@
         }
     }
 
+    /** An error of the system in a counter's name, such as {@code connection_reset_by_peer}; the JDK tells it in words. */
+    private static String errorName(IOException e) {
+        String words = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
+        String name = words.toLowerCase(Locale.ROOT).replaceAll("[^a-z]+", "_");
+        return name.substring(0, Math.min(name.length(), LONGEST_ERROR_NAME));
+    }
+
     private interface Ready {
         void ready(SelectionKey key);
     }
@@ -232,7 +244,7 @@
                 }
             } catch (IOException e) {
                 // Out of descriptors or the like: look again in a while instead of spinning on a ready key.
-                counters.count("net.accept_failed");
+                counters.count("net.accept_failed." + errorName(e));
                 rest();
                 wheel.at(clock.nowMs() + RETRY_MS, this::wake);
             }
@@ -301,7 +313,7 @@
                 s.key = s.channel.register(selector, SelectionKey.OP_CONNECT, s);
             }
         } catch (IOException | RuntimeException e) {
-            counters.count("net.dial_failed");
+            counters.count("net.dial_failed." + (e instanceof IOException failed ? errorName(failed) : "other"));
             soon.add(s::broken);
         }
         return s;
@@ -373,15 +385,10 @@
                     ? ByteBuffer.allocateDirect(BUFFER)
                     : buffers.pop().clear();
             try {
-                int n;
-                try {
-                    n = channel.read(in);
-                } catch (IOException e) {
-                    n = -1;
-                }
-                if (n < 0) {
+                int count = read(in);
+                if (count == END) {
                     broken();
-                } else if (n > 0 && !finishing) {
+                } else if (count > 0 && !finishing) {
                     user.bytes(in.flip());
                 }
             } catch (RuntimeException | VirtualMachineError e) {
@@ -392,6 +399,24 @@
             }
         }
 
+        /**
+         * Reads what has come: the count of bytes, or {@link #END}. The JDK tells an interrupted call (EINTR) by a count below
+         * that: nothing was read then, and the selector tells of the connection again.
+         */
+        private int read(ByteBuffer in) {
+            try {
+                int count = channel.read(in);
+                if (count < END) {
+                    counters.count("net.interrupted");
+                    return 0;
+                }
+                return count;
+            } catch (IOException e) {
+                counters.count("net.broken." + errorName(e));
+                return END;
+            }
+        }
+
         @Override
         public void look() {
             if (connected && !gone) {
