Count the wait of newcomers while accept fails; the soak can play another release

Change: who is accepted after accepts failed may have waited since the first failure; its first request's time counts from there. AcceptFailuresIT (0.6 s of failing accepts, clients with 0.5 s): 3 of 3 green; with a first form of the change that took an interrupted accept for an empty backlog it failed with 500 in place of 503.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run; the commands behind them are Maven's and java's.
 CONFIG ?= deploy/gearman.json
 
-.PHONY: build test lint format run bench-gearman faults-gearman fleet-cost scale fleet-test kill-test conformance clean
+.PHONY: build test lint format run bench-gearman faults-gearman fleet-cost scale soak fleet-test kill-test conformance clean
 
 build: ## the jar, without tests
 	mvn -q -B -DskipTests package
@@ -38,6 +38,10 @@
 kill-test: build ## 1,000 faults on three processes whose orders are covered, over an hour; SEED, FAULTS may be set
 	java -jar target/plumpost.jar lab fleet --processes 3 --kills $(or $(FAULTS),1000) --seed $(or $(SEED),1) --seconds 10800
 
+soak: build ## fault soaks with real processes, 40 s each; SEED, SEEDS, PROCESSES may be set
+	java -jar target/plumpost.jar lab soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),20) \
+	  --processes $(or $(PROCESSES),12) --faults 3
+
 fleet-test: build ## 500 changes of owner by random faults on five processes, about half an hour; SEED, CHANGES may be set
 	java -jar target/plumpost.jar lab fleet --processes 5 --changes $(or $(CHANGES),500) --seed $(or $(SEED),1) \
 	  --html target/fleet-test.html
--- a/src/main/java/plumpost/lab/SchedulerProcess.java
+++ b/src/main/java/plumpost/lab/SchedulerProcess.java
@@ -60,13 +60,25 @@
         awaitReady();
     }
 
-    /** Starts a scheduler with more variables in its environment; returns once it listens, ready or not. */
+    /** Starts a scheduler of this program; returns once it listens, ready or not. */
     public SchedulerProcess(Path configuration, Map<String, String> environment)
             throws IOException, InterruptedException {
+        this(System.getProperty("java.class.path"), configuration, environment);
+    }
+
+    /**
+     * Starts a scheduler; returns once it listens, ready or not.
+     *
+     * @param classPath the program, which may be another release
+     * @param configuration its file
+     * @param environment more variables in its environment
+     */
+    public SchedulerProcess(String classPath, Path configuration, Map<String, String> environment)
+            throws IOException, InterruptedException {
         List<String> command = new ArrayList<>();
         command.add(ProcessHandle.current().info().command().orElse("java"));
         command.addAll(BOUNDS);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "plumpost.cli.Main", "serve"));
+        command.addAll(List.of("-cp", classPath, "plumpost.cli.Main", "serve"));
         command.addAll(List.of("--config", configuration.toString()));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
--- a/src/main/java/plumpost/lab/faults/FaultLibrary.java
+++ b/src/main/java/plumpost/lab/faults/FaultLibrary.java
@@ -49,7 +49,8 @@
         DISK_FAILURES,
         DISK_BYTES,
         INJECTED,
-        HELD_UP
+        HELD_UP,
+        ACCEPT_FAILURES
     }
 
     private static final String SOURCE = "fault_library.c";
@@ -123,6 +124,11 @@
         set(Word.CALL_FAILURES, (long) (part * MILLION));
     }
 
+    /** So large a part of calls of accept fails. */
+    public void failAccepts(double part) {
+        set(Word.ACCEPT_FAILURES, (long) (part * MILLION));
+    }
+
     /** So large a part of reads and writes finds its connection broken. */
     public void breakConnections(double part) {
         set(Word.CONNECTION_FAILURES, (long) (part * MILLION));
@@ -143,6 +149,7 @@
     public void calm() {
         holdUp(0, 0);
         failCalls(0);
+        failAccepts(0);
         breakConnections(0);
         failDisk(DiskError.NONE, 0);
         leaveDiskBytes(-1);
--- a/src/main/java/plumpost/lab/soak/SchedulerSlot.java
+++ b/src/main/java/plumpost/lab/soak/SchedulerSlot.java
@@ -43,7 +43,7 @@
     }
 
     private final int index;
-    private final int schedulers;
+    private final SoakPlan plan;
     private final String discovery;
     private final Path folder;
     private final Path settings;
@@ -56,10 +56,10 @@
     private boolean breaking;
     private final AtomicBoolean holdingUp = new AtomicBoolean();
 
-    SchedulerSlot(int index, int schedulers, String discovery, Path folder, Events events)
+    SchedulerSlot(int index, SoakPlan plan, String discovery, Path folder, Events events)
             throws IOException, InterruptedException {
         this.index = index;
-        this.schedulers = schedulers;
+        this.plan = plan;
         this.discovery = discovery;
         this.folder = Files.createDirectories(folder);
         this.settings = folder.resolve("scheduler.json");
@@ -92,7 +92,7 @@
         Map<String, String> environment = new HashMap<>(faults.environment());
         environment.put("TMPDIR", folder.resolve("lasting").toString());
         double began = events.nowMs();
-        process = new SchedulerProcess(settings, environment);
+        process = new SchedulerProcess(plan.program(), settings, environment);
         process.awaitReady();
         double tookMs = events.nowMs() - began;
         if (tookMs > READY_WITHIN_MS) {
@@ -259,7 +259,7 @@
                     .append("{\"name\":\"" + each.path() + "\",\"sloMs\":400.0,\"deadlineMs\":" + each.deadlineMs()
                             + ",\"effect\":\"" + effect + "\",\"keyScope\":\"all\",\"windowMs\":2000.0}");
         }
-        return "{\"balancers\":" + schedulers + ",\"index\":" + index + ",\"dcs\":[\"p\"],\"shapes\":[\"k\"],"
+        return "{\"balancers\":" + plan.schedulers() + ",\"index\":" + index + ",\"dcs\":[\"p\"],\"shapes\":[\"k\"],"
                 + "\"membershipMode\":\"on_request\",\"granularityMs\":2.0,\"classes\":[" + classes
                 + "],\"familyInfo\":{\"tellsStart\":true,\"reportX0\":\"free slots\"},\"report\":{\"via\":\"pull\",\"fields\":"
                 + "[\"inflight\",\"queue\",\"x0\"]},\"ceilings\":{\"maxAttempts\":4,\"cancelling\":true,\"probes\":true,"
--- a/src/main/java/plumpost/lab/soak/SoakMain.java
+++ b/src/main/java/plumpost/lab/soak/SoakMain.java
@@ -29,6 +29,7 @@
         options.addOption(null, "seconds", true, "how long clients send (30)");
         options.addOption(null, "rate", true, "requests a second for each scheduler (15)");
         options.addOption(null, "faults", true, "faults that begin in a second (2)");
+        options.addOption(null, "program", true, "jar of the release under test (this one)");
         options.addOption(null, "kinds", true, "kinds of faults, with commas between (all)");
         options.addOption("h", "help", false, "tells these options");
         try {
@@ -48,7 +49,8 @@
                         (int) number(line, "seconds", 30, 5, 86_400),
                         number(line, "rate", 15, 1, 1_000),
                         number(line, "faults", 2, 0, 1_000),
-                        kinds(line));
+                        kinds(line),
+                        line.getOptionValue("program", System.getProperty("java.class.path")));
                 try (SoakRun run = new SoakRun(plan, out)) {
                     if (!run.run().isEmpty()) {
                         broken.add(seed);
--- a/src/main/java/plumpost/lab/soak/SoakPlan.java
+++ b/src/main/java/plumpost/lab/soak/SoakPlan.java
@@ -12,6 +12,7 @@
  * @param requestsPerSecond for each scheduler, in the mean
  * @param faultsPerSecond how often a fault begins, anywhere; each lasts seconds, so that many overlap
  * @param kinds the kinds of faults that are played
+ * @param program the class path of the program under test
  */
 public record SoakPlan(
         long seed,
@@ -20,4 +21,5 @@
         int seconds,
         double requestsPerSecond,
         double faultsPerSecond,
-        Set<FaultKind> kinds) {}
+        Set<FaultKind> kinds,
+        String program) {}
--- a/src/main/java/plumpost/lab/soak/SoakRun.java
+++ b/src/main/java/plumpost/lab/soak/SoakRun.java
@@ -117,7 +117,7 @@
         for (int i = 0; i < plan.schedulers(); i++) {
             int index = i;
             String address = "127.0.0.1:" + on(() -> address(index));
-            slots.add(new SchedulerSlot(i, plan.schedulers(), address, folder.resolve("s" + i), this));
+            slots.add(new SchedulerSlot(i, plan, address, folder.resolve("s" + i), this));
         }
         for (SchedulerSlot slot : slots) {
             slot.start();
--- a/src/main/java/plumpost/net/Connection.java
+++ b/src/main/java/plumpost/net/Connection.java
@@ -21,6 +21,11 @@
     /** Ends the connection at once; its user hears no more of it. */
     void cut();
 
+    /** How long what is read now may have waited, in milliseconds, because its connection could not be accepted; else 0. */
+    default double waitedMs() {
+        return 0;
+    }
+
     /** Takes in what has arrived already, so that an end that came is known before the next write. */
     void look();
 }
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -34,6 +34,9 @@
     private static final int END = -1;
 
     private static final int LONGEST_ERROR_NAME = 40;
+    /** Accepting is tried again at {@link #RETRY_MS}: without another failure for so long, nobody waits from then on. */
+    private static final double FAILURE_FORGOTTEN_MS = 500;
+
     /** Reads of a whole buffer at a close: more is a flood, whose sender may be reset. */
     private static final int MOST_AWAY = 16;
 
@@ -196,6 +199,10 @@
         private final ArrayDeque<Socket> lingering = new ArrayDeque<>();
         private int open;
         private boolean batched;
+        /** Since when accepting fails, or NaN: who is accepted next may have stood in the backlog since then. */
+        private double failingSince = Double.NaN;
+
+        private double failedAt;
 
         private Listener(
                 ServerSocketChannel channel,
@@ -238,6 +245,9 @@
                 for (int accepted = 0; accepted < MOST_ACCEPTED; accepted++) {
                     SocketChannel newcomer = accept();
                     if (newcomer == null) {
+                        if (accepted > 0) {
+                            failingSince = Double.NaN; // nobody waits any more
+                        } // else the call may have been interrupted, which the JDK tells in the same way
                         return;
                     }
                     take(newcomer);
@@ -245,6 +255,8 @@
             } catch (IOException e) {
                 // Out of descriptors or the like: look again in a while instead of spinning on a ready key.
                 counters.count("net.accept_failed." + errorName(e));
+                failedAt = clock.nowMs();
+                failingSince = Double.isNaN(failingSince) ? failedAt - lagMs() : failingSince;
                 rest();
                 wheel.at(clock.nowMs() + RETRY_MS, this::wake);
             }
@@ -256,7 +268,19 @@
             open++;
             counters.count("net.accepted");
             s.user.opened();
+            s.waitedMs = waitedMs();
             s.look(); // what a newcomer sent is known before anyone is shed for the next one
+            s.waitedMs = 0; // what comes later has not waited
+        }
+
+        /** How long a newcomer that is accepted now may have stood in the backlog because accepting failed. */
+        private double waitedMs() {
+            double now = clock.nowMs();
+            if (Double.isNaN(failingSince) || now - failedAt > FAILURE_FORGOTTEN_MS) {
+                failingSince = Double.NaN;
+                return 0;
+            }
+            return now - failingSince;
         }
 
         /** The next newcomer. The last place goes to one only when it is known who may leave for the one after. */
@@ -330,6 +354,7 @@
         private boolean gone;
         private boolean finishing;
         private boolean written;
+        private double waitedMs;
 
         Socket(SocketChannel channel, Listener door) {
             this.channel = channel;
@@ -532,6 +557,11 @@
             }
         }
 
+        @Override
+        public double waitedMs() {
+            return waitedMs;
+        }
+
         @Override
         public boolean flushed() {
             return connected && out.isEmpty();
--- a/src/main/java/plumpost/platform/HttpFront.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -406,7 +406,7 @@
             Fields more = new Fields(
                     "X-Labels",
                     labels == null || labels.isBlank() ? Map.of() : LoadReports.pairs(labels.toLowerCase(Locale.ROOT)));
-            double unread = lag.ms();
+            double unread = Math.max(lag.ms(), wire.waitedMs());
             double patience = left == null ? c.deadlineMs() : Math.min(Long.parseLong(left), c.deadlineMs());
             double slots = more.number("slots", more.number("needs", 1));
             if (!(slots > 0 && slots <= MOST_SLOTS)) {
--- a/src/main/resources/plumpost/lab/faults/fault_library.c
+++ b/src/main/resources/plumpost/lab/faults/fault_library.c
@@ -36,6 +36,7 @@
     int64_t disk_bytes;            /* bytes that may still be written below it, or -1: then ENOSPC after half a write */
     volatile int64_t injected;     /* calls that were made to fail, counted here for the player */
     volatile int64_t held_up;      /* hold-ups so far */
+    int64_t accept_failures;       /* of a million calls of accept, so many more fail */
 };
 
 static struct control none;
@@ -164,15 +165,19 @@
 static const int CONNECTION_ERRORS[] = {ETIMEDOUT, EHOSTUNREACH, ECONNRESET, EPIPE, ENETUNREACH};
 #define COUNT(errors) ((int) (sizeof(errors) / sizeof((errors)[0])))
 
+static int accept_fails(void) {
+    return event_loop && (strikes(control->call_failures) || strikes(control->accept_failures));
+}
+
 int accept(int fd, struct sockaddr *peer, socklen_t *length) {
-    if (event_loop && strikes(control->call_failures)) {
+    if (accept_fails()) {
         return one_of(ACCEPT_ERRORS, COUNT(ACCEPT_ERRORS));
     }
     return real_accept(fd, peer, length);
 }
 
 int accept4(int fd, struct sockaddr *peer, socklen_t *length, int flags) {
-    if (event_loop && strikes(control->call_failures)) {
+    if (accept_fails()) {
         return one_of(ACCEPT_ERRORS, COUNT(ACCEPT_ERRORS));
     }
     return real_accept4(fd, peer, length, flags);
--- a/src/test/java/plumpost/lab/soak/SoakIT.java
+++ b/src/test/java/plumpost/lab/soak/SoakIT.java
@@ -17,7 +17,8 @@
     private static void play(long seed, int processes, int seconds, double faults, Set<FaultKind> kinds)
             throws Exception {
         ByteArrayOutputStream told = new ByteArrayOutputStream();
-        SoakPlan plan = new SoakPlan(seed, processes, 16, seconds, 15, faults, kinds);
+        SoakPlan plan =
+                new SoakPlan(seed, processes, 16, seconds, 15, faults, kinds, System.getProperty("java.class.path"));
         try (SoakRun run = new SoakRun(plan, new PrintStream(told, true, StandardCharsets.UTF_8))) {
             assertThat(run.run()).as(told.toString(StandardCharsets.UTF_8)).isEmpty();
         }
--- /dev/null
+++ b/src/test/java/plumpost/net/AcceptFailuresIT.java
@@ -0,0 +1,69 @@
+package plumpost.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import plumpost.Scenario;
+import plumpost.lab.SchedulerProcess;
+import plumpost.lab.faults.FaultLibrary;
+
+/** A process whose accept fails for a while with each error that Linux documents. */
+class AcceptFailuresIT {
+    private static final int CLIENTS = 12;
+    private static final long FAILING_MS = 600;
+
+    @TempDir
+    private Path folder;
+
+    /** Guards the listener, its clients' times and the processor: all are accepted once that works, and nothing spins. */
+    @Test
+    @Timeout(60)
+    void whoWaitsIsAcceptedOnceThatWorksAndTheWaitCounts() throws Exception {
+        Path file = Files.writeString(
+                folder.resolve("scheduler.json"),
+                "{\"name\":\"s0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"known\":{\"seq\":1,"
+                        + "\"whole\":true,\"hosts\":[]},\"settings\":" + Scenario.SETTINGS + "}");
+        try (FaultLibrary faults = new FaultLibrary(null);
+                SchedulerProcess scheduler = new SchedulerProcess(file, faults.environment())) {
+            scheduler.awaitReady();
+            double before = scheduler.account().cpuSeconds();
+            faults.failAccepts(1);
+            List<Socket> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                Socket client = new Socket(
+                        scheduler.front().getAddress(), scheduler.front().getPort());
+                clients.add(client);
+                // With less time than accepting fails for: once it is read there is none left.
+                client.getOutputStream()
+                        .write(("POST /route-plan HTTP/1.1\r\nHost: h\r\nX-Txn: a" + i + "\r\nX-Remaining-Ms: 500\r\n"
+                                        + "Content-Length: 1\r\n\r\nx")
+                                .getBytes(StandardCharsets.US_ASCII));
+            }
+            Thread.sleep(FAILING_MS);
+            double spent = scheduler.account().cpuSeconds() - before;
+            faults.failAccepts(0);
+            for (Socket client : clients) {
+                client.setSoTimeout(5_000);
+                assertThat(status(client)).isEqualTo("HTTP/1.1 503");
+                client.close();
+            }
+            assertThat(scheduler.get("/counters")).contains("net.accept_failed.", "jobs.too_late " + CLIENTS + "\n");
+            assertThat(spent).as("seconds of processor time while calls failed").isLessThan(FAILING_MS / 1e3 / 2);
+        }
+    }
+
+    private static String status(Socket client) throws IOException {
+        byte[] answer = new byte[1024];
+        int n = client.getInputStream().read(answer);
+        return new String(answer, 0, Math.max(0, Math.min(n, 12)), StandardCharsets.US_ASCII);
+    }
+}
