--- a/src/main/java/plumpost/net/Connection.java
+++ b/src/main/java/plumpost/net/Connection.java
@@ -21,6 +21,12 @@
     /** Ends the connection at once; its user hears no more of it. */
     void cut();
 
+    /** Takes in nothing more until {@link #resumeReading}; the peer finds its sending held up. */
+    default void pauseReading() {}
+
+    /** Takes in again what comes; harmless where reading goes on. */
+    default void resumeReading() {}
+
     /** How long what is read now may have waited, in milliseconds, because its connection could not be accepted; else 0. */
     default double waitedMs() {
         return 0;
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -353,6 +353,7 @@
         private boolean connected;
         private boolean gone;
         private boolean finishing;
+        private boolean paused;
         private boolean written;
         private double waitedMs;
 
@@ -444,7 +445,7 @@
 
         @Override
         public void look() {
-            if (connected && !gone) {
+            if (connected && !gone && !paused) {
                 take();
             }
         }
@@ -496,13 +497,11 @@
                     boolean all = channel.write(together.flip()) == together.limit();
                     sent(together.position());
                     if (!all) {
-                        key.interestOps(SelectionKey.OP_READ | SelectionKey.OP_WRITE);
+                        awaitEvents();
                         return;
                     }
                 }
-                if (key.interestOps() != SelectionKey.OP_READ) {
-                    key.interestOps(SelectionKey.OP_READ);
-                }
+                awaitEvents();
             } catch (IOException e) {
                 // The end is told from the loop, so that a caller is never called back inside its own write.
                 soon.add(this::broken);
@@ -562,6 +561,30 @@
             return waitedMs;
         }
 
+        /** Has the selector tell of what this connection waits for now. */
+        private void awaitEvents() {
+            int events = (paused ? 0 : SelectionKey.OP_READ) | (out.isEmpty() ? 0 : SelectionKey.OP_WRITE);
+            if (key.isValid() && key.interestOps() != events) {
+                key.interestOps(events);
+            }
+        }
+
+        @Override
+        public void pauseReading() {
+            paused = true;
+            if (connected && !gone) {
+                awaitEvents();
+            }
+        }
+
+        @Override
+        public void resumeReading() {
+            paused = false;
+            if (connected && !gone) {
+                awaitEvents();
+            }
+        }
+
         @Override
         public boolean flushed() {
             return connected && out.isEmpty();
@@ -580,6 +603,7 @@
                 return;
             }
             finishing = true;
+            resumeReading(); // what comes is read away until the peer has seen the end
             if (door != null) {
                 ending.add(this);
             }
--- a/src/test/java/plumpost/platform/ClosingTest.java
+++ b/src/test/java/plumpost/platform/ClosingTest.java
@@ -164,6 +164,50 @@
         }
     }
 
+    /** Guards an open job against its own client's flood: its answer comes first, then those to all that came ahead. */
+    @Test
+    void aFloodAheadOfAnAnswerWaitsForIt() throws IOException {
+        int ahead = 4_000;
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer client = rig.client();
+            client.send(SocketRig.job("route-plan", "a", "", "x"));
+            Peer node = rig.nodes.get(0).accept();
+            node.expect("POST /route-plan");
+            StringBuilder flood = new StringBuilder();
+            for (int i = 0; i < ahead; i++) {
+                flood.append(LIVE);
+            }
+            client.send(flood.toString());
+            rig.pass(500);
+            assertThat(client.over()).isFalse();
+            node.send(SocketRig.done("a"));
+            rig.pass(50); // what waits is read by a timer
+            rig.until("all answers", () -> rig.counters.of("front.answers.200") == ahead + 1);
+            assertThat(client.text()).startsWith("HTTP/1.1 200 OK").contains("r-a");
+            assertThat(client.reset).isFalse();
+            assertThat(rig.counters.of("front.far_ahead")).isPositive();
+        }
+    }
+
+    /** Guards a request that was read ahead of an answer, at the end: it is answered too before its connection closes. */
+    @Test
+    void aRequestReadAheadIsAnsweredInTheShutdown() throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            rig.platform.ready();
+            Peer client = rig.client();
+            client.send(SocketRig.job("route-plan", "a", "", "x") + SocketRig.job("route-plan", "b", "", "y"));
+            Peer node = rig.nodes.get(0).accept();
+            node.expect("POST /route-plan");
+            rig.platform.stop(rig.now, 700);
+            rig.pass(3_000);
+            assertThat(client.text()).isEmpty();
+            rig.pass(200);
+            rig.until("its end", client::over);
+            assertThat(client.text()).matches("(?s)HTTP/1.1 503.*HTTP/1.1 503.*Connection: close.*");
+            assertThat(client.reset).isFalse();
+        }
+    }
+
     /** Guards jobs that the end cuts short: what no node has is refused, and another scheduler may serve it. */
     @Test
     void whatWasNeverSentIsRefusedAtTheEnd() throws IOException {
