--- a/src/main/java/plumpost/lab/fleet/FleetLab.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLab.java
@@ -59,6 +59,7 @@
         private final int gearman = port();
         private final int ops = port();
         private final Path file;
+        private Map<String, String> environment = Map.of();
         private Process process;
         private int format = 1;
 
@@ -143,6 +144,7 @@
                     file.toString()));
             ProcessBuilder b = new ProcessBuilder(command);
             b.environment().keySet().removeIf(n -> n.startsWith("NODE_"));
+            b.environment().putAll(environment);
             process = b.redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
             history.add(name, "start", Long.toString(process.pid()));
             BufferedReader log = process.errorReader(StandardCharsets.UTF_8);
@@ -184,6 +186,11 @@
             }
         }
 
+        /** What its next process finds in its environment besides, such as a library of faults. */
+        public void environment(Map<String, String> more) {
+            environment = Map.copyOf(more);
+        }
+
         /** Sends its process a signal by name: KILL, STOP, CONT or TERM. */
         public void signal(String signal) throws IOException, InterruptedException {
             history.add(name, "signal", signal);
--- a/src/main/java/plumpost/lab/scale/ScaleRun.java
+++ b/src/main/java/plumpost/lab/scale/ScaleRun.java
@@ -9,11 +9,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 import plumpost.config.Json;
 import plumpost.config.SettingsReader;
-import plumpost.count.Counters;
+import plumpost.lab.LoopThread;
 import plumpost.lab.SchedulerProcess;
 import plumpost.net.SelectorLoop;
 import plumpost.time.SystemClock;
@@ -159,48 +158,27 @@
 
     /** Hollow workers, discovery and clients on one loop with a thread of its own. */
     private final class HollowSide implements AutoCloseable {
-        private static final double LAG_LOOK_MS = 10;
-
-        private final SystemClock clock = new SystemClock();
-        private final TimerWheel wheel = new TimerWheel(clock.nowMs());
-        private final SelectorLoop loop = new SelectorLoop(clock, wheel, new Counters(), words -> {});
+        private final LoopThread player = new LoopThread("hollow side");
+        private final SelectorLoop loop = player.loop();
+        private final TimerWheel wheel = player.wheel();
+        private final SystemClock clock = player.clock();
         private final HollowWorkers workers;
         private final EmulatedDiscovery discovery;
         private final Path folder = Files.createTempDirectory("plumpost-scale");
-        private final Thread thread = new Thread(this::turn, "hollow side");
-        private volatile boolean over;
-        private volatile double worstLagMs;
         private int nextChanged;
 
         HollowSide(int count) throws IOException {
             workers = new HollowWorkers(loop, wheel, clock, count, ScalePlan.SERVICE_MS);
             discovery = new EmulatedDiscovery(loop, wheel, clock, workers, ScalePlan.ZONES);
-            watchLag();
-            thread.start();
-        }
-
-        private void turn() {
-            try {
-                loop.run(() -> over);
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        }
-
-        private void watchLag() {
-            double due = clock.nowMs() + LAG_LOOK_MS;
-            wheel.at(due, () -> {
-                worstLagMs = Math.max(worstLagMs, clock.nowMs() - due);
-                watchLag();
-            });
+            player.start();
         }
 
         double worstLagMs() {
-            return worstLagMs;
+            return player.worstLagMs();
         }
 
         void resetLag() {
-            worstLagMs = 0;
+            player.resetLag();
         }
 
         long changedLines() {
@@ -220,35 +198,23 @@
         JobSource startJobs(SchedulerProcess scheduler, double rate, long seed) throws InterruptedException {
             double serviceMs = ScalePlan.SERVICE_MS;
             JobSource jobs = new JobSource(loop, wheel, clock, seed, scheduler.front(), rate, serviceMs);
-            on(() -> {
-                jobs.start();
-                return 0L;
-            });
+            player.run(() -> jobs.start());
             return jobs;
         }
 
         void rate(JobSource jobs, double perSecond) throws InterruptedException {
-            on(() -> {
-                jobs.rate(perSecond);
-                return 0L;
-            });
+            player.run(() -> jobs.rate(perSecond));
         }
 
         void stopJobs(JobSource jobs) throws InterruptedException {
-            on(() -> {
-                jobs.stop();
-                return 0L;
-            });
+            player.run(() -> jobs.stop());
             Thread.sleep((long) (2 * ScalePlan.SERVICE_MS)); // what is out still ends
         }
 
         /** Has one worker after the other drain and come back. */
         void startChanges(double linesPerSecond) throws InterruptedException {
             if (linesPerSecond > 0) {
-                on(() -> {
-                    change(1000 / linesPerSecond);
-                    return 0L;
-                });
+                player.run(() -> change(1000 / linesPerSecond));
             }
         }
 
@@ -260,25 +226,12 @@
 
         /** Does something on the loop's thread and returns what it gives. */
         long on(java.util.function.LongSupplier what) throws InterruptedException {
-            CountDownLatch done = new CountDownLatch(1);
-            long[] result = new long[1];
-            loop.onLoop(() -> {
-                result[0] = what.getAsLong();
-                done.countDown();
-            });
-            done.await();
-            return result[0];
+            return player.on(what::getAsLong);
         }
 
         @Override
         public void close() throws IOException {
-            over = true;
-            loop.onLoop(() -> {});
-            try {
-                thread.join();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            player.close();
             Files.deleteIfExists(folder.resolve("scheduler.json"));
             Files.deleteIfExists(folder);
         }
--- a/src/main/java/plumpost/lab/soak/Oracle.java
+++ b/src/main/java/plumpost/lab/soak/Oracle.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
 import plumpost.lab.soak.RequestRecord.AttemptEnd;
 import plumpost.lab.soak.RequestRecord.AttemptRecord;
 import plumpost.lab.soak.RequestRecord.RequestClass;
@@ -60,15 +61,15 @@
     private final Map<String, RequestRecord> recent = new HashMap<>();
     private final Map<Rule, List<String>> violations = new TreeMap<>();
     private final Map<String, Long> counts = new TreeMap<>();
-    private double lagMs;
+    private final DoubleSupplier lagMs;
 
-    /** The most that the player was late by in the last second. */
-    void lag(double ms) {
-        lagMs = ms;
+    /** An oracle that allows for what the player itself was late by lately. */
+    Oracle(DoubleSupplier lagMs) {
+        this.lagMs = lagMs;
     }
 
     private double slackMs() {
-        return PLAYER_SLACK_MS + lagMs;
+        return PLAYER_SLACK_MS + lagMs.getAsDouble();
     }
 
     void violated(Rule rule, String detail) {
--- a/src/main/java/plumpost/lab/soak/SoakRun.java
+++ b/src/main/java/plumpost/lab/soak/SoakRun.java
@@ -10,13 +10,11 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import java.util.stream.Stream;
-import plumpost.count.Counters;
+import plumpost.lab.LoopThread;
 import plumpost.lab.faults.FaultLibrary;
 import plumpost.lab.soak.SoakWorkers.Worker;
 import plumpost.net.SelectorLoop;
@@ -32,7 +30,6 @@
     /** The terms' hold-up. */
     private static final long HOLD_UP_MS = 150;
 
-    private static final double LAG_LOOK_MS = 5;
     private static final double JUDGE_MS = 200;
     private static final long SETTLE_MS = 9_000;
     private static final int FAULT_THREADS = 16;
@@ -47,67 +44,38 @@
 
     private final SoakPlan plan;
     private final PrintStream out;
-    private final SystemClock clock = new SystemClock();
-    private final TimerWheel wheel = new TimerWheel(clock.nowMs());
-    private final SelectorLoop loop;
-    private final Oracle oracle = new Oracle();
+    private final LoopThread player = new LoopThread("soak player");
+    private final Oracle oracle = new Oracle(player::recentLagMs);
     private final SoakDiscovery discovery;
     private final SoakWorkers workers;
     private final SoakClients clients;
     private final List<SchedulerSlot> slots = new ArrayList<>();
-    private final Thread player = new Thread(this::play, "soak player");
     private final ScheduledExecutorService faults = Executors.newScheduledThreadPool(FAULT_THREADS);
     private final Path folder = Files.createTempDirectory("plumpost-soak");
     /** The faults in the order in which they began, with the player's time. */
     private final List<String> played = new CopyOnWriteArrayList<>();
 
-    private volatile boolean over;
-    private double worstLagMs;
-
     /** A soak by a plan; what happens is told on {@code out}. */
     public SoakRun(SoakPlan plan, PrintStream out) throws IOException {
         this.plan = plan;
         this.out = out;
         SplittableRandom random = new SplittableRandom(plan.seed());
-        loop = new SelectorLoop(clock, wheel, new Counters(), words -> {});
+        SelectorLoop loop = player.loop();
+        TimerWheel wheel = player.wheel();
+        SystemClock clock = player.clock();
         discovery = new SoakDiscovery(loop, wheel, clock, oracle);
         workers = new SoakWorkers(loop, wheel, clock, oracle, discovery, random.split());
         clients = new SoakClients(loop, wheel, clock, oracle, random.split(), plan.requestsPerSecond());
         for (int i = 0; i < plan.workers(); i++) {
             discovery.add(workers.start(0));
         }
-        watchLag();
         judge();
     }
 
-    private void play() {
-        try {
-            loop.run(() -> over);
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
-    private void watchLag() {
-        double due = clock.nowMs() + LAG_LOOK_MS;
-        wheel.at(due, () -> {
-            double lag = clock.nowMs() - due;
-            worstLagMs = Math.max(worstLagMs, lag);
-            recentLagMs = Math.max(lag, recentLagMs * LAG_FADES);
-            oracle.lag(recentLagMs);
-            watchLag();
-        });
-    }
-
-    /** The player's lag fades from the oracle's allowance within about two seconds. */
-    private static final double LAG_FADES = 0.99;
-
-    private double recentLagMs;
-
     private void judge() {
-        wheel.at(clock.nowMs() + JUDGE_MS, () -> {
+        player.wheel().at(nowMs() + JUDGE_MS, () -> {
             judge();
-            oracle.judge(clock.nowMs());
+            oracle.judge(nowMs());
         });
     }
 
@@ -116,31 +84,24 @@
         player.start();
         for (int i = 0; i < plan.schedulers(); i++) {
             int index = i;
-            String address = "127.0.0.1:" + on(() -> address(index));
+            String address = "127.0.0.1:" + player.on(() -> address(index));
             slots.add(new SchedulerSlot(i, plan, address, folder.resolve("s" + i), this));
         }
         for (SchedulerSlot slot : slots) {
             slot.start();
         }
-        on(() -> {
-            slots.forEach(slot -> clients.startFor(slot.life().scheduler));
-            return 0;
-        });
+        player.run(() -> slots.forEach(slot -> clients.startFor(slot.life().scheduler)));
         for (Fault fault : schedule()) {
             faults.schedule(() -> begin(fault), fault.atMs, TimeUnit.MILLISECONDS);
         }
         Thread.sleep(plan.seconds() * 1_000L);
-        on(() -> {
-            clients.stop();
-            return 0;
-        });
+        player.run(clients::stop);
         Thread.sleep(SETTLE_MS);
         faults.shutdown();
         faults.awaitTermination(30, TimeUnit.SECONDS);
-        on(() -> {
-            oracle.judge(clock.nowMs());
+        player.run(() -> {
+            oracle.judge(nowMs());
             oracle.judgeAll();
-            return 0;
         });
         tell();
         return oracle.violations();
@@ -160,7 +121,7 @@
         long heldUp = slots.stream().mapToLong(slot -> slot.faults().heldUp()).sum();
         out.printf(
                 "seed %d: %s, calls failed %d, held up %d times, player late by up to %.0f ms%n",
-                plan.seed(), oracle.counts(), injected, heldUp, worstLagMs);
+                plan.seed(), oracle.counts(), injected, heldUp, player.worstLagMs());
         oracle.violations().forEach((rule, details) -> {
             out.println("  " + rule + ": " + details.size());
             details.stream().limit(MOST_TOLD).forEach(detail -> out.println("    " + detail));
@@ -190,7 +151,7 @@
     }
 
     private void begin(Fault fault) {
-        played.add(Math.round(clock.nowMs()) + " " + fault);
+        played.add(Math.round(player.clock().nowMs()) + " " + fault);
         try {
             play(fault);
         } catch (IOException e) {
@@ -239,7 +200,7 @@
     }
 
     private void operatorCalls(SchedulerSlot slot, Fault fault) throws InterruptedException {
-        String worker = on(() -> {
+        String worker = player.on(() -> {
             List<Worker> up = workers.up();
             return up.get((int) (fault.size * up.size())).name();
         });
@@ -291,7 +252,7 @@
 
     private void replace() {
         try {
-            discovery.add(workers.start((long) clock.nowMs()));
+            discovery.add(workers.start((long) player.clock().nowMs()));
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
@@ -299,23 +260,9 @@
 
     // ---- the player's thread ----
 
-    private <T> T on(Supplier<T> what) throws InterruptedException {
-        CountDownLatch done = new CountDownLatch(1);
-        List<T> result = new ArrayList<>(1);
-        loop.onLoop(() -> {
-            try {
-                result.add(what.get());
-            } finally {
-                done.countDown();
-            }
-        });
-        done.await();
-        return result.get(0);
-    }
-
     @Override
     public String knownWorkers() throws InterruptedException {
-        return on(discovery::known);
+        return player.on(discovery::known);
     }
 
     @Override
@@ -325,20 +272,17 @@
 
     @Override
     public void change(Runnable what) throws InterruptedException {
-        on(() -> {
-            what.run();
-            return 0;
-        });
+        player.run(what);
     }
 
     @Override
     public void violated(Oracle.Rule rule, String detail) {
-        loop.onLoop(() -> oracle.violated(rule, detail));
+        player.later(() -> oracle.violated(rule, detail));
     }
 
     @Override
     public double nowMs() {
-        return clock.nowMs();
+        return player.clock().nowMs();
     }
 
     @Override
@@ -347,13 +291,7 @@
         for (SchedulerSlot slot : slots) {
             slot.close();
         }
-        over = true;
-        loop.onLoop(() -> {});
-        try {
-            player.join();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        player.close();
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
