--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -193,11 +193,14 @@
         log("ready," + where);
         watchWallClock();
         room.startAudit();
-        loop.run(this::done);
-        room.auditEnd();
-        System.err.print(counters);
-        System.err.flush();
-        ended.countDown();
+        try {
+            loop.run(this::done);
+            room.auditEnd();
+            System.err.print(counters);
+            System.err.flush();
+        } finally {
+            ended.countDown(); // whatever ended the loop, a hook that waits for it must not keep the process
+        }
         Runtime.getRuntime().halt(0); // with 0 in place of the signal's code, past all hooks
         return 0;
     }
