Refuse numbers of the fleet that are out of range, as before

Cause: clamped balancers, granularityMs and progressMs to their least value; FleetSettingsTest (two cases) wants a refusal by name, and is right: these are used. The clamps are gone; OptionalPartsTest, FleetSettingsTest and MainTest green.

--- a/src/main/java/plumpost/config/SettingsReader.java
+++ b/src/main/java/plumpost/config/SettingsReader.java
@@ -33,7 +33,7 @@
         Fields rules = c.object("rules");
         Fields fees = c.objectOrEmpty("fees");
         Fields report = c.objectOrEmpty("report");
-        double granularity = Math.max(0, c.number("granularityMs", 1)) + host.coarserMs();
+        double granularity = c.number("granularityMs", 1) + host.coarserMs();
         List<Dispatcher.JobClass> classes = new ArrayList<>();
         for (Fields k : c.objects("classes")) {
             int i = classes.size();
@@ -62,7 +62,7 @@
                     t.number("share", 0)));
         }
         return new Dispatcher.Settings(
-                (int) Math.max(1, c.number("balancers", 1)),
+                (int) c.number("balancers", 1),
                 (int) c.number("index", 0),
                 (int) c.number("locality", 0),
                 Math.max(1, c.listOrEmpty("dcs").size()),
@@ -103,7 +103,7 @@
                         && info.text("reportX0", "free slots").equals("free slots"),
                 c.text("membershipMode", "pushed").equals("on_request"),
                 info.flag("tellsStart", false),
-                Math.max(0, info.number("progressMs", 0)),
+                info.number("progressMs", 0),
                 c.text("worthBy", "request").equals("work"),
                 c.number("overShareWorth", 1),
                 granularity,
