Forget a job that was answered while it was taken: no false alarm at its close

Cause: core.take returns the job though the module may have refused it in that very event; the connection then held an answered job as open, and its close counted guard.closed.

--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -266,7 +266,8 @@
         front.clientCame();
         handsInJobs = true;
         takenAtMs = nowMs();
-        job = core.take(request, this);
+        OpenJob taken = core.take(request, this);
+        job = working ? taken : null; // it may have been answered while it was taken
         if (over && job != null) {
             core.gone(job, this); // it left while its job was being taken, before there was one to tell of
         }
