--- a/review/tools/src/Lab.java
+++ b/review/tools/src/Lab.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -35,11 +36,13 @@
     private final long beganNs = System.nanoTime();
     private final List<Scheduler> schedulers = new ArrayList<>();
 
-    Lab(String caseDirectory) throws IOException {
+    /** Adds to the given record, which the case's script has begun. */
+    Lab(String recordFile) throws IOException {
         root = Path.of("").toAbsolutePath();
         trouble = !"0".equals(System.getenv("TROUBLE"));
         temp = Files.createTempDirectory("plumpost-review");
-        record = Files.newBufferedWriter(Path.of(caseDirectory, "record.txt"), StandardCharsets.UTF_8);
+        record = Files.newBufferedWriter(
+                Path.of(recordFile), StandardCharsets.UTF_8, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         note("lab", "TROUBLE=" + (trouble ? 1 : 0));
     }
@@ -276,9 +279,9 @@
     }
 
     /** Plays a case and ends the process with its exit code. */
-    static void main(String caseDirectory, Play play) {
+    static void main(String recordFile, Play play) {
         int code;
-        try (Lab lab = new Lab(caseDirectory)) {
+        try (Lab lab = new Lab(recordFile)) {
             Thread limit = new Thread(() -> {
                 pause(TIME_LIMIT_MS);
                 lab.note("verdict", "could not run: over " + TIME_LIMIT_MS + " ms");
