Limit the memory that clients' connections hold together, so that floods cannot end the process

Cause, by a heap dump at the error (73.9 MB of byte arrays in a heap of 76 MB): requests read ahead of an answer held 37.2 MB in 331 buffers, buffers that had been parsed to their end and were still referenced 27.8 MB in 281, bodies 8.4 MB. A connection read up to 128 KiB ahead, and nothing counted these bytes over all connections. Ruled out: the core's own limit on jobs, which held.

Change: ClientMemory counts what all connections hold, limited to a tenth of the heap plus 4 KiB a connection; beyond that reading pauses, in the order of waiting, and what has waited for 2 s is refused with 503. Half of the limit is left to bodies that have begun. Parsed buffers are freed; the next pipelined request waits until the last answer is written; bodies grow with the bytes received; the core counts the head that an open job keeps.

Why it works: a connection asks for an allowance before each read, so that the sum can pass the limit only by one read and the guaranteed parts.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -94,7 +94,12 @@
                 coreBounds(Runtime.getRuntime().maxMemory(), config.gearman()),
                 this::log);
         LoopContext context = new LoopContext(loop, clock, unixTime, wheel, counters, this::log);
-        platform = new Platform(config, core, context, loop::lagMs);
+        platform = new Platform(
+                config,
+                core,
+                context,
+                loop::lagMs,
+                clientBytes(Runtime.getRuntime().maxMemory()));
         fronts.add(platform);
         GearmanFront gearman = config.gearman() == null
                 ? null
@@ -144,6 +149,11 @@
                 limits.packetBytes());
     }
 
+    /** Returns the memory for requests that are being received and answers that are not read: a tenth of the heap. */
+    static long clientBytes(long heapBytes) {
+        return heapBytes / 10;
+    }
+
     /** Returns the path of the configuration: the option's value, or NODE_CONFIG; throws {@link BadInput} if there is neither. */
     static Path configPath(String option) {
         String path = option == null ? System.getenv("NODE_CONFIG") : option;
--- a/src/main/java/plumpost/count/Counters.java
+++ b/src/main/java/plumpost/count/Counters.java
@@ -18,6 +18,12 @@
         counts.computeIfAbsent(name, n -> new long[1])[0] += increment;
     }
 
+    /** Raises a counter that keeps the highest value seen to this value, unless it is higher already. */
+    public void raiseTo(String name, long value) {
+        long[] count = counts.computeIfAbsent(name, n -> new long[1]);
+        count[0] = Math.max(count[0], value);
+    }
+
     /** Returns the value of a counter, 0 if it was never counted. */
     public long get(String name) {
         long[] count = counts.get(name);
--- a/src/main/java/plumpost/dispatch/JobLedger.java
+++ b/src/main/java/plumpost/dispatch/JobLedger.java
@@ -82,6 +82,13 @@
     }
 
     private static long sizeBytes(JobSpec spec) {
-        return ENTRY_OVERHEAD_BYTES + spec.fields().length() + spec.body().remaining();
+        // The target is a part of the buffer with the whole head, which it keeps in memory.
+        int headBytes = spec.target() == null || !spec.target().hasArray()
+                ? 0
+                : spec.target().array().length;
+        return ENTRY_OVERHEAD_BYTES
+                + headBytes
+                + spec.fields().length()
+                + spec.body().remaining();
     }
 }
--- a/src/main/java/plumpost/http/BodyReader.java
+++ b/src/main/java/plumpost/http/BodyReader.java
@@ -56,6 +56,16 @@
         return ByteBuffer.wrap(buffer, 0, length);
     }
 
+    /** Returns the memory in use, in bytes. */
+    int capacity() {
+        return buffer.length;
+    }
+
+    /** Returns how many bytes are still to come; a large number for a body without a stated length. */
+    long missingBytes() {
+        return chunked || complete() ? Integer.MAX_VALUE : remaining;
+    }
+
     /** Drops the first bytes of the buffer, which have been processed. */
     void discard(int count) {
         System.arraycopy(buffer, count, buffer, 0, length - count);
@@ -71,6 +81,9 @@
                 readFraming(received.get());
             }
         }
+        if (complete() && length < buffer.length) {
+            buffer = Arrays.copyOf(buffer, length);
+        }
         return complete();
     }
 
@@ -80,8 +93,7 @@
             throw new BadMessageException(413, "body too large");
         }
         if (length + count > buffer.length) {
-            long capacity = chunked || remaining == Long.MAX_VALUE ? 2L * (length + count) : length + remaining;
-            buffer = Arrays.copyOf(buffer, (int) Math.min(maxBytes, Math.max(length + count, capacity)));
+            buffer = Arrays.copyOf(buffer, newCapacity(length + count));
         }
         received.get(buffer, length, count);
         length += count;
@@ -91,6 +103,12 @@
         }
     }
 
+    /** Returns twice the needed size, so that memory follows the bytes received, but not more than the stated length. */
+    private int newCapacity(int neededBytes) {
+        long statedBytes = chunked || remaining == Long.MAX_VALUE ? maxBytes : length + remaining;
+        return (int) Math.min(Math.min(maxBytes, statedBytes), 2L * neededBytes);
+    }
+
     private void readFraming(byte next) throws BadMessageException {
         switch (step) {
             case SIZE -> {
--- a/src/main/java/plumpost/http/Head.java
+++ b/src/main/java/plumpost/http/Head.java
@@ -141,6 +141,11 @@
         return -1;
     }
 
+    /** Returns the memory in use for the received bytes. */
+    int capacity() {
+        return bytes.length;
+    }
+
     /** Returns whether any byte of the message has been received. */
     boolean hasStarted() {
         return length > 0;
--- a/src/main/java/plumpost/http/RequestReader.java
+++ b/src/main/java/plumpost/http/RequestReader.java
@@ -81,6 +81,21 @@
         return bodyReader.bytes();
     }
 
+    /** Returns whether the head of the current request is complete. */
+    public boolean hasHead() {
+        return bodyReader != null;
+    }
+
+    /** Returns how many bytes the body of the current request still takes at most; a large number while that is not known. */
+    public long missingBodyBytes() {
+        return bodyReader == null ? Integer.MAX_VALUE : bodyReader.missingBytes();
+    }
+
+    /** Returns the memory in use for the current request, in bytes. */
+    public int capacity() {
+        return head.capacity() + (bodyReader == null ? 0 : bodyReader.capacity());
+    }
+
     /** Returns whether the client closes the connection after this request. */
     public boolean closesConnection() {
         return head.closesConnection(version);
--- a/src/main/java/plumpost/net/ConnectionHandler.java
+++ b/src/main/java/plumpost/net/ConnectionHandler.java
@@ -7,6 +7,14 @@
     /** Called when the connection is established. */
     default void opened() {}
 
+    /**
+     * Called before each read: returns the most bytes that the handler takes now. After 0, nothing is read until
+     * {@link Connection#resumeReading}.
+     */
+    default int readLimit() {
+        return Integer.MAX_VALUE;
+    }
+
     /** Called with the bytes received; the handler consumes all of them. */
     void received(ByteBuffer received);
 
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -428,12 +428,17 @@
         }
 
         private void readFromSocket() {
+            int limit = finishing ? BUFFER_BYTES : Math.min(BUFFER_BYTES, handler.readLimit());
+            if (limit <= 0) {
+                pauseReading();
+                return;
+            }
             // A handler may read another connection meanwhile, so each read uses a buffer of its own.
             ByteBuffer buffer = readBuffers.isEmpty()
                     ? ByteBuffer.allocateDirect(BUFFER_BYTES)
                     : readBuffers.pop().clear();
             try {
-                int count = read(buffer);
+                int count = read(buffer.limit(limit));
                 if (count == END_OF_STREAM) {
                     handleEnd();
                 } else if (count > 0 && !finishing) {
--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -17,13 +17,15 @@
 
 /**
  * One connection of a client: reads requests one by one, submits jobs to the core and writes the answers. Pipelined requests
- * are buffered until the current one is answered; above a limit, reading is paused until then.
+ * are buffered until the answer to the current one has been written; above a limit, or while all connections together hold
+ * too much memory, reading is paused until then.
  */
-final class ClientConnection implements ConnectionHandler, ReplyTo {
+final class ClientConnection implements ConnectionHandler, ReplyTo, ClientMemory.Holder {
     /** The shed rank of a connection that must not be shed. */
     static final int NEVER_SHED = -1;
 
     private static final int MAX_BODY_BYTES = 64 * 1024;
+    private static final int MAX_READ_AHEAD_BYTES = 64 * 1024;
     /** Clients send a request as soon as they have connected; without one after this time, a connection may be shed. */
     private static final double FIRST_REQUEST_MS = 100;
     /** A connection whose request has been incomplete for this long may be shed. */
@@ -40,10 +42,13 @@
     private OpenJob job;
 
     private double jobTakenAtMs;
-    /** Bytes received before the previous request was answered. */
-    private ByteBuffer pipelined = EMPTY;
-    /** The bytes being parsed. */
-    private ByteBuffer input = pipelined;
+    private final ReadAheadBuffer readAhead = new ReadAheadBuffer();
+    /** The bytes just received, while they are being parsed. */
+    private ByteBuffer received = EMPTY;
+    /** Bytes of the last answer, while the socket has not taken all of them. */
+    private long unwrittenBytes;
+    /** The bytes that this connection has reported to hold. */
+    private long reportedBytes;
     /** When a request last began, an answer was written or the connection was accepted. */
     private double stateSinceMs;
     /** Whether a complete request has no answer yet. */
@@ -81,7 +86,7 @@
 
     /** Returns whether there is neither an open request nor any byte of another. */
     boolean idle() {
-        return !requestOpen && !reader.isIncomplete() && !pipelined.hasRemaining();
+        return !requestOpen && !reader.isIncomplete() && readAhead.isEmpty();
     }
 
     /** Returns whether nothing has been received on the connection yet. */
@@ -110,7 +115,7 @@
      * close and reconnects; otherwise {@link #NEVER_SHED}.
      */
     int shedRank() {
-        if (requestOpen || pipelined.hasRemaining()) {
+        if (requestOpen || !readAhead.isEmpty()) {
             return NEVER_SHED;
         }
         if (reader.isIncomplete()) {
@@ -128,35 +133,72 @@
     // ---- reading ----
 
     @Override
-    public void received(ByteBuffer received) {
-        if (requestOpen || pipelined.hasRemaining()) {
-            buffer(received);
-        } else {
-            read(received);
+    public int readLimit() {
+        long limit = readsAhead() ? MAX_READ_AHEAD_BYTES - readAhead.size() : reader.missingBodyBytes();
+        if (limit <= 0) {
+            // Closing would lose the open job, so flow control makes the client wait.
+            context.counters().count("front.far_ahead");
+            return 0;
         }
+        return (int) Math.min(limit, front.memory().requestAllowance(this));
     }
 
-    private void buffer(ByteBuffer received) {
-        pipelined = ByteBuffer.allocate(pipelined.remaining() + received.remaining())
-                .put(pipelined)
-                .put(received)
-                .flip();
-        if (pipelined.remaining() > MAX_BODY_BYTES) {
-            // Closing would lose the open job, so flow control makes the client wait.
-            context.counters().count("front.far_ahead");
-            connection.pauseReading();
+    private boolean readsAhead() {
+        return !mayParse() || !readAhead.isEmpty();
+    }
+
+    @Override
+    public boolean readsBody() {
+        return !readsAhead() && reader.hasHead();
+    }
+
+    @Override
+    public long heldBytes() {
+        long requestBytes = job == null ? reader.capacity() : 0; // an open job's are counted by the core
+        return requestBytes + readAhead.capacity() + unwrittenBytes;
+    }
+
+    @Override
+    public void resumeReading() {
+        if (!closed) {
+            connection.resumeReading();
+        }
+    }
+
+    private void reportHeldBytes() {
+        long held = closed ? 0 : heldBytes();
+        long change = held - reportedBytes;
+        reportedBytes = held;
+        if (change != 0) {
+            front.memory().adjust(change);
         }
     }
 
-    private void read(ByteBuffer received) {
+    @Override
+    public void received(ByteBuffer newBytes) {
+        if (readsAhead()) {
+            readAhead.append(newBytes);
+        } else {
+            received = newBytes;
+            parse();
+        }
+        reportHeldBytes();
+    }
+
+    /** Returns whether the next request may be parsed: the last one is answered, and its answer is written. */
+    private boolean mayParse() {
+        return !closed && !requestOpen && (unwrittenBytes == 0 || front.refusesJobs());
+    }
+
+    /** Parses what has been received, and then what was read ahead, up to the end of a request that is not answered yet. */
+    private void parse() {
         parsing = true;
-        input = received;
         try {
-            while (!closed && !requestOpen && hasMore()) {
+            while (mayParse() && (received.hasRemaining() || !readAhead.isEmpty())) {
                 if (!reader.isIncomplete() && answered) {
                     stateSinceMs = nowMs(); // the time of the first request counts from the connect
                 }
-                if (reader.feed(input)) {
+                if (reader.feed(received.hasRemaining() ? received : readAhead.bytes())) {
                     requestOpen = true;
                     handleRequest();
                 } else if (!continueSent && reader.awaitsContinue()) {
@@ -169,24 +211,20 @@
         } finally {
             parsing = false;
         }
-        if (!closed && requestOpen && input.hasRemaining()) {
-            buffer(input);
+        if (!closed) {
+            readAhead.append(received);
+            readAhead.releaseIfParsed();
+            connection.resumeReading();
         }
+        received = EMPTY;
     }
 
-    /** Returns whether there are more bytes to parse: first those received with the last request, then those buffered since. */
-    private boolean hasMore() {
-        if (!input.hasRemaining() && pipelined.hasRemaining()) {
-            input = takePipelined();
+    /** Parses what was read ahead, after the answer to the last request has been written. */
+    private void parseReadAhead() {
+        if (mayParse()) {
+            parse();
+            reportHeldBytes();
         }
-        return input.hasRemaining();
-    }
-
-    private ByteBuffer takePipelined() {
-        ByteBuffer next = pipelined;
-        pipelined = EMPTY;
-        connection.resumeReading();
-        return next;
     }
 
     /**
@@ -194,9 +232,7 @@
      * arrived together with the request, and the job would otherwise be dispatched before the close is read.
      */
     private boolean clientDisconnected() {
-        if (input.hasRemaining()) {
-            buffer(input); // ahead of the bytes that are read now
-        }
+        readAhead.append(received); // ahead of the bytes that are read now
         if (!closed) {
             connection.readAvailable();
         }
@@ -326,39 +362,65 @@
         }
         context.counters().count("front.answers." + status);
         // Buffered requests are answered before the connection is closed.
-        boolean closing = close || front.closesAfterAnswers() && !pipelined.hasRemaining() || reader.closesConnection();
+        boolean closing = close || front.closesAfterAnswers() && readAhead.isEmpty() || reader.closesConnection();
         requestOpen = false;
         answered = true;
         continueSent = false;
         job = null;
         stateSinceMs = nowMs();
-        connection.write(AnswerEncoder.head(status, body.remaining(), closing, fields), body.duplicate());
+        ByteBuffer head = AnswerEncoder.head(status, body.remaining(), closing, fields);
+        connection.write(head, body.duplicate());
         if (closing) {
             finish();
             return;
         }
         reader.reset();
-        if (!parsing && pipelined.hasRemaining()) {
-            context.wheel()
-                    .schedule(nowMs(), () -> read(takePipelined())); // not within the core's call for the last answer
+        unwrittenBytes = connection.flushed() ? 0 : head.remaining() + body.remaining();
+        if (!parsing) {
+            continueAfterAnswer();
+        }
+    }
+
+    @Override
+    public void flushed() {
+        if (unwrittenBytes > 0) {
+            unwrittenBytes = 0;
+            continueAfterAnswer();
+        }
+    }
+
+    private void continueAfterAnswer() {
+        reportHeldBytes();
+        if (!readAhead.isEmpty()) {
+            context.wheel().schedule(nowMs(), this::parseReadAhead); // not within the core's call for the last answer
+        } else {
+            resumeReading();
         }
     }
 
     // ---- closing ----
 
+    /** Marks the connection as closed and frees its memory, since the socket may linger for a while. */
+    private void close() {
+        closed = true;
+        readAhead.clear();
+        received = EMPTY;
+        reader.reset();
+        reportHeldBytes();
+        front.remove(this);
+    }
+
     /** Closes the connection after its answers have been written. */
     void finish() {
         reportOpenJob();
-        closed = true;
-        front.remove(this);
+        close();
         connection.finish();
     }
 
     /** Closes the connection at once. */
     void abort() {
         reportOpenJob();
-        closed = true;
-        front.remove(this);
+        close();
         connection.closeNow();
     }
 
@@ -371,8 +433,7 @@
 
     @Override
     public void ended() {
-        closed = true;
-        front.remove(this);
+        close();
         if (job != null) {
             core.removeClient(job, this);
         }
--- a/src/main/java/plumpost/platform/HttpFront.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -26,6 +26,7 @@
     private final LoopContext context;
     private final UnreadTime unreadTime;
     private final NodeListWatch nodeListWatch;
+    private final ClientMemory memory;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private boolean ready;
     /** Whether any health check has been answered with ready. */
@@ -41,11 +42,18 @@
         double milliseconds();
     }
 
-    HttpFront(DispatchCore core, LoopContext context, UnreadTime unreadTime, NodeListWatch nodeListWatch) {
+    /** Creates a front whose connections hold up to {@code clientBytes} together, besides a small part that each may hold. */
+    HttpFront(
+            DispatchCore core,
+            LoopContext context,
+            UnreadTime unreadTime,
+            NodeListWatch nodeListWatch,
+            long clientBytes) {
         this.core = core;
         this.context = context;
         this.unreadTime = unreadTime;
         this.nodeListWatch = nodeListWatch;
+        this.memory = new ClientMemory(clientBytes, context);
         context.wheel().schedule(context.clock().nowMs() + SWEEP_INTERVAL_MS, this::sweep);
     }
 
@@ -131,6 +139,8 @@
         if (!client.answersWritten() && stateAgeMs > MAX_UNREAD_ANSWER_MS) {
             context.counters().count("front.unread");
             client.abort();
+        } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS && memory.isWaiting(client)) {
+            client.reject(503, "the requests being received use up the memory for them");
         } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS) {
             context.counters().count("front.slow");
             client.reject(408, "");
@@ -204,7 +214,12 @@
         return unreadTime.milliseconds();
     }
 
+    ClientMemory memory() {
+        return memory;
+    }
+
     void remove(ClientConnection client) {
+        memory.stopWaiting(client);
         connections.remove(client);
     }
 }
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -23,8 +23,13 @@
     private final DispatchCore core;
     private final LoopContext context;
 
-    /** Connects the platform's protocol to a core; {@code lagMs} returns how long bytes may have waited unread. */
-    public Platform(NodeConfig config, DispatchCore core, LoopContext context, DoubleSupplier lagMs) {
+    /**
+     * Connects the platform's protocol to a core.
+     *
+     * @param lagMs returns how long bytes may have waited unread
+     * @param clientBytes the memory for requests that are being received and for answers that clients have not read
+     */
+    public Platform(NodeConfig config, DispatchCore core, LoopContext context, DoubleSupplier lagMs, long clientBytes) {
         this.config = config;
         this.core = core;
         this.context = context;
@@ -35,7 +40,7 @@
         });
         WorkerLinks workerLinks = new WorkerLinks(context, core::settings, nodeConnections);
         watch = new NodeListWatch(context, config.discovery(), config.seed(), reader, workerLinks, core);
-        front = new HttpFront(core, context, lagMs::getAsDouble, watch);
+        front = new HttpFront(core, context, lagMs::getAsDouble, watch, clientBytes);
     }
 
     /** Returns the maximum of open client connections. */
--- a/src/main/java/plumpost/platform/WarmUp.java
+++ b/src/main/java/plumpost/platform/WarmUp.java
@@ -24,6 +24,7 @@
  */
 public final class WarmUp implements Network {
     private static final int JOBS = 20;
+    private static final int CLIENT_BYTES = 1 << 20;
     private static final String NODE_LIST =
             "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"r\",\"dial\":\"127.0.0.1:1\","
                     + "\"health\":\"up\",\"share\":1.0,\"born_ms\":0}]}";
@@ -59,8 +60,8 @@
                 counters,
                 new DispatchCore.Bounds(JOBS, 1 << 20, 16, 1 << 16),
                 line -> {});
-        Platform platform =
-                new Platform(config, core, new LoopContext(this, () -> nowMs, wheel, counters, line -> {}), () -> 0);
+        Platform platform = new Platform(
+                config, core, new LoopContext(this, () -> nowMs, wheel, counters, line -> {}), () -> 0, CLIENT_BYTES);
         platform.start();
         MemoryConnection client = new MemoryConnection();
         ConnectionHandler handler = platform.accept(client);
--- a/src/test/java/plumpost/CrowdedPeersTest.java
+++ b/src/test/java/plumpost/CrowdedPeersTest.java
@@ -224,8 +224,8 @@
                 counters,
                 new DispatchCore.Bounds(1000, 1 << 24, JOBS, 1 << 24),
                 log::add);
-        Platform platform =
-                new Platform(config, core, new LoopContext(loop, () -> now, wheel, counters, log::add), loop::lagMs);
+        Platform platform = new Platform(
+                config, core, new LoopContext(loop, () -> now, wheel, counters, log::add), loop::lagMs, 1 << 20);
         InetSocketAddress front = loop.listen(anyLoopbackPort(), platform::accept, 100, () -> false)
                 .address();
         platform.start();
--- a/src/test/java/plumpost/LoopbackTest.java
+++ b/src/test/java/plumpost/LoopbackTest.java
@@ -350,7 +350,7 @@
                 new DispatchCore.Bounds(1000, 1 << 24, JOBS, 1 << 24),
                 log::add);
         LoopContext context = new LoopContext(loop, () -> now, wheel, counters, log::add);
-        Platform platform = new Platform(config, core, context, loop::lagMs);
+        Platform platform = new Platform(config, core, context, loop::lagMs, 1 << 20);
         GearmanFront gearmanFront = new GearmanFront(config, "0", core, context, () -> {});
         httpAddress = loop.listen(anyLoopbackPort(), platform::accept, 100, () -> false)
                 .address();
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -127,7 +127,7 @@
                         gearmanConfig.limits().packetBytes()),
                 log::add);
         LoopContext context = new LoopContext(this::dial, () -> nowMs, wheel, counters, log::add);
-        platform = new Platform(config, core, context, () -> 0);
+        platform = new Platform(config, core, context, () -> 0, 1 << 20);
         gearman = new GearmanFront(config, "0", core, context, () -> stopRequested = true);
         control = new ControlServer(
                 new InetSocketAddress("127.0.0.1", 9600),
--- a/src/test/java/plumpost/SocketRig.java
+++ b/src/test/java/plumpost/SocketRig.java
@@ -32,6 +32,9 @@
  * clients, the nodes and discovery.
  */
 public final class SocketRig implements AutoCloseable {
+    /** The memory that all clients' connections may hold together, besides what each may always hold. */
+    public static final long CLIENT_BYTES = 1 << 20;
+
     private static final long TIMEOUT_MS = 10_000;
 
     public double nowMs = 1_700_000_000_000.0;
@@ -97,7 +100,7 @@
                 new DispatchCore.Bounds(64, 1 << 20, 64, 1 << 20),
                 log::add);
         context = new LoopContext(loop, () -> nowMs, wheel, counters, log::add);
-        platform = new Platform(config, core, context, loop::lagMs);
+        platform = new Platform(config, core, context, loop::lagMs, CLIENT_BYTES);
         platform.open((address, handlers, maxConnections, batched, unread, shed) -> {
             front = loop.listen(address, handlers, maxConnections, unread, shed).address();
             return front;
