Answer covered orders and scheduled jobs only with what is known of their entry in the log

Cause: Member.request answered a proposal after 0.8 s as if it had no effect, while the engine went on trying it for 8 s; nothing withdrew the entry when it was applied. Ruled out: an entry applied twice (each handle ran once), a refused order handed out (nothing had been refused).

Change: Reply says agreed, refused, not proposed or unknown. Orders and scheduled jobs wait for the leader's answer or for the entry as it is applied here, up to 0.25 s before the class is given up; an order without a key is withdrawn if it is agreed on after its client was told. Proposals that timed out in the engine's queue are not sent any more; what the leader refuses before it enters the log is told as not proposed; waiting clients get what is left of their time.

Why it works: no client is told to try again while its entry can still be applied.

--- a/src/main/java/plumpost/fleet/FleetLog.java
+++ b/src/main/java/plumpost/fleet/FleetLog.java
@@ -19,11 +19,40 @@
         void halted(String reason);
     }
 
-    /**
-     * Proposes an entry. The callback receives the outcome of applying it, or null if that is not known: the entry may
-     * still be applied, or never.
-     */
-    void propose(Entry entry, Consumer<Outcome> callback);
+    /** Receives what became of a proposal; called once, on the scheduler's loop. */
+    interface ProposalListener {
+        /** The entry was applied, with this outcome. */
+        void applied(Outcome outcome);
+
+        /** The entry did not enter the log and never will, for the given reason. */
+        void notProposed(String reason);
+
+        /** It is not known whether the entry was or will be applied. */
+        void unknown();
+    }
+
+    /** Proposes an entry. */
+    void propose(Entry entry, ProposalListener listener);
+
+    /** Proposes an entry; the callback receives the outcome of applying it, or null if it is not known to be applied. */
+    default void propose(Entry entry, Consumer<Outcome> callback) {
+        propose(entry, new ProposalListener() {
+            @Override
+            public void applied(Outcome outcome) {
+                callback.accept(outcome);
+            }
+
+            @Override
+            public void notProposed(String reason) {
+                callback.accept(null);
+            }
+
+            @Override
+            public void unknown() {
+                callback.accept(null);
+            }
+        });
+    }
 
     /**
      * Sends the leader a heartbeat of a session that has itself received no leader's answer for {@code leaderSilentMs}: a
--- a/src/main/java/plumpost/fleet/Member.java
+++ b/src/main/java/plumpost/fleet/Member.java
@@ -27,8 +27,10 @@
  */
 public final class Member implements Fleet, FleetLog.Listener {
     private static final double TICK_MS = 50;
-    /** An equal entry is not proposed again sooner than this; a request is answered as not known at 80 % of it. */
+    /** An equal entry is not proposed again sooner than this. */
     private static final double REPROPOSE_MS = 1000;
+    /** An operator's request is answered after this time as not known; it can be repeated without harm. */
+    private static final double OPERATOR_REQUEST_LIMIT_MS = 800;
 
     /** A shutdown waits for this long until the log confirms an entry, then goes on without it. */
     private static final double LEAVE_TIMEOUT_MS = 400;
@@ -49,6 +51,7 @@
 
     private FleetLog log;
     private final Map<Object, Double> lastProposedMs = new HashMap<>();
+    private final PendingRequests pendingRequests = new PendingRequests();
     private boolean pollScheduled;
     private boolean halted;
     private boolean stopping;
@@ -267,8 +270,9 @@
     @Override
     public void applied(Entry entry, long term) {
         List<FleetEvent> events = new ArrayList<>();
-        state.apply(entry, term, events);
+        Outcome outcome = state.apply(entry, term, events);
         events.forEach(this::onEvent);
+        pendingRequests.onApplied(entry, outcome);
         if (!pollScheduled) {
             pollScheduled = true;
             // Entries that are applied together are followed by one poll.
@@ -305,6 +309,7 @@
             count("halted");
             logger.accept("fleet: this scheduler takes part no longer and serves on by itself: " + reason);
             discovery.poll();
+            pendingRequests.abandonAll();
         }
     }
 
@@ -374,47 +379,46 @@
         return orders;
     }
 
-    /** Proposes an entry on behalf of a caller, who gets the outcome, or after a time limit that it is not known. */
-    void request(Entry entry, Consumer<Reply> callback) {
-        if (halted || log == null) {
-            callback.accept(new Reply(false, false, "this scheduler takes part in the fleet no longer"));
+    /**
+     * Proposes an entry on behalf of a caller, who gets the outcome, or after a time limit that it is not known: the entry
+     * may then still be applied, so that the caller must not be told that it has no effect.
+     */
+    void request(Entry entry, double limitMs, Consumer<Reply> callback) {
+        if (halted || closed || log == null) {
+            callback.accept(new Reply(Result.NOT_PROPOSED, "this scheduler takes part in the fleet no longer"));
             return;
         }
-        boolean[] answered = new boolean[1];
-        wheel.schedule(nowMs() + REPROPOSE_MS * 0.8, () -> {
-            if (!answered[0]) {
-                answered[0] = true;
+        PendingRequests.Request request = pendingRequests.add(entry, reply -> {
+            if (reply.result() == Result.UNKNOWN) {
                 count("wish_unknown");
-                callback.accept(new Reply(
-                        false,
-                        false,
-                        "the fleet has not agreed in time; try again after " + Math.round(config.sessionTimeoutMs())
-                                + " ms"));
-            }
-        });
-        log.propose(entry, outcome -> {
-            if (!answered[0] && outcome != null) {
-                answered[0] = true;
-                callback.accept(new Reply(outcome.done(), true, outcome.detail()));
             }
+            callback.accept(reply);
         });
+        runAfter(limitMs, request::unknown);
+        log.propose(entry, request);
+    }
+
+    /** Whether a job with this id has no key, and its caller was told that the outcome is not known. */
+    boolean isAbandoned(String jobId) {
+        return pendingRequests.isAbandoned(jobId);
     }
 
     @Override
     public void ban(String node, boolean banned, Consumer<Reply> callback) {
-        request(new Entry.Ban(node, banned), callback);
+        request(new Entry.Ban(node, banned), OPERATOR_REQUEST_LIMIT_MS, callback);
     }
 
     @Override
-    public void plan(Job job, Consumer<Reply> callback) {
+    public void plan(Job job, double limitMs, Consumer<Reply> callback) {
         request(
                 new Entry.Plan(job.id(), job.function(), job.unique(), job.body(), job.atMs(), job.repeatable()),
+                limitMs,
                 callback);
     }
 
     @Override
     public void callOff(String id, Consumer<Reply> callback) {
-        request(new Entry.CallOff(id), callback);
+        request(new Entry.CallOff(id), OPERATOR_REQUEST_LIMIT_MS, callback);
     }
 
     private static Job job(PlannedJobs.Job job) {
@@ -505,6 +509,7 @@
     private void leave() {
         if (!closed) {
             closed = true;
+            pendingRequests.abandonAll();
             if (log != null) {
                 log.close();
             }
--- a/src/main/java/plumpost/fleet/OrderRunner.java
+++ b/src/main/java/plumpost/fleet/OrderRunner.java
@@ -90,10 +90,19 @@
         } else {
             ownOrders.remove(id);
         }
+        if (own && current.state() == State.TAKEN && previous == null && member.isAbandoned(id)) {
+            // Its client was told that the outcome is not known, and may have submitted it again.
+            member.count("orders_withdrawn");
+            pendingReports.put(id, new PendingReport(Event.GIVE_UP, 0, EMPTY_RESULT));
+        }
         setContains(
                 pendingHolds,
                 id,
-                own && current.state() == State.TAKEN && !held.contains(id) && !pendingReleases.contains(id));
+                own
+                        && current.state() == State.TAKEN
+                        && !held.contains(id)
+                        && !pendingReleases.contains(id)
+                        && !member.isAbandoned(id));
         setContains(
                 freeByPriority.computeIfAbsent(current.priority(), p -> new LinkedHashSet<>()),
                 id,
@@ -265,6 +274,7 @@
         for (Orders.Order order : ownOrders.values()) {
             if (order.state() == State.TAKEN
                     && !held.contains(order.id())
+                    && !member.isAbandoned(order.id())
                     && !pendingReports.containsKey(order.id())
                     && !pendingReleases.contains(order.id())) {
                 // The log refused the report that gave it up: it is still to be tried.
@@ -384,11 +394,10 @@
     }
 
     @Override
-    public void take(Ledger.Order order, Consumer<Fleet.Reply> callback) {
+    public void take(Ledger.Order order, double limitMs, Consumer<Fleet.Reply> callback) {
         if (!member.mayAct()) {
             callback.accept(new Fleet.Reply(
-                    false,
-                    false,
+                    Fleet.Result.NOT_PROPOSED,
                     member.stopping()
                             ? "this scheduler ends"
                             : "no majority of the fleet hears this scheduler; try again after "
@@ -406,6 +415,7 @@
                         order.patienceMs(),
                         order.repeatable(),
                         order.background()),
+                limitMs,
                 callback);
     }
 
--- /dev/null
+++ b/src/main/java/plumpost/fleet/PendingRequests.java
@@ -0,0 +1,92 @@
+package plumpost.fleet;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import plumpost.peers.Fleet.Reply;
+import plumpost.peers.Fleet.Result;
+
+/**
+ * Requests of callers whose entries are proposed and whose outcome is not known yet. A caller is answered once: by the
+ * outcome that the log reports, by the entry as it is applied here, or, after the caller's time limit, that the outcome is
+ * not known. A job without a unique key that is applied after that belongs to nobody; {@link #isAbandoned} tells so that it
+ * can be cancelled. A job with a key may have been submitted again under it, and stays.
+ */
+final class PendingRequests {
+    /** The maximum number of entries that are remembered after their caller was told that the outcome is not known. */
+    private static final int MAX_ABANDONED = 4096;
+
+    private final Map<String, Request> byKey = new HashMap<>();
+    private final BoundedKeySet abandoned = new BoundedKeySet(MAX_ABANDONED);
+
+    /** One request; it is answered once. */
+    final class Request implements FleetLog.ProposalListener {
+        private final String key;
+        private final boolean isCancellable;
+        private final Consumer<Reply> callback;
+
+        private Request(Entry entry, Consumer<Reply> callback) {
+            key = key(entry);
+            isCancellable = entry instanceof Entry.Take take && take.unique().isEmpty()
+                    || entry instanceof Entry.Plan plan && plan.unique().isEmpty();
+            this.callback = callback;
+        }
+
+        @Override
+        public void applied(Outcome outcome) {
+            answer(outcome.done() ? Result.AGREED : Result.REFUSED, outcome.detail());
+        }
+
+        @Override
+        public void notProposed(String reason) {
+            answer(Result.NOT_PROPOSED, reason);
+        }
+
+        @Override
+        public void unknown() {
+            if (isCancellable && byKey.get(key) == this) {
+                abandoned.add(key);
+            }
+            answer(Result.UNKNOWN, "the fleet has not agreed in time and may still do so");
+        }
+
+        private void answer(Result result, String detail) {
+            if (byKey.remove(key, this)) {
+                callback.accept(new Reply(result, detail));
+            }
+        }
+    }
+
+    /** Adds the request of an entry that is about to be proposed. */
+    Request add(Entry entry, Consumer<Reply> callback) {
+        Request request = new Request(entry, callback);
+        byKey.put(request.key, request);
+        return request;
+    }
+
+    /** Answers the caller of an entry that was applied here. */
+    void onApplied(Entry entry, Outcome outcome) {
+        Request request = byKey.isEmpty() ? null : byKey.get(key(entry));
+        if (request != null) {
+            request.applied(outcome);
+        }
+    }
+
+    /** Whether a job with this id has no key, and its caller was told that the outcome is not known. */
+    boolean isAbandoned(String jobId) {
+        return abandoned.contains(jobId);
+    }
+
+    /** Answers all callers that the outcome is not known, since it cannot be learned any more. */
+    void abandonAll() {
+        List.copyOf(byKey.values()).forEach(Request::unknown);
+    }
+
+    /** Jobs are known by their ids, which are never reused; other entries by their content. */
+    private static String key(Entry entry) {
+        return entry instanceof Entry.Take take
+                ? take.id()
+                : entry instanceof Entry.Plan plan ? plan.id() : entry.toString();
+    }
+}
--- a/src/main/java/plumpost/fleet/ScheduleRunner.java
+++ b/src/main/java/plumpost/fleet/ScheduleRunner.java
@@ -81,12 +81,21 @@
             firedCount += job.state() == State.FIRED ? 1 : 0;
             if (job.state() == State.WAITING) {
                 waiting.add(job);
+                withdrawIfAbandoned(job);
             } else if (job.target().equals(member.name())) {
                 ownJobs.put(job.id(), job);
             }
         }
     }
 
+    /** Cancels a job whose client was told that the outcome is not known, and may have submitted it again. */
+    private void withdrawIfAbandoned(Job job) {
+        if (member.isAbandoned(job.id())
+                && member.proposeOnce("withdraw " + job.id(), new Entry.CallOff(job.id()), outcome -> {})) {
+            member.count("jobs_withdrawn");
+        }
+    }
+
     /** Handles the end of its session: recalls jobs that no worker has; the end of a job is no longer recorded from here. */
     void sessionEnded() {
         handedOut.forEach(host::callBack);
--- a/src/main/java/plumpost/fleet/engine/Failpoints.java
+++ b/src/main/java/plumpost/fleet/engine/Failpoints.java
@@ -10,7 +10,6 @@
 import plumpost.fleet.Entry;
 import plumpost.fleet.FleetLog;
 import plumpost.fleet.FleetState;
-import plumpost.fleet.Outcome;
 import plumpost.peers.Fleet;
 import plumpost.peers.Host;
 
@@ -72,9 +71,9 @@
     FleetLog wrapLog(FleetLog delegate) {
         return new FleetLog() {
             @Override
-            public void propose(Entry entry, Consumer<Outcome> onOutcome) {
+            public void propose(Entry entry, ProposalListener listener) {
                 haltAt("before " + entryName(entry));
-                delegate.propose(entry, onOutcome);
+                delegate.propose(entry, listener);
             }
 
             @Override
--- a/src/main/java/plumpost/fleet/engine/RaftCalls.java
+++ b/src/main/java/plumpost/fleet/engine/RaftCalls.java
@@ -3,10 +3,10 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadFactory;
@@ -29,6 +29,18 @@
         RaftClient create() throws IOException;
     }
 
+    /** Receives what became of a call, on the event loop. */
+    interface ResultListener {
+        /** The call was answered; the reply may report a failure. */
+        void answered(RaftClientReply reply);
+
+        /** The call was not sent, for the given reason. */
+        void notSent(String reason);
+
+        /** The call was sent, and whether it was carried out is not known. */
+        void unanswered();
+    }
+
     /** One blocking call by a client. */
     interface Call {
         RaftClientReply execute(RaftClient client) throws IOException;
@@ -64,14 +76,34 @@
 
     /** Runs a call, then passes on its reply, or null if there was none or it reports a failure. */
     void call(Call call, Consumer<RaftClientReply> onReply) {
+        call(call, new ResultListener() {
+            @Override
+            public void answered(RaftClientReply reply) {
+                onReply.accept(reply.isSuccess() ? reply : null);
+            }
+
+            @Override
+            public void notSent(String reason) {
+                onReply.accept(null);
+            }
+
+            @Override
+            public void unanswered() {
+                onReply.accept(null);
+            }
+        });
+    }
+
+    /** Runs a call, then passes on what became of it. */
+    void call(Call call, ResultListener listener) {
         try {
-            clientThread.execute(() -> run(call, onReply));
+            clientThread.execute(() -> run(call, listener));
         } catch (RejectedExecutionException e) {
-            loop.execute(() -> onReply.accept(null)); // closed in the meantime
+            loop.execute(() -> listener.notSent("this scheduler has left the fleet"));
         }
     }
 
-    private void run(Call call, Consumer<RaftClientReply> onReply) {
+    private void run(Call call, ResultListener listener) {
         RaftClient current = client;
         try {
             if (current == null) {
@@ -79,29 +111,36 @@
                 client = current;
                 clientCreatedAtMs = nowMs();
             }
-            RaftClient usedClient = current;
-            CompletableFuture.supplyAsync(
-                            () -> {
-                                try {
-                                    return call.execute(usedClient);
-                                } catch (IOException x) {
-                                    throw new CompletionException(x);
-                                }
-                            },
-                            callThreads)
-                    .orTimeout(timeoutMs, TimeUnit.MILLISECONDS)
-                    .whenComplete((reply, failure) -> {
-                        if (failure != null) {
-                            discardClient(usedClient);
-                        }
-                        loop.execute(() -> onReply.accept(failure != null || !reply.isSuccess() ? null : reply));
-                    });
+            execute(call, current, listener);
         } catch (IOException | RuntimeException e) {
             discardClient(current);
-            loop.execute(() -> onReply.accept(null));
+            loop.execute(() -> listener.notSent(e.getMessage()));
         }
     }
 
+    private void execute(Call call, RaftClient usedClient, ResultListener listener) {
+        CompletableFuture<RaftClientReply> result = new CompletableFuture<>();
+        Future<?> task = callThreads.submit(() -> {
+            if (result.isDone()) {
+                return; // it has timed out in the queue, and must not be sent after its caller was told
+            }
+            try {
+                result.complete(call.execute(usedClient));
+            } catch (IOException | RuntimeException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        result.orTimeout(timeoutMs, TimeUnit.MILLISECONDS).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                task.cancel(true);
+                discardClient(usedClient);
+                loop.execute(listener::unanswered);
+            } else {
+                loop.execute(() -> listener.answered(reply));
+            }
+        });
+    }
+
     /**
      * Replaces a client after a failure. It is closed only when the other calls made through it have timed out, because a
      * closed client never completes them.
--- a/src/main/java/plumpost/fleet/engine/RatisLog.java
+++ b/src/main/java/plumpost/fleet/engine/RatisLog.java
@@ -291,26 +291,50 @@
     }
 
     @Override
-    public void propose(Entry entry, Consumer<Outcome> onOutcome) {
+    public void propose(Entry entry, ProposalListener listener) {
         int format;
         synchronized (stateMachine) {
             format = stateMachine.state().sessions().format();
         }
         Message message = Message.valueOf(ByteString.copyFrom(FleetCodec.encode(entry, format)));
-        proposalCalls.call(c -> c.io().send(message), reply -> {
-            try {
-                onOutcome.accept(
-                        reply == null
-                                ? null
-                                : FleetCodec.decodeOutcome(
-                                        reply.getMessage().getContent().toByteArray()));
-            } catch (FleetCodec.UnreadableException e) {
-                log.accept("fleet: " + e.getMessage());
-                onOutcome.accept(null);
+        proposalCalls.call(c -> c.io().send(message), new RaftCalls.ResultListener() {
+            @Override
+            public void answered(RaftClientReply reply) {
+                onProposalReply(reply, listener);
+            }
+
+            @Override
+            public void notSent(String reason) {
+                listener.notProposed(reason);
+            }
+
+            @Override
+            public void unanswered() {
+                listener.unknown();
             }
         });
     }
 
+    private void onProposalReply(RaftClientReply reply, ProposalListener listener) {
+        if (reply.getStateMachineException() != null) {
+            listener.notProposed(reply.getStateMachineException().getMessage()); // refused before it entered the log
+            return;
+        }
+        Outcome outcome = null;
+        try {
+            outcome = reply.isSuccess()
+                    ? FleetCodec.decodeOutcome(reply.getMessage().getContent().toByteArray())
+                    : null;
+        } catch (FleetCodec.UnreadableException e) {
+            log.accept("fleet: " + e.getMessage());
+        }
+        if (outcome == null) {
+            listener.unknown();
+        } else {
+            listener.applied(outcome);
+        }
+    }
+
     @Override
     public void sendHeartbeat(String name, long incarnation, double msWithoutLeader, Consumer<Boolean> onResult) {
         if (openHeartbeats >= MAX_CONCURRENT_HEARTBEATS) {
--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -287,28 +287,46 @@
         Ledger.OrderStatus existing =
                 front.fleetOrders.find(request.work().name(), request.work().unique());
         if (existing != null) {
-            joinOrder(existing.id(), request, inBackground);
+            joinOrder(existing.id(), request.patienceMs(), inBackground);
         } else if (!rejectIfFull(request)) {
             awaitingFleet = true;
+            double submittedAtMs = front.context.clock().nowMs();
             front.fleetOrders.submit(request, inBackground, answer -> {
                 awaitingFleet = false;
                 if (answer.agreed()) {
-                    joinOrder(answer.detail(), request, inBackground);
+                    double elapsedMs = front.context.clock().nowMs() - submittedAtMs;
+                    joinOrder(answer.detail(), request.patienceMs() - elapsedMs, inBackground);
                 } else {
-                    reject(answer.known() && answer.detail().contains("full") ? "full" : "fleet", answer.detail());
+                    reject(
+                            answer.result() == Fleet.Result.REFUSED
+                                            && answer.detail().contains("full")
+                                    ? "full"
+                                    : "fleet",
+                            fleetError(answer, request));
                 }
                 processDeferred();
             });
         }
     }
 
-    /** Answers JOB_CREATED and, for a foreground job, waits for the order's outcome. */
-    private void joinOrder(String handle, JobSpec request, boolean inBackground) {
+    /** Returns the text of an ERROR packet that says what is known of a job that the fleet has not agreed on. */
+    private static String fleetError(Fleet.Reply answer, JobSpec request) {
+        if (answer.result() != Fleet.Result.UNKNOWN) {
+            return answer.detail();
+        }
+        return answer.detail()
+                + (request.unique() == null
+                        ? "; without a unique key it may run besides another submission"
+                        : "; submit it again under the same unique key only");
+    }
+
+    /** Answers JOB_CREATED and, for a foreground job, waits for the order's outcome for up to {@code patienceMs}. */
+    private void joinOrder(String handle, double patienceMs, boolean inBackground) {
         Submission submission = new Submission(inBackground ? null : this, handle);
         submission.announce(connection);
         if (!inBackground) {
             awaited.add(submission);
-            front.fleetOrders.await(submission, request.patienceMs());
+            front.fleetOrders.await(submission, patienceMs);
         }
     }
 
@@ -396,7 +414,9 @@
                 if (answer.agreed()) {
                     connection.write(Type.JOB_CREATED, answer.detail());
                 } else {
-                    reject(answer.known() ? "schedule_full" : "fleet", answer.detail());
+                    reject(
+                            answer.result() == Fleet.Result.REFUSED ? "schedule_full" : "fleet",
+                            fleetError(answer, request));
                 }
                 processDeferred();
             });
--- a/src/main/java/plumpost/gearman/FleetJobs.java
+++ b/src/main/java/plumpost/gearman/FleetJobs.java
@@ -45,6 +45,7 @@
                         body,
                         atMs,
                         mayRunTwice),
+                front.fleetAnswerLimitMs(request),
                 onAnswer);
     }
 
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -89,6 +89,7 @@
                         request.patienceMs(),
                         mayRunTwice,
                         background),
+                front.fleetAnswerLimitMs(request),
                 onAnswer);
     }
 
--- a/src/main/java/plumpost/gearman/GearmanFront.java
+++ b/src/main/java/plumpost/gearman/GearmanFront.java
@@ -39,6 +39,8 @@
     private static final double FULL_RETRY_MS = 100;
     /** Scheduled jobs are due by the wall clock, which may step, so it is read at least this often while one waits. */
     private static final double MAX_TIMER_MS = 1_000;
+    /** A client is answered this long before it gives up, although the fleet has not agreed on its job yet. */
+    private static final double FLEET_ANSWER_MARGIN_MS = 250;
 
     final DispatchCore core;
     final LoopContext context;
@@ -184,6 +186,12 @@
         fleetOrders = joinedFleet.ledger() == null ? null : new FleetOrders(this, joinedFleet.ledger());
     }
 
+    /** Returns for how long a client of the job's class may wait until the fleet has agreed on its job. */
+    double fleetAnswerLimitMs(JobSpec request) {
+        double deadlineMs = settings.classes().get(request.classIndex()).deadlineMs();
+        return Math.max(deadlineMs / 2, deadlineMs - FLEET_ANSWER_MARGIN_MS);
+    }
+
     /** Returns the names of the functions that have workers here. */
     public List<String> servedFunctions() {
         return functions.functions().stream()
--- a/src/main/java/plumpost/peers/Fleet.java
+++ b/src/main/java/plumpost/peers/Fleet.java
@@ -19,8 +19,25 @@
      */
     record Job(String id, String function, String unique, byte[] body, double atMs, boolean repeatable) {}
 
-    /** The answer to a request: agreed on, refused by the fleet, or not known, as no majority answered in time. */
-    record Reply(boolean agreed, boolean known, String detail) {}
+    /** What became of a request. */
+    enum Result {
+        /** The fleet has agreed on it. */
+        AGREED,
+        /** The fleet has refused it. */
+        REFUSED,
+        /** It was not proposed to the fleet, and has no effect. */
+        NOT_PROPOSED,
+        /** It was proposed and may still be agreed on, or never. */
+        UNKNOWN
+    }
+
+    /** The answer to a request; the detail is the reason, or the id of the job that was agreed on. */
+    record Reply(Result result, String detail) {
+        /** Whether the fleet has agreed on it. */
+        public boolean agreed() {
+            return result == Result.AGREED;
+        }
+    }
 
     /** Creates fleets; loaded by name, since its libraries are on no class path while peers are off. */
     interface Maker {
@@ -42,8 +59,11 @@
     /** Bans a route node by hand for the whole fleet, or lifts the ban. */
     void ban(String node, boolean banned, Consumer<Reply> callback);
 
-    /** Schedules a job; if agreed the detail is its id, or that of the job already planned with the same key. */
-    void plan(Job job, Consumer<Reply> callback);
+    /**
+     * Schedules a job; if agreed the detail is its id, or that of the job already planned with the same key. The caller is
+     * answered within {@code limitMs}; a job that is agreed on after that is cancelled unless it is already running.
+     */
+    void plan(Job job, double limitMs, Consumer<Reply> callback);
 
     /** The ledger of covered orders, or null if the configuration covers none. */
     Ledger ledger();
--- a/src/main/java/plumpost/peers/Ledger.java
+++ b/src/main/java/plumpost/peers/Ledger.java
@@ -87,8 +87,11 @@
     /** Sets the front that holds orders from now on. */
     void setHolder(Holder holder);
 
-    /** Accepts an order; if agreed the words are its handle, or that of the order already known with the same key. */
-    void take(Order order, Consumer<Fleet.Reply> callback);
+    /**
+     * Accepts an order; if agreed the detail is its handle, or that of the order already known with the same key. The caller
+     * is answered within {@code limitMs}; an order that is agreed on after that is given up and not handed out here.
+     */
+    void take(Order order, double limitMs, Consumer<Fleet.Reply> callback);
 
     /** Returns the status of the order with this handle, or null. */
     OrderStatus status(String id);
--- a/src/test/java/plumpost/fleet/FleetSim.java
+++ b/src/test/java/plumpost/fleet/FleetSim.java
@@ -115,12 +115,12 @@
         }
 
         @Override
-        public void propose(Entry entry, Consumer<Outcome> callback) {
+        public void propose(Entry entry, ProposalListener listener) {
             Member process = member;
             if (disconnected) {
                 schedule(nowMs + 2000, () -> {
                     if (process == member) {
-                        callback.accept(null); // as the engine does when no leader has answered for long
+                        listener.unknown(); // as the engine does when no leader has answered for long
                     }
                 });
                 return;
@@ -129,7 +129,7 @@
             schedule(nowMs + drawDelayMs(), () -> {
                 Outcome outcome = apply(entry);
                 if (process == member) {
-                    deliver(drawDelayMs(), () -> callback.accept(outcome));
+                    deliver(drawDelayMs(), () -> listener.applied(outcome));
                 }
             });
         }
@@ -138,7 +138,7 @@
         public void sendHeartbeat(String name, long incarnation, double leaderSilentMs, Consumer<Boolean> callback) {
             heartbeats++;
             if (disconnected) {
-                propose(null, outcome -> callback.accept(null));
+                propose(null, (Outcome outcome) -> callback.accept(null));
             } else {
                 schedule(nowMs + drawDelayMs(), () -> {
                     monitor.recordHeartbeat(name, incarnation, nowMs, behindMs());
--- a/src/test/java/plumpost/lab/fleet/OrdersIT.java
+++ b/src/test/java/plumpost/lab/fleet/OrdersIT.java
@@ -2,10 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import plumpost.gearman.Packet;
@@ -185,6 +187,53 @@
         assertThat(keys).allSatisfy(k -> assertThat(runCount(k)).as(k).isEqualTo(1));
     }
 
+    /** Submits an order without a key in the foreground; returns the type of the first answer. */
+    private static Type submitWithoutKey(SchedulerProcess scheduler, String payload) throws IOException {
+        try (GearmanConnection client = new GearmanConnection(scheduler.gearmanPort(), ANSWER_TIMEOUT_MS)) {
+            client.send(Type.SUBMIT_JOB, "order-it", "", payload);
+            Packet answer = client.next();
+            while (answer.type() == Type.JOB_CREATED) {
+                answer = client.next();
+            }
+            return answer.type();
+        }
+    }
+
+    /**
+     * Guards orders without a key that are submitted while the leader is silent. Their clients were told an error and to try
+     * again while the fleet still agreed on the first submission, and both ran.
+     */
+    @Test
+    void anOrderSubmittedWhileTheLeaderIsSilentRunsOnce() throws Exception {
+        startCoveringFleet("");
+        SchedulerProcess leader = lab.process(showFleet().text("leader"));
+        List<SchedulerProcess> others =
+                lab.processes().stream().filter(p -> p != leader).toList();
+        others.forEach(process -> addWorkers(process, 2, 10));
+        assertThat(submitWithoutKey(others.get(0), "before")).isEqualTo(Type.WORK_COMPLETE);
+        leader.signal("STOP");
+        List<String> payloads =
+                IntStream.range(0, 12).mapToObj(i -> "silent" + i).toList();
+        List<CompletableFuture<Void>> clients = payloads.stream()
+                .map(payload -> CompletableFuture.runAsync(() -> submitUntilAccepted(others.get(0), payload)))
+                .toList();
+        for (CompletableFuture<Void> client : clients) {
+            client.get(60, TimeUnit.SECONDS);
+        }
+        leader.signal("CONT");
+        submitUntilAccepted(others.get(0), "after"); // behind everything that was proposed before
+        assertEachRanOnce(payloads);
+        assertThat(runCount("after")).isEqualTo(1);
+    }
+
+    private static void submitUntilAccepted(SchedulerProcess scheduler, String payload) {
+        try {
+            awaitUntil(payload + " is accepted", () -> submitWithoutKey(scheduler, payload) != Type.ERROR);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Guards SIGTERM: waiting orders move to another scheduler at once, running ones finish, and none runs twice. */
     @Test
     void aRollingRestartLosesNothingAndRunsNothingTwice() throws Exception {
