Send proposals to the leader that this member's own server knows, with one call id for all attempts

Callers saw: with the fleet's old leader silent, orders are agreed on 9 and 15 s later, though the others have a new leader after 1 to 2 s.

Cause, by thread dumps 4 s after the leader fell silent: the proposals are in the engine's client, which after each failed attempt waits up to 5 s until its connection to the silent member is closed, chooses the next member at random and resets connections that other calls use. Ruled out: no leader (heartbeats are acknowledged), a leader that cannot commit (its own entries wait in the same client).

Change: LeaderCall sends to the leader that the member's server knows or that a member names, with the same call id until a leader has answered, so that the engine's retry cache applies the entry once; it replaces a connection only after four attempts without an answer. What was never sent is told as such.

--- /dev/null
+++ b/src/main/java/plumpost/fleet/engine/LeaderCall.java
@@ -0,0 +1,109 @@
+package plumpost.fleet.engine;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import org.apache.ratis.client.RaftClient;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientReply;
+import org.apache.ratis.protocol.RaftClientRequest;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.protocol.exceptions.NotLeaderException;
+import org.apache.ratis.rpc.CallId;
+
+/**
+ * Proposes one entry to the leader that this member knows, again and again until a leader has answered. Every attempt has the
+ * same call id, so that the log applies the entry once. While no leader is known nothing is sent.
+ *
+ * <p>The client's own retries are not used: they try other members at random, share one idea of the leader between all calls
+ * and, after each failure, wait for seconds until the connection to the failed member is closed.
+ */
+final class LeaderCall implements RaftCalls.Call {
+    private static final long RETRY_PAUSE_MS = 20;
+    /** After this many attempts in a row that a known leader did not answer, the connection to it is replaced. */
+    private static final int MAX_UNANSWERED_ATTEMPTS = 4;
+
+    private enum Progress {
+        WAITING,
+        SENT,
+        CANCELLED
+    }
+
+    private final Message message;
+    private final Supplier<RaftPeerId> knownLeader;
+    private final AtomicReference<Progress> progress = new AtomicReference<>(Progress.WAITING);
+
+    /** Creates a call of a message; {@code knownLeader} returns the leader as this member knows it now, or null. */
+    LeaderCall(Message message, Supplier<RaftPeerId> knownLeader) {
+        this.message = message;
+        this.knownLeader = knownLeader;
+    }
+
+    @Override
+    public RaftClientReply execute(RaftClient client) throws IOException {
+        long callId = CallId.getAndIncrement();
+        RaftPeerId suggestedLeader = null;
+        int unansweredAttempts = 0;
+        while (true) {
+            RaftPeerId leader = suggestedLeader == null ? knownLeader.get() : suggestedLeader;
+            suggestedLeader = null;
+            if (leader != null) {
+                if (!markSent()) {
+                    throw new InterruptedIOException("cancelled before it was sent");
+                }
+                try {
+                    RaftClientReply reply = client.getClientRpc().sendRequest(request(client, leader, callId));
+                    NotLeaderException notLeader = reply.getNotLeaderException();
+                    if (notLeader == null && reply.getLeaderNotReadyException() == null) {
+                        return reply;
+                    }
+                    unansweredAttempts = 0;
+                    suggestedLeader = suggestedLeader(notLeader);
+                } catch (InterruptedIOException e) {
+                    throw e;
+                } catch (IOException e) {
+                    if (++unansweredAttempts % MAX_UNANSWERED_ATTEMPTS == 0) {
+                        client.getClientRpc().handleException(leader, e, true);
+                    }
+                }
+            }
+            pause();
+        }
+    }
+
+    private RaftClientRequest request(RaftClient client, RaftPeerId leader, long callId) {
+        return RaftClientRequest.newBuilder()
+                .setClientId(client.getId())
+                .setServerId(leader)
+                .setGroupId(client.getGroupId())
+                .setCallId(callId)
+                .setMessage(message)
+                .setType(RaftClientRequest.writeRequestType())
+                .build();
+    }
+
+    private static RaftPeerId suggestedLeader(NotLeaderException notLeader) {
+        return notLeader == null || notLeader.getSuggestedLeader() == null
+                ? null
+                : notLeader.getSuggestedLeader().getId();
+    }
+
+    private static void pause() throws InterruptedIOException {
+        try {
+            Thread.sleep(RETRY_PAUSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("the call was not answered in time");
+        }
+    }
+
+    private boolean markSent() {
+        return progress.compareAndSet(Progress.WAITING, Progress.SENT) || progress.get() == Progress.SENT;
+    }
+
+    @Override
+    public boolean cancelUnsent() {
+        return progress.compareAndSet(Progress.WAITING, Progress.CANCELLED);
+    }
+}
--- a/src/main/java/plumpost/fleet/engine/RaftCalls.java
+++ b/src/main/java/plumpost/fleet/engine/RaftCalls.java
@@ -44,6 +44,11 @@
     /** One blocking call by a client. */
     interface Call {
         RaftClientReply execute(RaftClient client) throws IOException;
+
+        /** Called when the call has timed out: returns true if it was not sent, and then it must not be sent any more. */
+        default boolean cancelUnsent() {
+            return false;
+        }
     }
 
     private final ClientFactory clientFactory;
@@ -132,9 +137,10 @@
         });
         result.orTimeout(timeoutMs, TimeUnit.MILLISECONDS).whenComplete((reply, failure) -> {
             if (failure != null) {
+                boolean unsent = call.cancelUnsent();
                 task.cancel(true);
                 discardClient(usedClient);
-                loop.execute(listener::unanswered);
+                loop.execute(unsent ? () -> listener.notSent("no leader is known") : listener::unanswered);
             } else {
                 loop.execute(() -> listener.answered(reply));
             }
--- a/src/main/java/plumpost/fleet/engine/RatisLog.java
+++ b/src/main/java/plumpost/fleet/engine/RatisLog.java
@@ -86,13 +86,13 @@
                 config.sessionTimeoutMs() * 2 / 3, config.sessionTimeoutMs(), 5 * POLL_INTERVAL_MS);
         this.stateMachine = new FleetStateMachine(this, this::answerQuery, failpoints);
         this.proposalCalls = new RaftCalls(
-                () -> RatisSetup.memberClient(currentGroup(), config, PROPOSAL_TIMEOUT_MS),
+                () -> RatisSetup.memberClient(currentGroup(), config),
                 MAX_CONCURRENT_PROPOSALS,
                 PROPOSAL_TIMEOUT_MS,
                 r -> daemonThread(r, "fleet-proposal"),
                 loop);
         this.heartbeatCalls = new RaftCalls(
-                () -> RatisSetup.memberClient(currentGroup(), config, 0),
+                () -> RatisSetup.memberClient(currentGroup(), config),
                 MAX_CONCURRENT_HEARTBEATS,
                 Math.round(2 * config.sessionTimeoutMs()),
                 r -> daemonThread(r, "fleet-beat"),
@@ -297,7 +297,7 @@
             format = stateMachine.state().sessions().format();
         }
         Message message = Message.valueOf(ByteString.copyFrom(FleetCodec.encode(entry, format)));
-        proposalCalls.call(c -> c.io().send(message), new RaftCalls.ResultListener() {
+        proposalCalls.call(new LeaderCall(message, this::leaderId), new RaftCalls.ResultListener() {
             @Override
             public void answered(RaftClientReply reply) {
                 onProposalReply(reply, listener);
--- a/src/main/java/plumpost/fleet/engine/RatisSetup.java
+++ b/src/main/java/plumpost/fleet/engine/RatisSetup.java
@@ -79,12 +79,11 @@
     }
 
     /**
-     * Creates a member's own client. Each attempt times out after a quarter of {@code lostMs}, so that no lease is lost when
-     * the leader hangs or ends, and there are as many attempts as fit into {@code callTimeoutMs} if each fails at once.
+     * Creates a member's own client, which does not retry by itself. Each attempt times out after a quarter of {@code lostMs},
+     * so that no lease is lost when the leader hangs or ends.
      */
-    static RaftClient memberClient(RaftGroup group, PeersConfig config, double callTimeoutMs) {
-        double attemptTimeoutMs = Math.max(100, config.sessionTimeoutMs() / 4);
-        return client(group, (int) Math.ceil(callTimeoutMs / RETRY_PAUSE_MS), attemptTimeoutMs);
+    static RaftClient memberClient(RaftGroup group, PeersConfig config) {
+        return client(group, 0, Math.max(100, config.sessionTimeoutMs() / 4));
     }
 
     private static RaftClient client(RaftGroup group, int maxAttempts, double attemptTimeoutMs) {
--- a/src/test/java/plumpost/lab/fleet/OrdersIT.java
+++ b/src/test/java/plumpost/lab/fleet/OrdersIT.java
@@ -19,6 +19,8 @@
 class OrdersIT extends FleetTestBase {
     private static final String COVERS = "\"covers\": [\"pickup-order\"], ";
     private static final int ANSWER_TIMEOUT_MS = 40_000;
+    /** A proposal that is not answered within this time is given up by the engine; with a majority it is answered. */
+    private static final double PROPOSAL_TIMEOUT_MS = 8_000;
 
     private void startCoveringFleet(String more) throws Exception {
         extraPeerSettings = COVERS + more;
@@ -212,18 +214,48 @@
         others.forEach(process -> addWorkers(process, 2, 10));
         assertThat(submitWithoutKey(others.get(0), "before")).isEqualTo(Type.WORK_COMPLETE);
         leader.signal("STOP");
-        List<String> payloads =
-                IntStream.range(0, 12).mapToObj(i -> "silent" + i).toList();
+        List<String> payloads = payloads("silent");
+        submitTogether(others.get(0), payloads);
+        leader.signal("CONT");
+        submitUntilAccepted(others.get(0), "after"); // behind everything that was proposed before
+        assertEachRanOnce(payloads);
+        assertThat(runCount("after")).isEqualTo(1);
+    }
+
+    /**
+     * Guards proposals while the old leader stays silent: they reach the new one. The engine's client waited for seconds to close
+     * its connection to the silent member, chose the next one at random and reset connections that other calls used, so that
+     * orders were agreed on after 15 s.
+     */
+    @Test
+    void proposalsReachTheNewLeaderWhileTheOldOneIsSilent() throws Exception {
+        startCoveringFleet("");
+        SchedulerProcess leader = lab.process(showFleet().text("leader"));
+        SchedulerProcess other =
+                lab.processes().stream().filter(p -> p != leader).findFirst().orElseThrow();
+        addWorkers(other, 2, 1);
+        assertThat(submitWithoutKey(other, "before")).isEqualTo(Type.WORK_COMPLETE);
+        double stoppedAtMs = lab.history().nowMs();
+        leader.signal("STOP");
+        submitTogether(other, payloads("silent"));
+        assertThat(lab.history().nowMs() - stoppedAtMs)
+                .as("ms until all were agreed on and ran")
+                .isLessThan(PROPOSAL_TIMEOUT_MS);
+        leader.signal("CONT");
+    }
+
+    private static List<String> payloads(String prefix) {
+        return IntStream.range(0, 12).mapToObj(i -> prefix + i).toList();
+    }
+
+    /** Submits orders without a key from as many clients, each again until it is accepted, and waits for their answers. */
+    private static void submitTogether(SchedulerProcess scheduler, List<String> payloads) throws Exception {
         List<CompletableFuture<Void>> clients = payloads.stream()
-                .map(payload -> CompletableFuture.runAsync(() -> submitUntilAccepted(others.get(0), payload)))
+                .map(payload -> CompletableFuture.runAsync(() -> submitUntilAccepted(scheduler, payload)))
                 .toList();
         for (CompletableFuture<Void> client : clients) {
             client.get(60, TimeUnit.SECONDS);
         }
-        leader.signal("CONT");
-        submitUntilAccepted(others.get(0), "after"); // behind everything that was proposed before
-        assertEachRanOnce(payloads);
-        assertThat(runCount("after")).isEqualTo(1);
     }
 
     private static void submitUntilAccepted(SchedulerProcess scheduler, String payload) {
