Keep scheduled orders of covered classes in the ledger, so that one key is one order

Cause: a key was in one of two places. The fleet's schedule had scheduled jobs and forgot a key when its job ended; the ledger had all other covered orders and keeps outcomes; the front asked only one of them. Ruled out: a job begun twice (one Begin for each handle), a takeover that hands out again (the second run has another handle).

Change: record format 2 has TakeScheduled and a start time in the ledger's orders. Nobody holds such an order until a scheduler with workers claims it at its time; it can be cancelled until then. Keys planned before the format are found, and the ledger keeps them when their job ends after it may have run. Format 1 is read and written as before until all members read format 2.

--- a/src/main/java/plumpost/fleet/Entry.java
+++ b/src/main/java/plumpost/fleet/Entry.java
@@ -106,9 +106,24 @@
             boolean background)
             implements Entry {}
 
+    /**
+     * A session accepts a covered order that starts at {@code startMs}, in Unix milliseconds. Nobody holds it until a session
+     * claims it. Since record format 2; before, {@link Plan} took such orders.
+     */
+    record TakeScheduled(
+            SessionId session,
+            String id,
+            String function,
+            String unique,
+            byte[] body,
+            double patienceMs,
+            boolean repeatable,
+            double startMs)
+            implements Entry {}
+
     /**
      * A session reports an event of an order: that it is about to hand the order out (LEASE; {@code lease} is then the
-     * latest one before it), or the outcome under a lease, with the worker's result or error.
+     * latest one before it), that it gives up an order that is its own or, since record format 2, free, or the outcome under a lease, with the worker's result or error.
      */
     record Told(SessionId session, String id, OrderLife.Event event, int lease, byte[] result) implements Entry {}
 
--- a/src/main/java/plumpost/fleet/FleetCodec.java
+++ b/src/main/java/plumpost/fleet/FleetCodec.java
@@ -29,7 +29,9 @@
      * The newest record format that this program reads and, once the fleet has agreed on it, writes. The laboratory
      * overrides it by a system property, to run programs of two formats side by side.
      */
-    public static final int FORMAT = Integer.getInteger("plumpost.lab.format", 1);
+    public static final int FORMAT = Integer.getInteger("plumpost.lab.format", 2);
+    /** The record format since which covered orders may have a start time. */
+    public static final int FORMAT_WITH_START_TIMES = 2;
     /** Maximum size of an entry in bytes: enough for a node list of some thousand lines, or for the data of a job. */
     public static final int MAX_ENTRY_BYTES = 1 << 20;
 
@@ -65,7 +67,7 @@
             out.writeStartArray();
             out.writeNumber(format);
             out.writeString(entry.getClass().getSimpleName());
-            writeValue(out, entry);
+            writeValue(out, entry, format);
             out.writeEndArray();
         } catch (IOException failure) {
             throw new IllegalStateException(failure); // cannot happen: the output is in memory
@@ -83,7 +85,7 @@
             Class<?> kind = KINDS.get(name);
             require(kind != null, "unknown kind of entry " + name);
             in.nextToken();
-            Entry entry = (Entry) readValue(in, kind);
+            Entry entry = (Entry) readValue(in, kind, format);
             require(in.nextToken() == JsonToken.END_ARRAY, "unexpected data after the entry");
             return entry;
         } catch (UnreadableException entry) {
@@ -96,7 +98,7 @@
     /** Encodes an outcome. */
     public static byte[] encode(Outcome outcome) {
         ByteArrayOutputStream buffer = new ByteArrayOutputStream(64);
-        writeRecord(outcome, buffer);
+        writeRecord(outcome, FORMAT, buffer);
         return buffer.toByteArray();
     }
 
@@ -104,17 +106,17 @@
     public static Outcome decodeOutcome(byte[] bytes) throws UnreadableException {
         try (JsonParser in = CBOR.createParser(bytes)) {
             in.nextToken();
-            return (Outcome) readValue(in, Outcome.class);
+            return (Outcome) readValue(in, Outcome.class, FORMAT);
         } catch (IOException | RuntimeException e) {
             throw new UnreadableException("invalid outcome: " + e.getMessage(), e);
         }
     }
 
-    /** Writes a record to a stream, which stays open. */
-    static void writeRecord(Record record, OutputStream output) {
+    /** Writes a record in a record format to a stream, which stays open. */
+    static void writeRecord(Record record, int format, OutputStream output) {
         try (JsonGenerator out = CBOR.createGenerator(output)) {
             out.disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
-            writeValue(out, record);
+            writeValue(out, record, format);
         } catch (IOException failure) {
             throw new java.io.UncheckedIOException(failure);
         }
@@ -122,7 +124,8 @@
 
     /** Writes a snapshot of the state: the number of the record format that the fleet has agreed on, then the content. */
     public static void writeSnapshot(FleetState state, OutputStream output) {
-        writeRecord(new StoredSnapshot(state.sessions().format(), state.snapshot()), output);
+        int format = state.sessions().format();
+        writeRecord(new StoredSnapshot(format, state.snapshot()), format, output);
     }
 
     /** A snapshot with the number of the record format that it is written in. */
@@ -137,7 +140,7 @@
                     format >= 1 && format <= FORMAT,
                     "snapshot of format " + format + ", this program reads 1 to " + FORMAT);
             in.nextToken();
-            return (FleetState.Snapshot) readValue(in, FleetState.Snapshot.class);
+            return (FleetState.Snapshot) readValue(in, FleetState.Snapshot.class, format);
         } catch (UnreadableException e) {
             throw e;
         } catch (IOException | RuntimeException e) {
@@ -151,7 +154,12 @@
         }
     }
 
-    private static void writeValue(JsonGenerator out, Object value) throws IOException {
+    private static boolean isIn(int format, RecordComponent component) {
+        SinceFormat since = component.getAnnotation(SinceFormat.class);
+        return since == null || since.value() <= format;
+    }
+
+    private static void writeValue(JsonGenerator out, Object value, int format) throws IOException {
         if (value instanceof String text) {
             out.writeString(text);
         } else if (value instanceof Long number) {
@@ -169,14 +177,17 @@
         } else if (value instanceof List<?> list) {
             out.writeStartArray();
             for (Object item : list) {
-                writeValue(out, item);
+                writeValue(out, item, format);
             }
             out.writeEndArray();
         } else {
             out.writeStartArray();
             for (RecordComponent c : value.getClass().getRecordComponents()) {
+                if (!isIn(format, c)) {
+                    continue;
+                }
                 try {
-                    writeValue(out, c.getAccessor().invoke(value));
+                    writeValue(out, c.getAccessor().invoke(value), format);
                 } catch (ReflectiveOperationException e) {
                     throw new IllegalStateException(e);
                 }
@@ -185,7 +196,7 @@
         }
     }
 
-    private static Object readValue(JsonParser in, Type type) throws IOException {
+    private static Object readValue(JsonParser in, Type type, int format) throws IOException {
         if (type == String.class) {
             require(in.currentToken() == JsonToken.VALUE_STRING, "expected a string");
             return in.getText();
@@ -206,7 +217,7 @@
         if (type instanceof ParameterizedType list) {
             List<Object> items = new ArrayList<>();
             while (in.nextToken() != JsonToken.END_ARRAY) {
-                items.add(readValue(in, list.getActualTypeArguments()[0]));
+                items.add(readValue(in, list.getActualTypeArguments()[0], format));
             }
             return List.copyOf(items);
         }
@@ -223,11 +234,15 @@
         Object[] values = new Object[components.length];
         Class<?>[] types = new Class<?>[components.length];
         for (int i = 0; i < components.length; i++) {
+            types[i] = components[i].getType();
+            if (!isIn(format, components[i])) {
+                values[i] = 0;
+                continue;
+            }
             require(
                     in.nextToken() != JsonToken.END_ARRAY,
                     kind.getSimpleName() + " lacks component " + components[i].getName());
-            types[i] = components[i].getType();
-            values[i] = readValue(in, components[i].getGenericType());
+            values[i] = readValue(in, components[i].getGenericType(), format);
         }
         require(
                 in.nextToken() == JsonToken.END_ARRAY,
--- a/src/main/java/plumpost/fleet/FleetState.java
+++ b/src/main/java/plumpost/fleet/FleetState.java
@@ -34,7 +34,10 @@
 
     /** Applies an entry of a term of the log and adds what it changed to {@code events}. */
     public Outcome apply(Entry entry, long term, Collection<FleetEvent> events) {
-        Outcome outcome = applyEntry(entry, term, events);
+        List<FleetEvent> newEvents = new ArrayList<>();
+        Outcome outcome = applyEntry(entry, term, newEvents);
+        events.addAll(newEvents);
+        newEvents.forEach(event -> keepKeyOfEndedJob(event, events));
         if (!outcome.done()) {
             events.add(new FleetEvent.EntryRefused(entry, outcome.detail()));
         }
@@ -71,7 +74,10 @@
         } else if (entry instanceof Entry.Word report) {
             return applyDiscoveryReport(report, events);
         } else if (entry instanceof Entry.Plan plan) {
-            return plannedJobs.plan(plan, events);
+            Orders.Order order = plan.unique().isEmpty() ? null : orders.findByKey(plan.function(), plan.unique());
+            return order == null || sessions.format() < FleetCodec.FORMAT_WITH_START_TIMES
+                    ? plannedJobs.plan(plan, events)
+                    : new Outcome(true, 0, order.id());
         } else if (entry instanceof Entry.Fire fire) {
             return plannedJobs.fire(fire, duties.fenceError(SCHEDULE, fire.fence()), sessions, events);
         } else if (entry instanceof Entry.Begin begin) {
@@ -81,7 +87,11 @@
         } else if (entry instanceof Entry.CallOff command) {
             return plannedJobs.callOff(command, events);
         } else if (entry instanceof Entry.Take command) {
-            return orders.take(command, sessions, events);
+            PlannedJobs.Job planned = findPlanned(command.function(), command.unique());
+            return planned == null ? orders.take(command, sessions, events) : new Outcome(true, 0, planned.id());
+        } else if (entry instanceof Entry.TakeScheduled command) {
+            PlannedJobs.Job planned = findPlanned(command.function(), command.unique());
+            return planned == null ? orders.take(command, sessions, events) : new Outcome(true, 0, planned.id());
         } else if (entry instanceof Entry.Told command) {
             return orders.applyEvent(command, sessions, events);
         } else if (entry instanceof Entry.Claim command) {
@@ -95,6 +105,32 @@
         }
     }
 
+    /**
+     * Keeps the key of a planned job that may have run and must not run twice: submitted again, it is known to the ledger. Where
+     * no member has a ledger, nobody would ever forget it.
+     */
+    private void keepKeyOfEndedJob(FleetEvent event, Collection<FleetEvent> events) {
+        if (event instanceof FleetEvent.JobChanged changed
+                && changed.job().state() == PlannedJobs.State.ENDED
+                && !changed.job().target().isEmpty() // it was begun, and not called off while it waited
+                && !changed.job().repeatable()
+                && !changed.job().unique().isEmpty()
+                && sessions.format() >= FleetCodec.FORMAT_WITH_START_TIMES
+                && duties.find(LEDGER) != null) {
+            orders.keepEnded(changed.job(), events);
+        }
+    }
+
+    /**
+     * Returns the job of a covered class that was planned under a key before the fleet wrote record format 2, or null. Since
+     * then such orders are in the ledger, and each key in one place.
+     */
+    private PlannedJobs.Job findPlanned(String function, String unique) {
+        return unique.isEmpty() || sessions.format() < FleetCodec.FORMAT_WITH_START_TIMES
+                ? null
+                : plannedJobs.findByKey(function, unique);
+    }
+
     private Outcome afterMembershipChange(String name, Outcome outcome, Collection<FleetEvent> events) {
         Session session = sessions.find(name);
         if (outcome.done() && session != null) {
--- a/src/main/java/plumpost/fleet/Member.java
+++ b/src/main/java/plumpost/fleet/Member.java
@@ -398,6 +398,11 @@
         log.propose(entry, request);
     }
 
+    /** Proposes an entry on behalf of an operator, who is answered soon and can repeat the request without harm. */
+    void requestFromOperator(Entry entry, Consumer<Reply> callback) {
+        request(entry, OPERATOR_REQUEST_LIMIT_MS, callback);
+    }
+
     /** Whether a job with this id has no key, and its caller was told that the outcome is not known. */
     boolean isAbandoned(String jobId) {
         return pendingRequests.isAbandoned(jobId);
@@ -405,7 +410,7 @@
 
     @Override
     public void ban(String node, boolean banned, Consumer<Reply> callback) {
-        request(new Entry.Ban(node, banned), OPERATOR_REQUEST_LIMIT_MS, callback);
+        requestFromOperator(new Entry.Ban(node, banned), callback);
     }
 
     @Override
@@ -418,7 +423,7 @@
 
     @Override
     public void callOff(String id, Consumer<Reply> callback) {
-        request(new Entry.CallOff(id), OPERATOR_REQUEST_LIMIT_MS, callback);
+        requestFromOperator(new Entry.CallOff(id), callback);
     }
 
     private static Job job(PlannedJobs.Job job) {
--- a/src/main/java/plumpost/fleet/OrderRunner.java
+++ b/src/main/java/plumpost/fleet/OrderRunner.java
@@ -48,6 +48,9 @@
     private final Set<String> pendingHolds = new LinkedHashSet<>();
     private final Set<String> held = new HashSet<>();
     private final TreeMap<Integer, Set<String>> freeByPriority = new TreeMap<>(Comparator.reverseOrder());
+    /** The free orders whose start time had not come when they were last looked at. */
+    private final ScheduledOrders scheduled = new ScheduledOrders();
+
     private final Map<String, Consumer<Boolean>> leaseRequests = new LinkedHashMap<>();
     /** Leases under which this scheduler has handed orders out; they outlast its sessions. */
     private final Map<String, Integer> grantedLeases = new HashMap<>();
@@ -74,6 +77,7 @@
         ownOrders.clear();
         pendingHolds.clear();
         freeByPriority.clear();
+        scheduled.clear();
         awaitedSince.clear();
         endedSince.clear();
         member.state().orders().all().forEach(order -> changed(order, null));
@@ -103,10 +107,14 @@
                         && !held.contains(id)
                         && !pendingReleases.contains(id)
                         && !member.isAbandoned(id));
-        setContains(
-                freeByPriority.computeIfAbsent(current.priority(), p -> new LinkedHashSet<>()),
-                id,
-                known && Orders.isFree(current));
+        boolean free = known && Orders.isFree(current);
+        boolean due = current.startMs() <= member.unixTimeMs();
+        scheduled.set(current, free && !due);
+        setContains(freeByPriority.computeIfAbsent(current.priority(), p -> new LinkedHashSet<>()), id, free && due);
+        if (free && previous == null && member.isAbandoned(id)) {
+            member.count("orders_withdrawn");
+            cancel(id, reply -> {});
+        }
         setSince(awaitedSince, id, known && current.state() == State.AWAITED);
         setSince(endedSince, id, known && ended);
         if (!own) {
@@ -247,6 +255,11 @@
                         outcome -> {});
             }
         });
+        for (Orders.Order order : scheduled.removeDue(member.unixTimeMs())) {
+            freeByPriority
+                    .computeIfAbsent(order.priority(), p -> new LinkedHashSet<>())
+                    .add(order.id());
+        }
         claimFree(self);
     }
 
@@ -306,7 +319,8 @@
                     order.priority(),
                     order.patienceMs(),
                     order.repeatable(),
-                    order.background()))) {
+                    order.background(),
+                    order.startMs()))) {
                 report(id, Report.RELEASED, EMPTY_RESULT);
             }
         }
@@ -395,18 +409,22 @@
 
     @Override
     public void take(Ledger.Order order, double limitMs, Consumer<Fleet.Reply> callback) {
-        if (!member.mayAct()) {
-            callback.accept(new Fleet.Reply(
-                    Fleet.Result.NOT_PROPOSED,
-                    member.stopping()
-                            ? "this scheduler ends"
-                            : "no majority of the fleet hears this scheduler; try again after "
-                                    + Math.round(CLAIM_PAUSE_MS) + " ms"));
+        if (refuseIfInactive(callback)) {
             return;
         }
-        member.request(
-                new Entry.Take(
-                        new SessionId(member.name(), member.incarnation()),
+        SessionId self = new SessionId(member.name(), member.incarnation());
+        Entry entry = order.startMs() > 0
+                ? new Entry.TakeScheduled(
+                        self,
+                        order.id(),
+                        order.function(),
+                        order.unique(),
+                        order.body(),
+                        order.patienceMs(),
+                        order.repeatable(),
+                        order.startMs())
+                : new Entry.Take(
+                        self,
                         order.id(),
                         order.function(),
                         order.unique(),
@@ -414,9 +432,40 @@
                         order.priority(),
                         order.patienceMs(),
                         order.repeatable(),
-                        order.background()),
-                limitMs,
-                callback);
+                        order.background());
+        member.request(entry, limitMs, callback);
+    }
+
+    /** Answers that nothing is proposed, and returns true, if this scheduler may not act for the fleet now. */
+    private boolean refuseIfInactive(Consumer<Fleet.Reply> callback) {
+        if (member.mayAct()) {
+            return false;
+        }
+        callback.accept(new Fleet.Reply(
+                Fleet.Result.NOT_PROPOSED,
+                member.stopping()
+                        ? "this scheduler ends"
+                        : "no majority of the fleet hears this scheduler; try again after " + Math.round(CLAIM_PAUSE_MS)
+                                + " ms"));
+        return true;
+    }
+
+    @Override
+    public boolean takesStartTimes() {
+        return member.state().sessions().format() >= FleetCodec.FORMAT_WITH_START_TIMES;
+    }
+
+    @Override
+    public List<String> scheduledIds() {
+        return scheduled.ids();
+    }
+
+    @Override
+    public void cancel(String id, Consumer<Fleet.Reply> callback) {
+        if (!refuseIfInactive(callback)) {
+            SessionId self = new SessionId(member.name(), member.incarnation());
+            member.requestFromOperator(new Entry.Told(self, id, Event.GIVE_UP, 0, EMPTY_RESULT), callback);
+        }
     }
 
     private static OrderStatus status(Orders.Order order, boolean kept) {
@@ -431,6 +480,7 @@
                             case UNKNOWN -> Stage.UNKNOWN;
                             default -> Stage.OUT;
                         },
+                order.startMs(),
                 order.result());
     }
 
--- a/src/main/java/plumpost/fleet/Orders.java
+++ b/src/main/java/plumpost/fleet/Orders.java
@@ -40,6 +40,7 @@
      * @param holder the scheduler that holds it, empty for none; {@code incarnation} is the session that does
      * @param lease the number of its latest lease, 0 before the first
      * @param result the worker's result or error; empty before the order ends
+     * @param startMs when it starts, in Unix milliseconds, or 0 for at once
      */
     public record Order(
             String id,
@@ -54,7 +55,8 @@
             String holder,
             long incarnation,
             int lease,
-            byte[] result) {
+            byte[] result,
+            @SinceFormat(2) double startMs) {
         Order withState(State next, int newLease, byte[] newResult) {
             return new Order(
                     id,
@@ -69,7 +71,8 @@
                     holder,
                     incarnation,
                     newLease,
-                    newResult);
+                    newResult,
+                    startMs);
         }
 
         Order withHolder(String newHolder, long newIncarnation) {
@@ -86,7 +89,8 @@
                     newHolder,
                     newIncarnation,
                     lease,
-                    result);
+                    result,
+                    startMs);
         }
 
         boolean isHeldBy(Entry.SessionId session) {
@@ -123,22 +127,8 @@
         return function + '\0' + unique;
     }
 
-    /** Accepts an order; if its key is known already the outcome names the handle of that order instead. */
+    /** Accepts an order, which its session holds; see {@link #accept}. */
     Outcome take(Entry.Take command, Sessions sessions, Collection<FleetEvent> events) {
-        Order existing = byId.get(command.id());
-        existing = existing != null || command.unique().isEmpty()
-                ? existing
-                : findByKey(command.function(), command.unique());
-        if (existing != null) {
-            return new Outcome(true, 0, existing.id);
-        }
-        if (!sessions.live(command.session().name(), command.session().incarnation())) {
-            return Outcome.refused("no such life as " + command.session().name() + "#"
-                    + command.session().incarnation());
-        }
-        if (byId.size() >= MAX_ORDERS || storedBytes + command.body().length > MAX_BYTES) {
-            return Outcome.refused("the fleet's ledger is full: " + byId.size() + " orders, " + storedBytes + " bytes");
-        }
         Order order = new Order(
                 command.id(),
                 command.function(),
@@ -152,7 +142,67 @@
                 command.session().name(),
                 command.session().incarnation(),
                 0,
-                EMPTY_RESULT);
+                EMPTY_RESULT,
+                0);
+        return accept(order, command.session(), sessions, events);
+    }
+
+    /** Accepts an order with a start time, which nobody holds; see {@link #accept}. */
+    Outcome take(Entry.TakeScheduled command, Sessions sessions, Collection<FleetEvent> events) {
+        Order order = new Order(
+                command.id(),
+                command.function(),
+                command.unique(),
+                command.body(),
+                0,
+                command.patienceMs(),
+                command.repeatable(),
+                true,
+                State.TAKEN,
+                "",
+                0,
+                0,
+                EMPTY_RESULT,
+                command.startMs());
+        return accept(order, command.session(), sessions, events);
+    }
+
+    /** Keeps a planned job that has ended as an order that may have run; its result is not known to the log. */
+    void keepEnded(PlannedJobs.Job job, Collection<FleetEvent> events) {
+        if (byId.containsKey(job.id())) {
+            return;
+        }
+        Order order = new Order(
+                job.id(),
+                job.function(),
+                job.unique(),
+                EMPTY_RESULT,
+                0,
+                0,
+                false,
+                true,
+                State.UNKNOWN,
+                "",
+                0,
+                0,
+                EMPTY_RESULT,
+                job.startMs());
+        update(order, events);
+    }
+
+    /** Accepts an order; if its key is known already the outcome names the handle of that order instead. */
+    private Outcome accept(Order order, Entry.SessionId session, Sessions sessions, Collection<FleetEvent> events) {
+        Order existing = byId.get(order.id);
+        existing = existing != null || order.unique.isEmpty() ? existing : findByKey(order.function, order.unique);
+        if (existing != null) {
+            return new Outcome(true, 0, existing.id);
+        }
+        if (!sessions.live(session.name(), session.incarnation())) {
+            return Outcome.refused("no such session as " + session.name() + "#" + session.incarnation());
+        }
+        if (byId.size() >= MAX_ORDERS || storedBytes + order.body.length > MAX_BYTES) {
+            return Outcome.refused("the fleet's ledger is full: " + byId.size() + " orders, " + storedBytes + " bytes");
+        }
         update(order, events);
         return new Outcome(true, 0, order.id);
     }
@@ -173,7 +223,8 @@
             return Outcome.refused("order " + order.id + " is not "
                     + command.session().name() + "#" + command.session().incarnation() + "'s to lease");
         }
-        if (command.event() == Event.GIVE_UP && !order.isHeldBy(command.session())) {
+        boolean isFreeToCancel = isFree(order) && sessions.format() >= FleetCodec.FORMAT_WITH_START_TIMES;
+        if (command.event() == Event.GIVE_UP && !order.isHeldBy(command.session()) && !isFreeToCancel) {
             return Outcome.refused("order " + order.id + " is not "
                     + command.session().name() + "#" + command.session().incarnation() + "'s");
         }
--- a/src/main/java/plumpost/fleet/PendingRequests.java
+++ b/src/main/java/plumpost/fleet/PendingRequests.java
@@ -29,6 +29,8 @@
         private Request(Entry entry, Consumer<Reply> callback) {
             key = key(entry);
             isCancellable = entry instanceof Entry.Take take && take.unique().isEmpty()
+                    || entry instanceof Entry.TakeScheduled scheduled
+                            && scheduled.unique().isEmpty()
                     || entry instanceof Entry.Plan plan && plan.unique().isEmpty();
             this.callback = callback;
         }
@@ -85,8 +87,13 @@
 
     /** Jobs are known by their ids, which are never reused; other entries by their content. */
     private static String key(Entry entry) {
-        return entry instanceof Entry.Take take
-                ? take.id()
-                : entry instanceof Entry.Plan plan ? plan.id() : entry.toString();
+        if (entry instanceof Entry.Take take) {
+            return take.id();
+        } else if (entry instanceof Entry.TakeScheduled take) {
+            return take.id();
+        } else if (entry instanceof Entry.Plan plan) {
+            return plan.id();
+        }
+        return entry instanceof Entry.Told told ? told.event() + " " + told.id() : entry.toString();
     }
 }
--- a/src/main/java/plumpost/gearman/AdminCommands.java
+++ b/src/main/java/plumpost/gearman/AdminCommands.java
@@ -6,6 +6,7 @@
 import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.OpenJobCounts;
 import plumpost.gearman.FunctionTable.Function;
+import plumpost.peers.Fleet;
 
 /**
  * The admin commands: takes a line of text and returns the answer. Commands that can do harm are off unless the
@@ -27,26 +28,25 @@
     /** Answers a line: at once, or after the fleet has decided if a job planned with the fleet is to be cancelled. */
     void answer(String line, Consumer<String> onAnswer) {
         String[] words = line.split("\\s+");
-        if (front.fleetJobs != null
-                && words.length == 3
+        boolean cancelsJob = words.length == 3
                 && words[0].equalsIgnoreCase("cancel")
                 && words[1].equalsIgnoreCase("job")
-                && front.config.allowedAdminCommands().contains("cancel")
+                && front.config.allowedAdminCommands().contains("cancel");
+        if (cancelsJob && front.fleetOrders != null && front.fleetOrders.isCancellable(words[2])) {
+            front.fleetOrders.cancel(words[2], reply -> onAnswer.accept(cancellationAnswer(reply)));
+        } else if (cancelsJob
+                && front.fleetJobs != null
                 && front.fleetJobs.fleet().planned(words[2]) != null) {
-            front.fleetJobs
-                    .fleet()
-                    .callOff(
-                            words[2],
-                            reply -> onAnswer.accept(
-                                    reply.agreed()
-                                            ? OK
-                                            : "ERR JOB_NOT_CALLED_OFF "
-                                                    + reply.detail().replace(' ', '+') + "\n"));
+            front.fleetJobs.fleet().callOff(words[2], reply -> onAnswer.accept(cancellationAnswer(reply)));
         } else {
             onAnswer.accept(answer(line));
         }
     }
 
+    private static String cancellationAnswer(Fleet.Reply reply) {
+        return reply.agreed() ? OK : "ERR JOB_NOT_CALLED_OFF " + reply.detail().replace(' ', '+') + "\n";
+    }
+
     private String answer(String line) {
         String[] words = line.split("\\s+");
         String command = words[0].toLowerCase(java.util.Locale.ROOT);
@@ -136,6 +136,11 @@
                         .plannedHandles()
                         .forEach(handle -> text.append(handle).append("\t0\t0\t0\n"));
             }
+            if (front.fleetOrders != null) {
+                front.fleetOrders
+                        .scheduledHandles()
+                        .forEach(handle -> text.append(handle).append("\t0\t0\t0\n"));
+            }
             return text.append(".\n").toString();
         }
         if (words.length == 3 && words[1].equalsIgnoreCase("unique") && words[2].equalsIgnoreCase("jobs")) {
--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -228,7 +228,7 @@
         if (request == null) {
             return;
         }
-        if (front.fleetOrders != null && front.fleetOrders.covers(request)) {
+        if (isCovered(request)) {
             submitOrder(request, inBackground);
             return;
         }
@@ -247,16 +247,7 @@
         }
         Fleet.Job planned = front.fleetJobs == null ? null : front.fleetJobs.findByKey(request);
         if (planned != null && (request.unique() == null || front.core.findJobByUniqueKey(request.unique()) == null)) {
-            if (inBackground) {
-                connection.write(Type.JOB_CREATED, planned.id());
-            } else {
-                reject(
-                        "scheduled",
-                        planned.id()
-                                + (front.fleetJobs.fleet().fired(planned.id())
-                                        ? " runs at another scheduler"
-                                        : " is to run at " + Math.round(planned.atMs() / 1000)));
-            }
+            answerPlanned(planned, inBackground);
             return;
         }
         boolean joins = request.unique() != null
@@ -279,36 +270,64 @@
         }
     }
 
+    /** Answers a client whose job under the same key is scheduled with the fleet: it must neither run twice nor earlier. */
+    private void answerPlanned(Fleet.Job planned, boolean inBackground) {
+        if (inBackground) {
+            connection.write(Type.JOB_CREATED, planned.id());
+        } else if (front.fleetJobs.fleet().fired(planned.id())) {
+            reject("scheduled", planned.id() + " runs at another scheduler");
+        } else {
+            rejectScheduled(planned.id(), planned.atMs());
+        }
+    }
+
+    private void rejectScheduled(String handle, double startMs) {
+        reject("scheduled", handle + " is to run at " + Math.round(startMs / 1000));
+    }
+
+    private boolean isCovered(JobSpec request) {
+        return front.fleetOrders != null && front.fleetOrders.covers(request);
+    }
+
+    private void submitOrder(JobSpec request, boolean inBackground) {
+        submitOrder(request, inBackground, 0);
+    }
+
     /**
-     * Submits a covered order. The client is answered once the fleet's ledger has accepted the order; a resubmitted
-     * order joins the existing one or gets its outcome.
+     * Submits a covered order that starts at a Unix time in milliseconds, or at once if it is 0. The client is answered once the
+     * fleet's ledger has accepted the order; a resubmitted order joins the existing one or gets its outcome.
      */
-    private void submitOrder(JobSpec request, boolean inBackground) {
+    private void submitOrder(JobSpec request, boolean inBackground, double startMs) {
         Ledger.OrderStatus existing =
                 front.fleetOrders.find(request.work().name(), request.work().unique());
+        // Before all members knew of start times, scheduled orders were planned jobs of the fleet.
+        Fleet.Job planned = front.fleetJobs.findByKey(request);
         if (existing != null) {
             joinOrder(existing.id(), request.patienceMs(), inBackground);
-        } else if (!rejectIfFull(request)) {
+        } else if (planned != null) {
+            answerPlanned(planned, inBackground);
+        } else if (startMs > 0 || !rejectIfFull(request)) {
             awaitingFleet = true;
             double submittedAtMs = front.context.clock().nowMs();
-            front.fleetOrders.submit(request, inBackground, answer -> {
+            front.fleetOrders.submit(request, inBackground, startMs, answer -> {
                 awaitingFleet = false;
                 if (answer.agreed()) {
                     double elapsedMs = front.context.clock().nowMs() - submittedAtMs;
                     joinOrder(answer.detail(), request.patienceMs() - elapsedMs, inBackground);
                 } else {
-                    reject(
-                            answer.result() == Fleet.Result.REFUSED
-                                            && answer.detail().contains("full")
-                                    ? "full"
-                                    : "fleet",
-                            fleetError(answer, request));
+                    rejectByFleet(answer, request);
                 }
                 processDeferred();
             });
         }
     }
 
+    private void rejectByFleet(Fleet.Reply answer, JobSpec request) {
+        boolean full =
+                answer.result() == Fleet.Result.REFUSED && answer.detail().contains("full");
+        reject(full ? "full" : "fleet", fleetError(answer, request));
+    }
+
     /** Returns the text of an ERROR packet that says what is known of a job that the fleet has not agreed on. */
     private static String fleetError(Fleet.Reply answer, JobSpec request) {
         if (answer.result() != Fleet.Result.UNKNOWN) {
@@ -320,8 +339,16 @@
                         : "; submit it again under the same unique key only");
     }
 
-    /** Answers JOB_CREATED and, for a foreground job, waits for the order's outcome for up to {@code patienceMs}. */
+    /**
+     * Answers JOB_CREATED and, for a foreground job, waits for the order's outcome for up to {@code patienceMs}. An order that
+     * waits for its start time neither runs earlier nor answers in time, so that nobody can wait for it.
+     */
     private void joinOrder(String handle, double patienceMs, boolean inBackground) {
+        Ledger.OrderStatus order = front.fleetOrders.find(handle);
+        if (!inBackground && order != null && front.fleetOrders.waitsForStart(order)) {
+            rejectScheduled(handle, order.startMs());
+            return;
+        }
         Submission submission = new Submission(inBackground ? null : this, handle);
         submission.announce(connection);
         if (!inBackground) {
@@ -400,6 +427,10 @@
         if (request == null) {
             return;
         }
+        if (isCovered(request) && front.fleetOrders.takesStartTimes()) {
+            submitOrder(request, true, Math.max(1, atMs));
+            return;
+        }
         OpenJob openJob = request.unique() == null ? null : front.core.findJobByUniqueKey(request.unique());
         Schedule.Entry existing = request.unique() == null ? null : front.schedule.findByUnique(request.unique());
         String exhaustedLimit = front.schedule.exhaustedLimit(request.body().remaining());
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -73,8 +73,39 @@
 
     // ---- clients ----
 
-    /** Submits an order to the fleet's ledger and passes on its answer. */
-    void submit(JobSpec request, boolean background, Consumer<Fleet.Reply> onAnswer) {
+    /** Whether scheduled orders are in the ledger; before all members know of them, the fleet's schedule has them. */
+    boolean takesStartTimes() {
+        return ledger.takesStartTimes();
+    }
+
+    /** Whether an order waits for its start time. */
+    boolean waitsForStart(Ledger.OrderStatus order) {
+        return order.stage() == Ledger.Stage.HELD
+                && order.startMs() > front.context.unixTime().nowMs();
+    }
+
+    /** The handles of the orders that wait for their start time. */
+    List<String> scheduledHandles() {
+        return ledger.scheduledIds();
+    }
+
+    /** Whether no scheduler is known to have this order, so that the fleet may cancel it. */
+    boolean isCancellable(String handle) {
+        Ledger.OrderStatus order = ledger.status(handle);
+        return order != null && order.stage() == Ledger.Stage.HELD && !isOpen(handle);
+    }
+
+    /** Cancels an order that no scheduler holds. */
+    void cancel(String handle, Consumer<Fleet.Reply> onAnswer) {
+        ledger.cancel(handle, onAnswer);
+    }
+
+    /**
+     * Submits an order to the fleet's ledger and passes on its answer.
+     *
+     * @param startMs when it starts, in Unix milliseconds, or 0 for at once
+     */
+    void submit(JobSpec request, boolean background, double startMs, Consumer<Fleet.Reply> onAnswer) {
         byte[] body = new byte[request.body().remaining()];
         request.body().duplicate().get(body);
         String unique = request.work().unique();
@@ -88,7 +119,8 @@
                         request.work().priority(),
                         request.patienceMs(),
                         mayRunTwice,
-                        background),
+                        background,
+                        startMs),
                 front.fleetAnswerLimitMs(request),
                 onAnswer);
     }
--- a/src/main/java/plumpost/lab/fleet/FleetLab.java
+++ b/src/main/java/plumpost/lab/fleet/FleetLab.java
@@ -23,6 +23,7 @@
 import plumpost.config.Json.Fields;
 import plumpost.config.NodeConfig;
 import plumpost.config.PeersConfig;
+import plumpost.fleet.FleetCodec;
 import plumpost.peers.Fleet;
 import plumpost.peers.Peers;
 
@@ -76,7 +77,7 @@
         private final Path configFile;
         private Map<String, String> environment = Map.of();
         private Process process;
-        private int recordFormat = 1;
+        private int recordFormat = FleetCodec.FORMAT;
 
         private SchedulerProcess(String name, String site, boolean vote) {
             this.name = name;
--- a/src/main/java/plumpost/peers/Ledger.java
+++ b/src/main/java/plumpost/peers/Ledger.java
@@ -1,5 +1,6 @@
 package plumpost.peers;
 
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -15,6 +16,7 @@
      * @param patienceMs for how many milliseconds its holder tries
      * @param repeatable whether it may run twice
      * @param background whether no client waits for its answer
+     * @param startMs when it starts, in Unix milliseconds, or 0 for at once
      */
     record Order(
             String id,
@@ -24,7 +26,8 @@
             int priority,
             double patienceMs,
             boolean repeatable,
-            boolean background) {}
+            boolean background,
+            double startMs) {}
 
     /** The stages of an order, as far as is known here. */
     enum Stage {
@@ -42,8 +45,8 @@
         REFUSED
     }
 
-    /** An order's stage and its result, empty before its end. */
-    record OrderStatus(String id, Stage stage, byte[] result) {
+    /** An order's stage, its start time in Unix milliseconds or 0, and its result, empty before its end. */
+    record OrderStatus(String id, Stage stage, double startMs, byte[] result) {
         /** Whether the order has its final answer. */
         public boolean ended() {
             return stage.ordinal() >= Stage.SERVED.ordinal();
@@ -93,6 +96,15 @@
      */
     void take(Order order, double limitMs, Consumer<Fleet.Reply> callback);
 
+    /** Whether orders may have a start time: not before all members of the fleet know of them. */
+    boolean takesStartTimes();
+
+    /** Returns the handles of the orders whose start time has not come. */
+    List<String> scheduledIds();
+
+    /** Cancels an order that no scheduler holds, such as one whose start time has not come. */
+    void cancel(String id, Consumer<Fleet.Reply> callback);
+
     /** Returns the status of the order with this handle, or null. */
     OrderStatus status(String id);
 
--- a/src/test/java/plumpost/fleet/FleetStateTest.java
+++ b/src/test/java/plumpost/fleet/FleetStateTest.java
@@ -166,8 +166,9 @@
         byte[] encoded = FleetCodec.encode(new Entry.Ban("n1", true), 1);
         assertThat(FleetCodec.decodeEntry(encoded)).isEqualTo(new Entry.Ban("n1", true));
         byte[] newer = encoded.clone();
-        newer[1] = 2;
-        assertThatThrownBy(() -> FleetCodec.decodeEntry(newer)).hasMessageContaining("record format 2");
+        newer[1] = (byte) (FleetCodec.FORMAT + 1);
+        assertThatThrownBy(() -> FleetCodec.decodeEntry(newer))
+                .hasMessageContaining("record format " + (FleetCodec.FORMAT + 1));
         byte[] newerSnapshot = snapshot.toByteArray();
         newerSnapshot[1] = 9;
         assertThatThrownBy(() -> FleetCodec.readSnapshot(new ByteArrayInputStream(newerSnapshot)))
--- a/src/test/java/plumpost/fleet/OrdersTest.java
+++ b/src/test/java/plumpost/fleet/OrdersTest.java
@@ -116,6 +116,45 @@
                 .isEqualTo("out");
     }
 
+    /** A scheduled order is nobody's until it is claimed, can be cancelled until then, and keeps its time in a snapshot. */
+    @Test
+    void aScheduledOrderIsFreeUntilItIsClaimed() throws Exception {
+        Entry scheduled = new Entry.TakeScheduled(sessionA, "late", "f", "k", new byte[3], 1000, false, 5000);
+        apply(new Entry.Join("a", "", "disk-a", true, "m", 2, List.of()));
+        SessionId again = new SessionId("a", state.sessions().find("a").incarnation());
+        apply(new Entry.Leave("b", sessionB.incarnation(), true));
+        assertThat(apply(new Entry.Raise(2)).done()).isTrue();
+        assertThat(apply(scheduled).detail()).as("its session is over").contains("no such session as a#");
+        assertThat(apply(new Entry.TakeScheduled(again, "late", "f", "k", new byte[3], 1000, false, 5000))
+                        .detail())
+                .isEqualTo("late");
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        FleetCodec.writeSnapshot(state, out);
+        state.restore(FleetCodec.readSnapshot(new ByteArrayInputStream(out.toByteArray())));
+        assertThat(order("late").startMs()).isEqualTo(5000);
+        assertThat(Orders.isFree(order("late"))).isTrue();
+        assertThat(report(again, "late", Event.LEASE, 0).done()).isFalse();
+        assertThat(report(again, "late", Event.GIVE_UP, 0).done()).isTrue();
+        assertThat(order("late")).isNull();
+        take(again, "held", "k", false);
+        SessionId other = join("c");
+        assertThat(report(other, "held", Event.GIVE_UP, 0).done())
+                .as("an order that another scheduler holds")
+                .isFalse();
+    }
+
+    /** Records of format 1 have no start times: they are written without and read as 0, so that older programs go on. */
+    @Test
+    void formatOneHasNoStartTimes() throws Exception {
+        take(sessionA, "one", "k", false);
+        assertThat(state.sessions().format()).isEqualTo(1);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        FleetCodec.writeSnapshot(state, out);
+        FleetState other = new FleetState();
+        other.restore(FleetCodec.readSnapshot(new ByteArrayInputStream(out.toByteArray())));
+        assertThat(other.orders().find("one").startMs()).isZero();
+    }
+
     /** After six leases over all schedulers a repeatable order is given up too. */
     @Test
     void aRepeatableOrderHasAtMostSixLeases() {
--- a/src/test/java/plumpost/lab/fleet/FleetTestBase.java
+++ b/src/test/java/plumpost/lab/fleet/FleetTestBase.java
@@ -144,6 +144,10 @@
         }
     }
 
+    int writtenFormat() {
+        return showFleet() == null ? 0 : showFleet().integer("format");
+    }
+
     static void awaitUntil(String description, Callable<Boolean> condition) throws Exception {
         for (long end = System.nanoTime() + TIMEOUT_MS * 1_000_000; !condition.call(); Thread.sleep(100)) {
             assertThat(System.nanoTime())
--- a/src/test/java/plumpost/lab/fleet/FormatsIT.java
+++ b/src/test/java/plumpost/lab/fleet/FormatsIT.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import plumpost.lab.fleet.FleetLab.SchedulerProcess;
@@ -10,10 +11,6 @@
 @Timeout(240)
 class FormatsIT extends FleetTestBase {
 
-    private int writtenFormat() {
-        return showFleet().integer("format");
-    }
-
     /** Restarts a process as a program with another newest format; jobs submitted after that each run once. */
     private void restart(SchedulerProcess process, int newestFormat, String keyPrefix) throws Exception {
         double restartedAtMs = lab.history().nowMs();
@@ -25,10 +22,55 @@
         assertEachRanOnce(submitScheduled(6, "order-it", keyPrefix, 0));
     }
 
+    private void startFleetOfOlderFormat() throws Exception {
+        createFleet(3, 0, 3, "");
+        for (SchedulerProcess process : lab.processes()) {
+            process.setRecordFormat(1);
+            process.start();
+        }
+        for (SchedulerProcess process : lab.processes()) {
+            awaitJoined(process, 0);
+        }
+    }
+
+    /**
+     * Guards a key that was scheduled before the fleet wrote start times into its ledger: submitted again after that, at once or for
+     * a time, it is the same job and runs once.
+     */
+    @Test
+    void aKeyScheduledBeforeTheNewerFormatStaysOneJob() throws Exception {
+        extraPeerSettings = "\"covers\": [\"pickup-order\"], ";
+        startFleetOfOlderFormat();
+        long startAtS = System.currentTimeMillis() / 1000 + 30;
+        SchedulerProcess last = lab.processes().get(2);
+        String handle = LabWorkers.submitScheduled(last, lab.history(), "order-it", "old", startAtS);
+        for (SchedulerProcess process : lab.processes()) {
+            double restartedAtMs = lab.history().nowMs();
+            process.signal("TERM");
+            assertThat(process.awaitExit(TIMEOUT_MS)).isTrue();
+            process.setRecordFormat(2);
+            process.start();
+            awaitJoined(process, restartedAtMs);
+        }
+        awaitUntil("the newer one is written", () -> writtenFormat() == 2);
+        assertThat(LabWorkers.submitBackground(last, lab.history(), "order-it", "old"))
+                .isEqualTo(handle);
+        assertThat(LabWorkers.submitScheduled(lab.processes().get(0), lab.history(), "order-it", "old", startAtS + 60))
+                .isEqualTo(handle);
+        startWorkers(1, "order-it");
+        assertEachRanOnce(List.of("old"));
+        assertThat(LabWorkers.submitBackground(last, lab.history(), "order-it", "old"))
+                .as("its key is kept after its end")
+                .isEqualTo(handle);
+        assertThat(LabWorkers.submitScheduled(last, lab.history(), "order-it", "new", startAtS))
+                .isNotNull();
+        assertEachRanOnce(List.of("old", "new"));
+    }
+
     /** Guards a rolling upgrade: a newer format is written only once all read it; an older program then logs that and leaves. */
     @Test
     void aNewerFormatIsWrittenOnceAllReadIt() throws Exception {
-        startFleet(3, 0, 3, "");
+        startFleetOfOlderFormat();
         startWorkers(1, "order-it");
         SchedulerProcess first = lab.processes().get(0);
         SchedulerProcess third = lab.processes().get(2);
@@ -50,7 +92,7 @@
         awaitUntil(
                 "the others go on",
                 () -> LabWorkers.submitScheduled(first, lab.history(), "order-it", "on", 1) != null);
-        assertEachRanOnce(java.util.List.of("on"));
+        assertEachRanOnce(List.of("on"));
         third.signal("KILL");
         assertThat(third.awaitExit(TIMEOUT_MS)).isTrue();
         third.setRecordFormat(2);
--- a/src/test/java/plumpost/lab/fleet/OrdersIT.java
+++ b/src/test/java/plumpost/lab/fleet/OrdersIT.java
@@ -189,6 +189,66 @@
         assertThat(keys).allSatisfy(k -> assertThat(runCount(k)).as(k).isEqualTo(1));
     }
 
+    /**
+     * Guards a scheduled order whose scheduler is killed while it runs: submitted again under its key it is the same order, in
+     * any way. The fleet's schedule forgot the key of a job that it gave up, and the order ran again.
+     */
+    @Test
+    void aScheduledOrderIsKnownUnderItsKeyAfterItsSchedulerIsKilled() throws Exception {
+        startCoveringFleet("\"awaitMs\": 2000, ");
+        awaitUntil("the ledger takes start times", () -> writtenFormat() == 2);
+        SchedulerProcess first = lab.processes().get(0);
+        SchedulerProcess second = lab.processes().get(1);
+        addWorkers(first, 1, 30_000);
+        long startAtS = System.currentTimeMillis() / 1000 + 1;
+        String handle = LabWorkers.submitScheduled(first, lab.history(), "order-it", "van", startAtS);
+        assertThat(handle).isNotNull();
+        awaitUntil("it runs", () -> runCount("van") == 1);
+        double killedAtMs = lab.history().nowMs();
+        first.signal("KILL");
+        awaitLogLine(second, killedAtMs, "s1, incarnation ");
+        addWorkers(second, 2, 1);
+        assertThat(LabWorkers.submitScheduled(second, lab.history(), "order-it", "van", startAtS))
+                .isEqualTo(handle);
+        assertThat(LabWorkers.submitBackground(lab.processes().get(2), lab.history(), "order-it", "van"))
+                .isEqualTo(handle);
+        assertThat(LabWorkers.submitAndWait(second, lab.history(), "order-it", "van", ANSWER_TIMEOUT_MS))
+                .isEqualTo("WORK_FAIL");
+        assertThat(LabWorkers.submitScheduled(second, lab.history(), "order-it", "van", startAtS))
+                .as("after it was given up")
+                .isEqualTo(handle);
+        assertEachRanOnce(submitOrders(second, 1, "behind"));
+        assertThat(runCount("van")).isEqualTo(1);
+    }
+
+    /** Guards a scheduled order that its client submits at once under the same key: it runs once, at its time. */
+    @Test
+    void anOrderScheduledAndSubmittedAtOnceIsOneOrder() throws Exception {
+        startCoveringFleet("");
+        awaitUntil("the ledger takes start times", () -> writtenFormat() == 2);
+        SchedulerProcess first = lab.processes().get(0);
+        SchedulerProcess second = lab.processes().get(1);
+        addWorkers(second, 2, 1);
+        long startAtS = System.currentTimeMillis() / 1000 + 4;
+        String handle = LabWorkers.submitScheduled(first, lab.history(), "order-it", "van", startAtS);
+        assertThat(handle).isNotNull();
+        assertThat(LabWorkers.submitAndWait(first, lab.history(), "order-it", "van", ANSWER_TIMEOUT_MS))
+                .as("nobody can wait for it")
+                .isEqualTo("ERROR");
+        awaitUntil(
+                "it is known elsewhere",
+                () -> handle.equals(LabWorkers.submitBackground(second, lab.history(), "order-it", "van")));
+        assertThat(LabWorkers.submitBackground(first, lab.history(), "order-it", "van"))
+                .isEqualTo(handle);
+        assertThat(runCount("van")).isZero();
+        assertEachRanOnce(List.of("van"));
+        assertThat(System.currentTimeMillis() / 1000).isGreaterThanOrEqualTo(startAtS);
+        assertThat(LabWorkers.submitAndWait(first, lab.history(), "order-it", "van", ANSWER_TIMEOUT_MS))
+                .as("its outcome is kept")
+                .isEqualTo("WORK_COMPLETE");
+        assertThat(runCount("van")).isEqualTo(1);
+    }
+
     /** Submits an order without a key in the foreground; returns the type of the first answer. */
     private static Type submitWithoutKey(SchedulerProcess scheduler, String payload) throws IOException {
         try (GearmanConnection client = new GearmanConnection(scheduler.gearmanPort(), ANSWER_TIMEOUT_MS)) {
