Guard the event loop against errors as against exceptions, so that one step cannot end the process

Cause: runGuarded and the timer wheel caught RuntimeException only; connections caught errors of the virtual machine, but not a class that does not load. Ruled out: the main thread's own code, which was in the loop.

Change: each step of the loop is guarded against errors too; the other timers of a tick run when one fails; the connection on which it happens ends; net.fault counts it and the log names it.

--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -136,11 +136,14 @@
         selector.wakeup();
     }
 
-    /** Runs a step and counts and logs its exceptions, so that no input and no faulty handler stops the loop. */
+    /**
+     * Runs a step and counts and logs its exceptions and errors, so that no input, no faulty handler and no lack of memory in
+     * one step ends the process with all its open jobs.
+     */
     private void runGuarded(Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | Error fault) {
             counters.count("net.fault");
             log.accept("fault on the loop: " + fault + " at "
                     + (fault.getStackTrace().length == 0 ? "?" : fault.getStackTrace()[0]));
@@ -421,7 +424,7 @@
                 }
             } catch (IOException e) {
                 handleEnd();
-            } catch (RuntimeException | VirtualMachineError e) {
+            } catch (RuntimeException | Error e) {
                 handleEnd();
                 throw new IllegalStateException("on a connection: " + e, e);
             }
@@ -444,7 +447,7 @@
                 } else if (count > 0 && !finishing) {
                     handler.received(buffer.flip());
                 }
-            } catch (RuntimeException | VirtualMachineError e) {
+            } catch (RuntimeException | Error e) {
                 handleEnd();
                 throw new IllegalStateException("on a connection: " + e, e);
             } finally {
--- a/src/main/java/plumpost/time/TimerWheel.java
+++ b/src/main/java/plumpost/time/TimerWheel.java
@@ -55,8 +55,8 @@
     }
 
     /**
-     * Runs the due timers, tick by tick. If timers throw, the first exception is rethrown once all others of the same tick
-     * have run; later ticks are run by the next call.
+     * Runs the due timers, tick by tick. If timers throw, the first exception or error is rethrown once all others of the same
+     * tick have run; later ticks are run by the next call.
      */
     public void advanceTo(double nowMs) {
         long targetTick = (long) Math.floor(nowMs / TICK_MS);
@@ -78,7 +78,7 @@
         List<Timer> timers = slots.get(slot);
         slots.set(slot, new ArrayList<>(0));
         occupied.clear(slot);
-        RuntimeException firstFailure = null;
+        Throwable firstFailure = null;
         for (Timer timer : timers) {
             if (timer.action == null) {
                 continue;
@@ -90,12 +90,14 @@
             }
             try {
                 timer.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 firstFailure = firstFailure == null ? e : firstFailure;
             }
         }
-        if (firstFailure != null) {
-            throw firstFailure;
+        if (firstFailure instanceof Error error) {
+            throw error;
+        } else if (firstFailure instanceof RuntimeException exception) {
+            throw exception;
         }
     }
 
--- a/src/test/java/plumpost/net/SelectorLoopTest.java
+++ b/src/test/java/plumpost/net/SelectorLoopTest.java
@@ -60,6 +60,37 @@
         assertThat(counters.get("net.unread")).isPositive();
     }
 
+    /**
+     * Guards the process against an error in one timer or connection, such as a lack of memory: it left the loop, and every open
+     * job with it. Now that one connection ends, and it is counted and logged.
+     */
+    @Test
+    @Timeout(20)
+    void anErrorInOneStepDoesNotEndTheLoop() throws Exception {
+        TimerWheel wheel = new TimerWheel(clock.nowMs());
+        List<String> log = new ArrayList<>();
+        SelectorLoop loop = new SelectorLoop(clock, wheel, counters, log::add);
+        var listener = loop.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                connection -> recordingHandler(connection, "", () -> {
+                    throw new OutOfMemoryError("of one connection");
+                }),
+                8,
+                () -> false);
+        loop.dial(listener.address(), connection -> recordingHandler(connection, "hello", () -> {}));
+        wheel.schedule(clock.nowMs() + 4, () -> {
+            throw new OutOfMemoryError("of one timer");
+        });
+        loop.execute(() -> {
+            throw new NoClassDefFoundError("of one task");
+        });
+        loop.run(() -> counters.get("net.fault") == 3);
+        assertThat(log).anyMatch(line -> line.contains("of one timer"));
+        assertThat(log).anyMatch(line -> line.contains("of one connection"));
+        assertThat(log).anyMatch(line -> line.contains("of one task"));
+        assertThat(received).as("the connection ends").contains("ended");
+    }
+
     /** Guards new connections at the maximum: each replaces one that is shed, and none is shed without need. */
     @Test
     @Timeout(20)
