--- a/src/test/java/plumpost/gearman/GearmanTest.java
+++ b/src/test/java/plumpost/gearman/GearmanTest.java
@@ -49,6 +49,30 @@
         return new Scenario(0).play(WORKER + steps);
     }
 
+    /**
+     * Guards a client that joins a background job which hangs: it is answered within its class's time, and not after the hour that
+     * the job may have. The job goes on, and its outcome is for who comes again.
+     */
+    @Test
+    void aClientThatJoinsABackgroundJobIsAnsweredInItsOwnTime() {
+        Scenario scenario = play(assigned("SUBMIT_JOB_BG|route-plan|u|x") + """
+            plug2 send SUBMIT_JOB|route-plan|u|x
+            plug2 expect JOB_CREATED|*
+            wait 7900
+            plug2 expect nothing
+            wait 200
+            plug2 expect WORK_FAIL|*
+            """);
+        assertThat(scenario.core.openJobCount()).as("the job goes on").isEqualTo(1);
+        scenario.play("""
+            plug9 send WORK_COMPLETE|$|done
+            plug2 expect nothing
+            plug3 send SUBMIT_JOB|route-plan|u|x
+            plug3 expect JOB_CREATED|*
+            plug3 expect WORK_COMPLETE|*|done
+            """);
+    }
+
     /** The normal course of a job: created, worker woken, assigned with all arguments, progress, complete. */
     @Test
     void jobIsAssignedAndCompletes() {
