Answer the requests of a Gearman connection in their order, however many come at once

Cause: ClientSession kept at most 256 packets while the fleet was asked and refused further ones at once; ECHO_REQ, errors of packets that are too large and admin lines did not wait at all. Ruled out: the fleet's order, since a connection has one entry under way at a time.

Change: AnswerOrder runs all requests that have an answer one after another; while one waits for the fleet later ones wait, and from 64 KiB of them on reading pauses. What waited is run in a loop.

--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -4,7 +4,6 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.time.DateTimeException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.LinkedHashSet;
@@ -20,7 +19,6 @@
 /** The client's side of a connection: its submissions, status requests and options, and the answers to them. */
 final class ClientSession {
     private static final int MAX_UNIQUE_LENGTH = 1024;
-    private static final int MAX_DEFERRED_PACKETS = 256;
 
     private final GearmanFront front;
     private final GearmanConnection connection;
@@ -29,26 +27,12 @@
 
     private int openBackgroundJobs;
     private boolean exceptions;
-    private boolean awaitingFleet;
-    private final ArrayDeque<Packet> deferredPackets = new ArrayDeque<>(0);
+    private final AnswerOrder answerOrder;
 
-    ClientSession(GearmanFront front, GearmanConnection connection) {
+    ClientSession(GearmanFront front, GearmanConnection connection, AnswerOrder answerOrder) {
         this.front = front;
         this.connection = connection;
-    }
-
-    /**
-     * Handles a packet, or defers it while the fleet decides on an earlier job: answers are sent in the order of the
-     * requests.
-     */
-    void onPacket(Packet packet) {
-        if (!awaitingFleet) {
-            process(packet);
-        } else if (deferredPackets.size() < MAX_DEFERRED_PACKETS) {
-            deferredPackets.add(packet);
-        } else {
-            reject("busy", "more than " + MAX_DEFERRED_PACKETS + " packets while the fleet is asked");
-        }
+        this.answerOrder = answerOrder;
     }
 
     /** Reads what the client has sent, which may show that it has disconnected. */
@@ -56,7 +40,8 @@
         connection.readAvailable();
     }
 
-    private void process(Packet packet) {
+    /** Handles a packet, after those before it on its connection have been answered. */
+    void onPacket(Packet packet) {
         switch (packet.type()) {
             case SUBMIT_JOB -> submit(packet, 2, null, 0, false);
             case SUBMIT_JOB_HIGH -> submit(packet, 2, null, 1, false);
@@ -307,17 +292,16 @@
         } else if (planned != null) {
             answerPlanned(planned, inBackground);
         } else if (startMs > 0 || !rejectIfFull(request)) {
-            awaitingFleet = true;
+            answerOrder.awaitAnswer();
             double submittedAtMs = front.context.clock().nowMs();
             front.fleetOrders.submit(request, inBackground, startMs, answer -> {
-                awaitingFleet = false;
                 if (answer.agreed()) {
                     double elapsedMs = front.context.clock().nowMs() - submittedAtMs;
                     joinOrder(answer.detail(), request.patienceMs() - elapsedMs, inBackground);
                 } else {
                     rejectByFleet(answer, request);
                 }
-                processDeferred();
+                answerOrder.answered();
             });
         }
     }
@@ -357,13 +341,6 @@
         }
     }
 
-    /** Handles the packets that were deferred while the fleet decided. */
-    private void processDeferred() {
-        while (!awaitingFleet && !deferredPackets.isEmpty()) {
-            process(deferredPackets.poll());
-        }
-    }
-
     /** Rejects the job and returns true if a limit is reached; the ERROR packet names the limit. */
     private boolean rejectIfFull(JobSpec request) {
         Function function = front.functions.get(request.work().kind());
@@ -439,9 +416,8 @@
         } else if (existing != null) {
             connection.write(Type.JOB_CREATED, front.handleOf(existing.request().id()));
         } else if (front.fleetJobs != null) {
-            awaitingFleet = true;
+            answerOrder.awaitAnswer();
             front.fleetJobs.plan(request, atMs, answer -> {
-                awaitingFleet = false;
                 if (answer.agreed()) {
                     connection.write(Type.JOB_CREATED, answer.detail());
                 } else {
@@ -449,7 +425,7 @@
                             answer.result() == Fleet.Result.REFUSED ? "schedule_full" : "fleet",
                             fleetError(answer, request));
                 }
-                processDeferred();
+                answerOrder.answered();
             });
         } else if (exhaustedLimit != null) {
             reject("schedule_full", exhaustedLimit + " is used up");
--- a/src/main/java/plumpost/gearman/GearmanConnection.java
+++ b/src/main/java/plumpost/gearman/GearmanConnection.java
@@ -23,6 +23,7 @@
     private final GearmanFront front;
     private final long number;
     private final PacketReader reader;
+    private final AnswerOrder answerOrder;
     private final double connectedAtMs;
     private ClientSession client;
     private WorkerSession worker;
@@ -38,6 +39,7 @@
         this.front = front;
         this.number = number;
         this.connection = connection;
+        answerOrder = new AnswerOrder(connection);
         reader = new PacketReader(Packet.REQUEST, true, front.config.limits().packetBytes(), front.readBudget);
     }
 
@@ -50,7 +52,7 @@
 
     /** Whether a packet has been unfinished for too long, in either direction. */
     boolean isSlow(double nowMs) {
-        boolean pending = reader.inProgress() || !connection.flushed();
+        boolean pending = reader.inProgress() && !answerOrder.isPaused() || !connection.flushed();
         pendingSinceMs = !pending ? Double.NaN : Double.isNaN(pendingSinceMs) ? nowMs : pendingSinceMs;
         return pending && nowMs - pendingSinceMs > SLOW_GRACE_MS + reader.claimedBytes() / MIN_BYTES_PER_MS;
     }
@@ -115,7 +117,7 @@
                 front.context.counters().count(packet.type().inCounter);
                 onPacket(packet);
             } else if (line != null) {
-                front.adminCommands.answer(line, this::writeAdminAnswer);
+                answerOrder.run(line.length(), () -> onAdminLine(line));
             }
             return packet != null || line != null;
         } catch (PacketReader.BadPacket e) {
@@ -123,12 +125,24 @@
                 error(e.code(), e.getMessage());
             } else {
                 front.context.counters().count("gearman.bad." + e.code());
-                write(Type.ERROR, e.code(), e.getMessage());
+                answerOrder.run(0, () -> write(Type.ERROR, e.code(), e.getMessage()));
             }
             return true;
         }
     }
 
+    private void onAdminLine(String line) {
+        if (adminAnswer != null) {
+            error("impatient", "the list that was asked for is not read yet");
+            return;
+        }
+        answerOrder.awaitAnswer();
+        front.adminCommands.answer(line, answer -> {
+            writeAdminAnswer(answer);
+            answerOrder.answered();
+        });
+    }
+
     /**
      * Writes the answer to an admin line. A long answer is written in chunks as the peer reads, so that a list of many
      * jobs is not held in memory twice; only one connection at a time may read a long answer.
@@ -191,12 +205,15 @@
                     GET_STATUS_UNIQUE,
                     OPTION_REQ -> {
                 if (client == null) {
-                    client = new ClientSession(front, this);
+                    client = new ClientSession(front, this, answerOrder);
                 }
-                client.onPacket(packet);
+                answerOrder.run(argumentBytes(packet), () -> client.onPacket(packet));
             }
-            case ECHO_REQ -> write(Type.ECHO_RES, packet.arguments().get(0));
-            case SET_CLIENT_ID -> setClientId(packet.text(0));
+            case ECHO_REQ ->
+                answerOrder.run(
+                        argumentBytes(packet),
+                        () -> write(Type.ECHO_RES, packet.arguments().get(0)));
+            case SET_CLIENT_ID -> answerOrder.run(argumentBytes(packet), () -> setClientId(packet.text(0)));
             case ALL_YOURS -> {} // changes nothing: a worker of this one server gets its jobs in the same way
             case CAN_DO,
                     CAN_DO_TIMEOUT,
@@ -221,6 +238,10 @@
         }
     }
 
+    private static int argumentBytes(Packet packet) {
+        return packet.arguments().stream().mapToInt(ByteBuffer::remaining).sum();
+    }
+
     private void setClientId(String text) {
         if (text.isEmpty() || text.length() > 256) {
             write(Type.ERROR, "client_id", "a client id of " + text.length() + " characters, not 1 to 256");
@@ -237,6 +258,7 @@
         closed = true;
         endAdminAnswer();
         reader.release();
+        answerOrder.clear();
         front.removeConnection(this);
         if (client != null) {
             client.onDisconnected();
