Answer clients that wait for covered orders before a stopped scheduler ends

Cause: the end of the process and of the member's session looked at jobs of the core and at leases, not at clients that wait for an outcome from the log. Ruled out: orders lost (each ran once), outcomes not known here (a leaving member still reads the log).

Change: both wait until no client here waits; at the time of the last call, 3.1 s after SIGTERM was heard at the latest, those left are answered that the order may run or have run, and can join it under its key elsewhere. ShutdownSchedule is the fronts' now.

--- a/src/main/java/plumpost/fleet/OrderRunner.java
+++ b/src/main/java/plumpost/fleet/OrderRunner.java
@@ -199,9 +199,9 @@
         callbacks.forEach(callback -> callback.accept(false));
     }
 
-    /** Whether no order is handed out from here and no report is pending. */
+    /** Whether no order is handed out from here, no report is pending and no client here waits for an outcome. */
     boolean finished() {
-        return grantedLeases.isEmpty() && pendingReports.isEmpty();
+        return grantedLeases.isEmpty() && pendingReports.isEmpty() && (holder == null || !holder.hasWaitingClients());
     }
 
     // ---- actions ----
--- a/src/main/java/plumpost/platform/ShutdownSchedule.java
+++ b/src/main/java/plumpost/front/ShutdownSchedule.java
@@ -1,4 +1,4 @@
-package plumpost.platform;
+package plumpost.front;
 
 import plumpost.time.HoldUp;
 
@@ -11,7 +11,7 @@
  * @param lastCallAtMs when all open jobs are answered and no more are accepted
  * @param killAtMs the earliest time of SIGKILL
  */
-record ShutdownSchedule(double closeIdleAtMs, double lastCallAtMs, double killAtMs) {
+public record ShutdownSchedule(double closeIdleAtMs, double lastCallAtMs, double killAtMs) {
     /** New connections keep arriving for less than this after SIGTERM (protocol page: 0.2 to 0.4 s). */
     static final double NEW_CONNECTIONS_MS = 700;
 
@@ -29,7 +29,7 @@
     private static final double CLOSE_IDLE_BEFORE_LAST_CALL_MS = 800;
 
     /** Computes the schedule from the time at which SIGTERM was handled and the longest deadline of all classes. */
-    static ShutdownSchedule compute(double signalHandledAtMs, double longestDeadlineMs) {
+    public static ShutdownSchedule compute(double signalHandledAtMs, double longestDeadlineMs) {
         double killAtMs = signalHandledAtMs
                 - MAX_SIGNAL_DELAY_MS
                 + Math.min(longestDeadlineMs, MAX_COUNTED_DEADLINE_MS)
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -1,6 +1,7 @@
 package plumpost.gearman;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -30,6 +31,11 @@
     /** Time beyond an order's patience in which the core's report that it expired can pass through the fleet's log. */
     private static final double OUTCOME_GRACE_MS = 100;
 
+    /** The reason that a client with exceptions hears when its scheduler ends before its order. */
+    private static final byte[] ENDS_TEXT =
+            "this scheduler ends; the order may run or have run, and can be joined under its unique key at another"
+                    .getBytes(StandardCharsets.US_ASCII);
+
     private final GearmanFront front;
     private final Ledger ledger;
     /** The covered orders in this core, by handle. */
@@ -155,6 +161,23 @@
         return waited;
     }
 
+    @Override
+    public boolean hasWaitingClients() {
+        return !waitingByHandle.isEmpty();
+    }
+
+    /**
+     * Answers all waiting clients because this scheduler ends: their orders go on elsewhere, and a client that submits its order
+     * again under its key joins it there.
+     */
+    void endWaiting() {
+        List<Submission> submissions =
+                waitingByHandle.values().stream().flatMap(List::stream).toList();
+        waitingByHandle.clear();
+        front.context.counters().add("gearman.answered_at_stop", submissions.size());
+        submissions.forEach(submission -> submission.failed(ByteBuffer.wrap(ENDS_TEXT)));
+    }
+
     private static void answer(Submission submission, Ledger.OrderStatus order) {
         switch (order.stage()) {
             case SERVED -> submission.served(ByteBuffer.wrap(order.result()));
--- a/src/main/java/plumpost/gearman/GearmanFront.java
+++ b/src/main/java/plumpost/gearman/GearmanFront.java
@@ -17,6 +17,7 @@
 import plumpost.dispatch.NodeList;
 import plumpost.front.Front;
 import plumpost.front.Listeners;
+import plumpost.front.ShutdownSchedule;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
 import plumpost.net.LoopContext;
@@ -116,6 +117,15 @@
     @Override
     public void stop(double receivedAtMs, double newClientsMs) {
         context.wheel().schedule(receivedAtMs + newClientsMs, this::refuseNewJobs);
+        if (fleetOrders != null) {
+            double longestDeadlineMs = settings.classes().stream()
+                    .mapToDouble(Dispatcher.JobClass::deadlineMs)
+                    .max()
+                    .orElse(0);
+            double lastCallAtMs =
+                    ShutdownSchedule.compute(receivedAtMs, longestDeadlineMs).lastCallAtMs();
+            context.wheel().schedule(lastCallAtMs, fleetOrders::endWaiting);
+        }
     }
 
     /**
@@ -141,7 +151,8 @@
 
     @Override
     public boolean isIdle() {
-        return connections.stream().allMatch(c -> c.connection.flushed());
+        return connections.stream().allMatch(c -> c.connection.flushed())
+                && (fleetOrders == null || !fleetOrders.hasWaitingClients());
     }
 
     /** Does nothing: workers announce themselves on their connections. */
--- a/src/main/java/plumpost/peers/Ledger.java
+++ b/src/main/java/plumpost/peers/Ledger.java
@@ -80,6 +80,9 @@
         /** An order has its final answer, which goes to the clients that wait for it here. */
         void ended(OrderStatus order);
 
+        /** Whether clients here wait for the outcome of an order, held here or elsewhere. */
+        boolean hasWaitingClients();
+
         /** The number of further orders that it could hold. */
         int capacity();
     }
--- a/src/main/java/plumpost/platform/HttpFront.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import plumpost.decision.Dispatcher.JobClass;
 import plumpost.dispatch.DispatchCore;
+import plumpost.front.ShutdownSchedule;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
 import plumpost.net.LoopContext;
--- a/src/test/java/plumpost/lab/fleet/OrdersIT.java
+++ b/src/test/java/plumpost/lab/fleet/OrdersIT.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import plumpost.gearman.Packet;
@@ -348,6 +349,54 @@
         assertEachRanOnce(keys);
     }
 
+    /**
+     * Guards clients that wait for orders at a scheduler which is told to stop: each gets its one final answer before the process
+     * ends, by itself, also for orders that went elsewhere. The process ended as soon as its own core was idle.
+     */
+    @Test
+    void clientsOfAStoppedSchedulerAreAnsweredBeforeItEnds() throws Exception {
+        startCoveringFleet("");
+        SchedulerProcess first = lab.processes().get(0);
+        SchedulerProcess second = lab.processes().get(1);
+        addWorkers(second, 2, 1500);
+        assertThat(submitWithoutKey(second, "warm up")).isEqualTo(Type.WORK_COMPLETE);
+        List<CompletableFuture<String>> answers = Stream.of("moved1", "moved2")
+                .map(key -> CompletableFuture.supplyAsync(
+                        () -> LabWorkers.submitAndWait(first, lab.history(), "order-it", key, ANSWER_TIMEOUT_MS)))
+                .toList();
+        awaitUntil("both are taken", () -> lab.history().ofKind("joined").size() >= 2);
+        first.signal("TERM");
+        for (CompletableFuture<String> answer : answers) {
+            assertThat(answer.get(60, TimeUnit.SECONDS)).isEqualTo("WORK_COMPLETE");
+        }
+        assertThat(first.awaitExit(TIMEOUT_MS)).as("it ends by itself").isTrue();
+        assertEachRanOnce(List.of("moved1", "moved2"));
+    }
+
+    /** Guards a client whose order nobody runs before its scheduler must end: it is told so, and can join the order elsewhere. */
+    @Test
+    void aClientOfAStoppedSchedulerCanJoinItsOrderElsewhere() throws Exception {
+        startCoveringFleet("");
+        SchedulerProcess first = lab.processes().get(0);
+        SchedulerProcess second = lab.processes().get(1);
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(
+                () -> LabWorkers.submitAndWait(first, lab.history(), "order-it", "van", ANSWER_TIMEOUT_MS));
+        awaitUntil("it is taken", () -> !lab.history().ofKind("joined").isEmpty());
+        double signalledAtMs = lab.history().nowMs();
+        first.signal("TERM");
+        assertThat(answer.get(60, TimeUnit.SECONDS)).isEqualTo("WORK_FAIL");
+        assertThat(lab.history().nowMs() - signalledAtMs)
+                .as("before SIGKILL may come")
+                .isLessThan(3_700);
+        assertThat(first.awaitExit(TIMEOUT_MS)).isTrue();
+        CompletableFuture<String> joined = CompletableFuture.supplyAsync(
+                () -> LabWorkers.submitAndWait(second, lab.history(), "order-it", "van", ANSWER_TIMEOUT_MS));
+        awaitUntil("it is joined", () -> lab.history().ofKind("joined").size() == 2);
+        addWorkers(second, 1, 1);
+        assertThat(joined.get(60, TimeUnit.SECONDS)).isEqualTo("WORK_COMPLETE");
+        assertThat(runCount("van")).isEqualTo(1);
+    }
+
     /** Guards every boundary in an order's life cycle: its holder is killed, or stopped and continued, exactly there. */
     @Test
     void whoeverEndsAtABoundaryLeavesTheOrderOnce() throws Exception {
