--- a/src/test/java/plumpost/front/ShutdownScheduleTest.java
+++ b/src/test/java/plumpost/front/ShutdownScheduleTest.java
@@ -1,4 +1,4 @@
-package plumpost.platform;
+package plumpost.front;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
