Give the lookup of a job's status and the choice of free orders classes of their own

Change: StatusLookup returns a typed JobStatus for a handle or key; FreeOrders has the orders that nobody holds and the turns of those that claim them. What clients and the log see is as before.

--- a/src/main/java/plumpost/fleet/OrderRunner.java
+++ b/src/main/java/plumpost/fleet/OrderRunner.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -10,13 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import plumpost.config.PeersConfig;
 import plumpost.durable.OrderLife.Event;
 import plumpost.durable.OrderLife.State;
 import plumpost.fleet.Entry.SessionId;
-import plumpost.fleet.Sessions.Session;
 import plumpost.peers.Fleet;
 import plumpost.peers.Host;
 import plumpost.peers.Ledger;
@@ -47,10 +44,7 @@
     private final Map<String, Orders.Order> ownOrders = new LinkedHashMap<>();
     private final Set<String> pendingHolds = new LinkedHashSet<>();
     private final Set<String> held = new HashSet<>();
-    private final TreeMap<Integer, Set<String>> freeByPriority = new TreeMap<>(Comparator.reverseOrder());
-    /** The free orders whose start time had not come when they were last looked at. */
-    private final ScheduledOrders scheduled = new ScheduledOrders();
-
+    private final FreeOrders freeOrders;
     private final Map<String, Consumer<Boolean>> leaseRequests = new LinkedHashMap<>();
     /** Leases under which this scheduler has handed orders out; they outlast its sessions. */
     private final Map<String, Integer> grantedLeases = new HashMap<>();
@@ -60,7 +54,6 @@
     private boolean polling;
     private boolean pollAgain;
     private final Set<String> pendingReleases = new LinkedHashSet<>();
-    private final Map<String, Double> claimPausedUntil = new HashMap<>();
     private final Map<String, Double> awaitedSince = new LinkedHashMap<>();
     private final Map<String, Double> endedSince = new LinkedHashMap<>();
 
@@ -68,6 +61,7 @@
         this.member = member;
         this.host = host;
         this.covered = covered;
+        freeOrders = new FreeOrders(member);
     }
 
     // ---- changes of the replicated state ----
@@ -76,8 +70,7 @@
     void rebuild() {
         ownOrders.clear();
         pendingHolds.clear();
-        freeByPriority.clear();
-        scheduled.clear();
+        freeOrders.clear();
         awaitedSince.clear();
         endedSince.clear();
         member.state().orders().all().forEach(order -> changed(order, null));
@@ -108,9 +101,7 @@
                         && !pendingReleases.contains(id)
                         && !member.isAbandoned(id));
         boolean free = known && Orders.isFree(current);
-        boolean due = current.startMs() <= member.unixTimeMs();
-        scheduled.set(current, free && !due);
-        setContains(freeByPriority.computeIfAbsent(current.priority(), p -> new LinkedHashSet<>()), id, free && due);
+        freeOrders.set(current, free);
         if (free && previous == null && member.isAbandoned(id)) {
             member.count("orders_withdrawn");
             cancel(id, reply -> {});
@@ -255,11 +246,6 @@
                         outcome -> {});
             }
         });
-        for (Orders.Order order : scheduled.removeDue(member.unixTimeMs())) {
-            freeByPriority
-                    .computeIfAbsent(order.priority(), p -> new LinkedHashSet<>())
-                    .add(order.id());
-        }
         claimFree(self);
     }
 
@@ -326,43 +312,10 @@
         }
     }
 
-    /**
-     * Claims free orders, the most urgent and then the oldest first, up to the front's capacity. The schedulers that have
-     * workers for a function take turns, so that each claims its share.
-     */
+    /** Claims its share of the free orders, up to the front's capacity. */
     private void claimFree(SessionId self) {
         int capacity = Math.min(MAX_CLAIMED, holder.capacity());
-        if (capacity <= 0 || freeByPriority.values().stream().allMatch(Set::isEmpty)) {
-            return;
-        }
-        double nowMs = member.nowMs();
-        claimPausedUntil.values().removeIf(until -> until <= nowMs);
-        Collection<String> functions = host.functions();
-        Map<String, Integer> positions = new HashMap<>();
-        List<String> ids = new ArrayList<>();
-        for (Set<String> candidates : freeByPriority.values()) {
-            for (String id : candidates) {
-                Orders.Order order = member.state().orders().find(id);
-                if (ids.size() >= capacity
-                        || !functions.contains(order.function())
-                        || claimPausedUntil.containsKey(id)) {
-                    continue;
-                }
-                List<String> eligible = member.state().sessions().all().stream()
-                        .filter(session -> session.state() == Sessions.State.ALIVE
-                                && session.functions().contains(order.function()))
-                        .map(Session::name)
-                        .toList();
-                int position = positions.merge(order.function(), 1, Integer::sum) - 1;
-                if (!eligible.isEmpty()
-                        && eligible.get(position % eligible.size()).equals(member.name())) {
-                    ids.add(id);
-                }
-                if (position > MAX_CLAIMED * (eligible.size() + 1)) {
-                    break;
-                }
-            }
-        }
+        List<String> ids = capacity <= 0 ? List.of() : freeOrders.select(capacity, host.functions());
         if (!ids.isEmpty() && member.proposeOnce("claim " + ids.get(0), new Entry.Claim(self, ids), outcome -> {})) {
             member.count("orders_claimed");
             member.logLine("claims up to " + ids.size() + " orders without a holder, the first is " + ids.get(0));
@@ -457,7 +410,7 @@
 
     @Override
     public List<String> scheduledIds() {
-        return scheduled.ids();
+        return freeOrders.scheduledIds();
     }
 
     @Override
@@ -529,7 +482,7 @@
         if (report == Report.RELEASED) {
             pendingHolds.remove(id);
             pendingReleases.add(id);
-            claimPausedUntil.put(id, member.nowMs() + CLAIM_PAUSE_MS);
+            freeOrders.pause(id, CLAIM_PAUSE_MS);
         } else if (lease == null
                 && (report == Report.STALLED || report == Report.GIVEN_UP || report == Report.FAILED)) {
             pendingReports.put(id, new PendingReport(Event.GIVE_UP, 0, EMPTY_RESULT));
--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -28,11 +28,13 @@
     private int openBackgroundJobs;
     private boolean exceptions;
     private final AnswerOrder answerOrder;
+    private final StatusLookup statusLookup;
 
     ClientSession(GearmanFront front, GearmanConnection connection, AnswerOrder answerOrder) {
         this.front = front;
         this.connection = connection;
         this.answerOrder = answerOrder;
+        statusLookup = new StatusLookup(front);
     }
 
     /** Reads what the client has sent, which may show that it has disconnected. */
@@ -73,78 +75,26 @@
     }
 
     private void writeStatus(Packet packet) {
-        Ledger.OrderStatus order = front.fleetOrders == null ? null : front.fleetOrders.find(packet.text(0));
-        if (order != null) {
-            connection.write(
-                    Type.STATUS_RES,
-                    packet.arguments().get(0),
-                    order.ended() ? 0 : 1,
-                    order.stage() == Ledger.Stage.OUT ? 1 : 0,
-                    Math.round(front.fleetOrders.progressOf(order.id()) * 100),
-                    100);
-            return;
-        }
-        String id = front.jobId(packet.text(0));
-        OpenJob openJob = front.core.findJob(id);
-        if (openJob == null && front.schedule.find(id) != null) {
-            connection.write(Type.STATUS_RES, packet.arguments().get(0), 1, 0, 0, 0);
-            return;
-        }
-        if (openJob == null
-                && front.fleetJobs != null
-                && front.fleetJobs.fleet().planned(packet.text(0)) != null) {
-            connection.write(
-                    Type.STATUS_RES,
-                    packet.arguments().get(0),
-                    1,
-                    front.fleetJobs.fleet().fired(packet.text(0)) ? 1 : 0,
-                    0,
-                    0);
-            return;
-        }
-        boolean running = openJob != null && openJob.running();
+        StatusLookup.JobStatus status = statusLookup.byHandle(packet.text(0));
         connection.write(
                 Type.STATUS_RES,
                 packet.arguments().get(0),
-                openJob == null ? 0 : 1,
-                running ? 1 : 0,
-                openJob == null ? 0 : Math.round(openJob.share() * 100),
-                openJob == null ? 0 : 100);
+                status.known() ? 1 : 0,
+                status.running() ? 1 : 0,
+                status.done(),
+                status.total());
     }
 
     private void writeStatusByUnique(Packet packet) {
-        OpenJob openJob = null;
-        boolean scheduled = false;
-        for (Function function : front.functions.functions()) {
-            String key = uniqueKey(function, packet.text(0));
-            openJob = openJob == null ? front.core.findJobByUniqueKey(key) : openJob;
-            scheduled |= front.schedule.findByUnique(key) != null
-                    || front.fleetJobs != null
-                            && front.fleetJobs.fleet().planned(function.name, packet.text(0)) != null;
-        }
-        for (Function function : front.fleetOrders == null ? List.<Function>of() : front.functions.functions()) {
-            Ledger.OrderStatus order = front.fleetOrders.find(function.name, packet.text(0));
-            if (order != null) {
-                connection.write(
-                        Type.STATUS_RES_UNIQUE,
-                        packet.arguments().get(0),
-                        order.ended() ? 0 : 1,
-                        order.stage() == Ledger.Stage.OUT ? 1 : 0,
-                        Math.round(front.fleetOrders.progressOf(order.id()) * 100),
-                        100,
-                        0);
-                return;
-            }
-        }
-        boolean running = openJob != null && openJob.running();
+        StatusLookup.JobStatus status = statusLookup.byUniqueKey(packet.text(0));
         connection.write(
                 Type.STATUS_RES_UNIQUE,
                 packet.arguments().get(0),
-                openJob == null && !scheduled ? 0 : 1,
-                running ? 1 : 0,
-                openJob == null ? 0 : Math.round(openJob.share() * 100),
-                openJob == null ? 0 : 100,
-                openJob == null ? 0 : openJob.clients());
+                status.known() ? 1 : 0,
+                status.running() ? 1 : 0,
+                status.done(),
+                status.total(),
+                status.clients());
     }
 
     /** The key under which the core and the schedule know a client's unique key: a function has its own keys. */
