Split the handling of an order's change and the joined clients, as the linter asks

Found: DispatchCore over its length, OrderRunner.changed over its complexity, a parameter that hides a field.

Change: JoinedClients has the clients that join an open job; an order's change is handled in four steps of a name each. What they do is as before.

Measured: linter and formatter clean (make lint's command); unit tests of fleet, gearman and dispatch pass.

--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -40,6 +40,7 @@
     private final KeptOutcomes keptOutcomes;
     private final WorkerRegistry workers = new WorkerRegistry();
     private final JobLedger ledger;
+    private final JoinedClients joinedClients;
     private final ArrayDeque<Runnable> pendingEvents = new ArrayDeque<>();
     private final ArrayDeque<Runnable> pendingActions = new ArrayDeque<>();
     private boolean processing;
@@ -80,6 +81,7 @@
         this.counters = counters;
         this.bounds = bounds;
         this.ledger = new JobLedger(bounds);
+        this.joinedClients = new JoinedClients(this, clock, wheel, counters);
         this.log = log;
         this.guard = new RuleGuard(counters, log);
         this.audit = new JobAudit(ledger, guard, clock, wheel, this::failAndForget);
@@ -245,7 +247,7 @@
         if (spec.unique() != null) {
             OpenJob existing = ledger.findByUniqueKey(spec.unique());
             if (existing != null) {
-                join(existing, spec, replyTo);
+                joinedClients.add(existing, spec, replyTo);
                 if (existing.stream != null && existing.stream.isStarted()) {
                     replyTo.part(existing.stream.content());
                 }
@@ -300,29 +302,6 @@
         return job;
     }
 
-    /**
-     * Lets a client that has submitted an open job again wait for its outcome, for as long as its own submission allows: the
-     * job may have longer, as a background job has.
-     */
-    private void join(OpenJob job, JobSpec spec, ReplyTo replyTo) {
-        counters.count("jobs.joined");
-        job.recipients.add(replyTo);
-        double waitUntilMs = nowMs() + spec.patienceMs();
-        if (replyTo.waits() && waitUntilMs < job.deadlineMs) {
-            wheel.schedule(waitUntilMs, () -> endWaiting(job, replyTo));
-        }
-    }
-
-    /** Answers a client that has waited for as long as it may; the job goes on for others, or if it may have run. */
-    private void endWaiting(OpenJob job, ReplyTo replyTo) {
-        if (!job.answered && job.recipients.contains(replyTo)) {
-            counters.count("jobs.joined_too_long");
-            counters.count("jobs.failed." + job.jobClass.name());
-            removeClient(job, replyTo);
-            replyTo.failed();
-        }
-    }
-
     /**
      * Removes a client that has left. When none is left the job is abandoned, unless it has a unique key and may have
      * run: then its client may resubmit it and must get the outcome of that run.
--- a/src/main/java/plumpost/fleet/OrderRunner.java
+++ b/src/main/java/plumpost/fleet/OrderRunner.java
@@ -82,74 +82,93 @@
         boolean known = member.state().orders().find(id) != null;
         boolean ended = current.state().ended();
         boolean own = known && !ended && current.state() != State.AWAITED && isOwn(current);
-        if (own) {
-            ownOrders.put(id, current);
-        } else {
-            ownOrders.remove(id);
+        boolean free = known && Orders.isFree(current);
+        if (previous == null && member.isAbandoned(id)) {
+            withdraw(current, own, free);
         }
-        if (own && current.state() == State.TAKEN && previous == null && member.isAbandoned(id)) {
-            // Its client was told that the outcome is not known, and may have submitted it again.
-            member.count("orders_withdrawn");
-            pendingReports.put(id, new PendingReport(Event.GIVE_UP, 0, EMPTY_RESULT));
+        index(current, known, own, free);
+        updateReport(current, known, own);
+        if (!known
+                || ended
+                || current.state() == State.TAKEN
+                || current.lease() != grantedLeases.getOrDefault(id, current.lease())) {
+            grantedLeases.remove(id);
         }
-        setContains(
-                pendingHolds,
-                id,
-                own
-                        && current.state() == State.TAKEN
-                        && !held.contains(id)
-                        && !pendingReleases.contains(id)
-                        && !member.isAbandoned(id));
-        boolean free = known && Orders.isFree(current);
-        freeOrders.set(current, free);
-        if (free && previous == null && member.isAbandoned(id)) {
+        boolean granted = own && current.state() == State.LEASED && previous != null && previous.state() == State.TAKEN;
+        answerLeaseRequest(current, own, granted);
+        if (held.contains(id) && !own && !grantedLeases.containsKey(id)) {
+            held.remove(id);
+            holder.drop(id);
+        }
+        if (ended && holder != null && (previous == null || !previous.state().ended())) {
+            holder.ended(status(current, known));
+        }
+    }
+
+    /** Gives up a new order whose client was told that the outcome is not known, and may have submitted it again. */
+    private void withdraw(Orders.Order order, boolean own, boolean free) {
+        if (own && order.state() == State.TAKEN) {
             member.count("orders_withdrawn");
-            cancel(id, reply -> {});
+            pendingReports.put(order.id(), new PendingReport(Event.GIVE_UP, 0, EMPTY_RESULT));
+        } else if (free) {
+            member.count("orders_withdrawn");
+            cancel(order.id(), reply -> {});
         }
-        setSince(awaitedSince, id, known && current.state() == State.AWAITED);
-        setSince(endedSince, id, known && ended);
+    }
+
+    private void index(Orders.Order order, boolean known, boolean own, boolean free) {
+        String id = order.id();
+        if (own) {
+            ownOrders.put(id, order);
+        } else {
+            ownOrders.remove(id);
+        }
+        boolean isToBeHeld = own
+                && order.state() == State.TAKEN
+                && !held.contains(id)
+                && !pendingReleases.contains(id)
+                && !member.isAbandoned(id);
+        setContains(pendingHolds, id, isToBeHeld);
+        freeOrders.set(order, free);
+        setSince(awaitedSince, id, known && order.state() == State.AWAITED);
+        setSince(endedSince, id, known && order.state().ended());
         if (!own) {
             pendingReleases.remove(id);
         }
+    }
+
+    /** Adapts the pending report of an order to its new state, and drops it once the log shows it or it is obsolete. */
+    private void updateReport(Orders.Order order, boolean known, boolean own) {
+        String id = order.id();
         PendingReport report = pendingReports.get(id);
-        if (report != null && report.event == Event.DONE && report.lease == 0 && current.lease() > 0) {
+        if (report == null) {
+            return;
+        }
+        if (report.event == Event.DONE && report.lease == 0 && order.lease() > 0) {
             // The report came before the local copy of the state knew of the lease.
-            report = new PendingReport(report.event, current.lease(), report.result);
+            report = new PendingReport(report.event, order.lease(), report.result);
             pendingReports.put(id, report);
         }
-        if (report != null
-                && (!known
-                        || ended && !(current.state() == State.UNKNOWN && report.event != Event.STALL)
-                        || (report.event == Event.GIVE_UP
-                                ? !own
-                                : report.lease > 0
-                                        && (current.lease() > report.lease || current.state() == State.TAKEN)))) {
+        boolean lateResult = order.state() == State.UNKNOWN && report.event != Event.STALL;
+        boolean shown = report.event == Event.GIVE_UP
+                ? !own
+                : report.lease > 0 && (order.lease() > report.lease || order.state() == State.TAKEN);
+        if (!known || order.state().ended() && !lateResult || shown) {
             pendingReports.remove(id);
         }
-        if (!known
-                || ended
-                || current.state() == State.TAKEN
-                || current.lease() != grantedLeases.getOrDefault(id, current.lease())) {
-            grantedLeases.remove(id);
-        }
-        boolean granted = own && current.state() == State.LEASED && previous != null && previous.state() == State.TAKEN;
-        Consumer<Boolean> callback = granted || !own ? leaseRequests.remove(id) : null;
+    }
+
+    private void answerLeaseRequest(Orders.Order order, boolean own, boolean granted) {
+        Consumer<Boolean> callback = granted || !own ? leaseRequests.remove(order.id()) : null;
         if (granted) {
-            grantedLeases.put(id, current.lease());
+            grantedLeases.put(order.id(), order.lease());
             if (callback == null) {
-                report(id, Report.HANDED_BACK, EMPTY_RESULT); // no longer requested, and unused
+                report(order.id(), Report.HANDED_BACK, EMPTY_RESULT); // no longer requested, and unused
             }
         }
         if (callback != null) {
             callback.accept(granted);
         }
-        if (held.contains(id) && !own && !grantedLeases.containsKey(id)) {
-            held.remove(id);
-            holder.drop(id);
-        }
-        if (ended && holder != null && (previous == null || !previous.state().ended())) {
-            holder.ended(status(current, known));
-        }
     }
 
     private boolean isOwn(Orders.Order order) {
--- a/src/main/java/plumpost/fleet/engine/RatisLog.java
+++ b/src/main/java/plumpost/fleet/engine/RatisLog.java
@@ -291,7 +291,7 @@
     }
 
     @Override
-    public void propose(Entry entry, ProposalListener listener) {
+    public void propose(Entry entry, ProposalListener proposalListener) {
         int format;
         synchronized (stateMachine) {
             format = stateMachine.state().sessions().format();
@@ -300,24 +300,25 @@
         proposalCalls.call(new LeaderCall(message, this::leaderId), new RaftCalls.ResultListener() {
             @Override
             public void answered(RaftClientReply reply) {
-                onProposalReply(reply, listener);
+                onProposalReply(reply, proposalListener);
             }
 
             @Override
             public void notSent(String reason) {
-                listener.notProposed(reason);
+                proposalListener.notProposed(reason);
             }
 
             @Override
             public void unanswered() {
-                listener.unknown();
+                proposalListener.unknown();
             }
         });
     }
 
-    private void onProposalReply(RaftClientReply reply, ProposalListener listener) {
+    private void onProposalReply(RaftClientReply reply, ProposalListener proposalListener) {
         if (reply.getStateMachineException() != null) {
-            listener.notProposed(reply.getStateMachineException().getMessage()); // refused before it entered the log
+            proposalListener.notProposed(
+                    reply.getStateMachineException().getMessage()); // refused before it entered the log
             return;
         }
         Outcome outcome = null;
@@ -329,9 +330,9 @@
             log.accept("fleet: " + e.getMessage());
         }
         if (outcome == null) {
-            listener.unknown();
+            proposalListener.unknown();
         } else {
-            listener.applied(outcome);
+            proposalListener.applied(outcome);
         }
     }
 
