--- a/src/main/java/plumpost/fleet/engine/LeaderCall.java
+++ b/src/main/java/plumpost/fleet/engine/LeaderCall.java
@@ -54,12 +54,11 @@
                 }
                 try {
                     RaftClientReply reply = client.getClientRpc().sendRequest(request(client, leader, callId));
-                    NotLeaderException notLeader = reply.getNotLeaderException();
-                    if (notLeader == null && reply.getLeaderNotReadyException() == null) {
+                    if (reply.isSuccess() || reply.getStateMachineException() != null) {
                         return reply;
                     }
-                    unansweredAttempts = 0;
-                    suggestedLeader = suggestedLeader(notLeader);
+                    unansweredAttempts = 0; // it is not the leader, or not ready, or is stepping down
+                    suggestedLeader = suggestedLeader(reply.getNotLeaderException());
                 } catch (InterruptedIOException e) {
                     throw e;
                 } catch (IOException e) {
