Have the laboratory's worker pass over a wake-up that crosses its grab

Cause, by the history's times and by reading; not caused again: the workers sleep from 3.1 s on with a read timeout of 2 s and then grab without a NOOP, at 5.1 and 7.1 s, just when the jobs are due. A NOOP that crosses such a grab was read in place of its answer, and the worker grabbed again while its job was assigned; a worker that grabs with a job unfinished no longer works on it, so that the job was tried at another. Clients of the protocol pass over a NOOP there. Ruled out: two fires or two begins of p0 (one line of each), a retry after a late start (Gearman workers tell their start by the grab).

Change: the laboratory's worker reads on until its grab is answered. No check is changed.

--- a/src/main/java/plumpost/lab/fleet/LabWorkers.java
+++ b/src/main/java/plumpost/lab/fleet/LabWorkers.java
@@ -52,6 +52,9 @@
         while (!closed) {
             peer.send(Type.GRAB_JOB);
             Packet packet = peer.next();
+            while (packet.type() == Type.NOOP) { // a wake-up that crossed the grab, whose answer is still to come
+                packet = peer.next();
+            }
             if (packet.type() == Type.JOB_ASSIGN) {
                 history.add(scheduler.name(), "run", packet.text(2));
                 pause(workMs);
