--- a/src/main/java/plumpost/fleet/FreeOrders.java
+++ b/src/main/java/plumpost/fleet/FreeOrders.java
@@ -36,10 +36,11 @@
     void set(Orders.Order order, boolean isFree) {
         boolean isDue = order.startMs() <= member.unixTimeMs();
         scheduled.set(order, isFree && !isDue);
+        Set<String> samePriority = dueByPriority.get(order.priority());
         if (isFree && isDue) {
             addDue(order);
-        } else {
-            dueByPriority.getOrDefault(order.priority(), Set.of()).remove(order.id());
+        } else if (samePriority != null) {
+            samePriority.remove(order.id());
         }
     }
 
--- a/src/main/java/plumpost/fleet/Member.java
+++ b/src/main/java/plumpost/fleet/Member.java
@@ -51,7 +51,7 @@
 
     private FleetLog log;
     private final Map<Object, Double> lastProposedMs = new HashMap<>();
-    private final PendingRequests pendingRequests = new PendingRequests();
+    private final PendingRequests pendingRequests;
     private boolean pollScheduled;
     private boolean halted;
     private boolean stopping;
@@ -87,6 +87,7 @@
         this.wheel = wheel;
         this.counters = counters;
         this.logger = logger;
+        pendingRequests = new PendingRequests(clock, wheel);
         List<Offer> offers = new ArrayList<>(List.of(new Offer(FleetState.SCHEDULE, "")));
         if (asksDiscovery) {
             offers.add(new Offer(
@@ -388,13 +389,12 @@
             callback.accept(new Reply(Result.NOT_PROPOSED, "this scheduler takes part in the fleet no longer"));
             return;
         }
-        PendingRequests.Request request = pendingRequests.add(entry, reply -> {
+        PendingRequests.Request request = pendingRequests.add(entry, limitMs, reply -> {
             if (reply.result() == Result.UNKNOWN) {
                 count("wish_unknown");
             }
             callback.accept(reply);
         });
-        runAfter(limitMs, request::unknown);
         log.propose(entry, request);
     }
 
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -42,6 +42,9 @@
     private final Map<String, OpenJob> openOrders = new HashMap<>();
 
     private final Map<String, Reply> replies = new HashMap<>();
+    /** This scheduler ends soon: no client can wait for an outcome any more. */
+    private boolean ending;
+
     /** The clients here that wait for an order's outcome, by the order's handle. */
     private final Map<String, List<Submission>> waitingByHandle = new HashMap<>();
 
@@ -139,6 +142,8 @@
         Ledger.OrderStatus order = ledger.status(submission.handle);
         if (order != null && order.ended()) {
             answer(submission, order);
+        } else if (ending) {
+            submission.failed(ByteBuffer.wrap(ENDS_TEXT));
         } else {
             waitingByHandle
                     .computeIfAbsent(submission.handle, id -> new ArrayList<>(1))
@@ -171,6 +176,7 @@
      * again under its key joins it there.
      */
     void endWaiting() {
+        ending = true;
         List<Submission> submissions =
                 waitingByHandle.values().stream().flatMap(List::stream).toList();
         waitingByHandle.clear();
--- a/src/main/java/plumpost/gearman/GearmanConnection.java
+++ b/src/main/java/plumpost/gearman/GearmanConnection.java
@@ -137,10 +137,7 @@
             return;
         }
         answerOrder.awaitAnswer();
-        front.adminCommands.answer(line, answer -> {
-            writeAdminAnswer(answer);
-            answerOrder.answered();
-        });
+        front.adminCommands.answer(line, this::writeAdminAnswer);
     }
 
     /**
@@ -154,6 +151,7 @@
                 adminAnswer = null;
                 connection.write(ByteBuffer.wrap(
                         "ERR BUSY Another+long+list+is+being+read\n".getBytes(StandardCharsets.US_ASCII)));
+                answerOrder.answered();
                 return;
             }
             front.longAnswerConnection = this;
@@ -167,10 +165,14 @@
             int length = Math.min(ANSWER_CHUNK_BYTES, adminAnswer.remaining());
             ByteBuffer chunk = adminAnswer.slice(adminAnswer.position(), length);
             adminAnswer.position(adminAnswer.position() + length);
-            if (!adminAnswer.hasRemaining()) {
+            boolean last = !adminAnswer.hasRemaining();
+            if (last) {
                 endAdminAnswer();
             }
             connection.write(chunk);
+            if (last) {
+                answerOrder.answered();
+            }
         }
     }
 
