End a Gearman connection whose waiting request fails, in place of leaving those behind it waiting

Seen on reading AnswerOrder again: if a request that waited throws, the loop over the others ends, no answer comes that would start it again, and reading stays paused where it was.

Cause: answered() had no way out for a failing request. Change: the connection ends, as it does where a request fails on being read; its jobs are treated as if the peer had disconnected; the fault goes on to the loop, which counts and logs it.

Measured: AnswerOrderTest.aRequestThatFailsEndsItsConnection fails without the call and passes with it; the front's tests and the conformance suite pass.

--- a/src/main/java/plumpost/gearman/AnswerOrder.java
+++ b/src/main/java/plumpost/gearman/AnswerOrder.java
@@ -16,13 +16,16 @@
     private record Request(Runnable action, int bytes) {}
 
     private final Connection connection;
+    private final Runnable onFailure;
     private final ArrayDeque<Request> waiting = new ArrayDeque<>(0);
     private int waitingBytes;
     private boolean awaitsAnswer;
     private boolean isRunningWaiting;
 
-    AnswerOrder(Connection connection) {
+    /** Creates the order of a connection; {@code onFailure} ends the connection if a request that waited fails. */
+    AnswerOrder(Connection connection, Runnable onFailure) {
         this.connection = connection;
+        this.onFailure = onFailure;
     }
 
     /** Runs a request at once, or after all before it are answered. */
@@ -58,6 +61,9 @@
                 waitingBytes -= request.bytes;
                 request.action.run();
             }
+        } catch (RuntimeException | Error e) {
+            onFailure.run(); // otherwise the requests behind it would wait for an answer that never comes
+            throw e;
         } finally {
             isRunningWaiting = false;
         }
--- a/src/main/java/plumpost/gearman/GearmanConnection.java
+++ b/src/main/java/plumpost/gearman/GearmanConnection.java
@@ -39,7 +39,7 @@
         this.front = front;
         this.number = number;
         this.connection = connection;
-        answerOrder = new AnswerOrder(connection);
+        answerOrder = new AnswerOrder(connection, this::abort);
         reader = new PacketReader(Packet.REQUEST, true, front.config.limits().packetBytes(), front.readBudget);
     }
 
@@ -191,6 +191,12 @@
         connection.finish();
     }
 
+    /** Closes the connection at once; its jobs are treated as if the peer had disconnected. */
+    private void abort() {
+        ended();
+        connection.closeNow();
+    }
+
     private void onPacket(Packet packet) {
         switch (packet.type()) {
             case SUBMIT_JOB,
--- a/src/test/java/plumpost/gearman/AnswerOrderTest.java
+++ b/src/test/java/plumpost/gearman/AnswerOrderTest.java
@@ -1,6 +1,7 @@
 package plumpost.gearman;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.ByteArrayOutputStream;
 import java.lang.reflect.Proxy;
@@ -79,6 +80,19 @@
         client.assertAnswersInOrder();
     }
 
+    /** Guards the requests behind one that fails: their connection ends, and they do not wait without an end. */
+    @Test
+    void aRequestThatFailsEndsItsConnection() {
+        Client client = new Client(0);
+        client.send(Type.SUBMIT_JOB_BG, "pickup-order", "", "yes");
+        client.send(Type.SUBMIT_JOB_BG, "pickup-order", "", "fault");
+        client.send(Type.ECHO_REQ, "behind");
+        client.handler.received(ByteBuffer.wrap(client.requests.toByteArray()));
+        assertThat(client.connection.closed).isFalse();
+        assertThatThrownBy(() -> client.ledgerAnswers.poll().run()).hasMessage("fault");
+        assertThat(client.connection.closed).isTrue();
+    }
+
     /** A client on a connection of a front whose ledger answers when the test wants, and the answers that it is to get. */
     private static final class Client {
         /** A ledger whose answers the test gives when it wants; what it accepts is known by the handle {@code order BODY}. */
@@ -124,6 +138,9 @@
 
         private Object take(Ledger.Order order, Consumer<Fleet.Reply> callback) {
             String text = new String(order.body(), StandardCharsets.US_ASCII);
+            if (text.startsWith("fault")) {
+                throw new IllegalStateException(text);
+            }
             Fleet.Reply reply = text.startsWith("no")
                     ? new Fleet.Reply(Fleet.Result.REFUSED, text)
                     : new Fleet.Reply(Fleet.Result.AGREED, text);
@@ -205,6 +222,7 @@
     private static final class RecordingConnection implements Connection {
         private final ByteArrayOutputStream written = new ByteArrayOutputStream();
         private boolean paused;
+        private boolean closed;
 
         List<String> answers() {
             PacketReader reader = new PacketReader(Packet.RESPONSE, false, 1 << 20);
@@ -252,7 +270,9 @@
         public void finish() {}
 
         @Override
-        public void closeNow() {}
+        public void closeNow() {
+            closed = true;
+        }
 
         @Override
         public void readAvailable() {}
