Give the reason of a call that was not sent also where its exception has no message

Seen on reading RaftCalls again: an exception without a message from making a client reaches the caller's answer as null, and the ERROR packet that is made of it fails.

Cause: notSent passed getMessage on. Change: without a message the exception's name is the reason.

--- a/src/main/java/plumpost/fleet/engine/RaftCalls.java
+++ b/src/main/java/plumpost/fleet/engine/RaftCalls.java
@@ -119,7 +119,7 @@
             execute(call, current, listener);
         } catch (IOException | RuntimeException e) {
             discardClient(current);
-            loop.execute(() -> listener.notSent(e.getMessage()));
+            loop.execute(() -> listener.notSent(e.getMessage() == null ? e.toString() : e.getMessage()));
         }
     }
 
