Keep the peak of clients' memory beside the sum, not by a lookup for each read

Seen on reading ClientMemory again: each growth looked the counter up by its name, on the path of every request. Change: the counter is raised only when the peak is passed.

Measured: ClientMemoryTest, ConnectionClosingTest and PlatformTest pass. What it saves was not measured.

--- a/src/main/java/plumpost/platform/ClientMemory.java
+++ b/src/main/java/plumpost/platform/ClientMemory.java
@@ -38,6 +38,7 @@
     private final LoopContext context;
     private final Set<Holder> waiting = new LinkedHashSet<>();
     private long heldBytes;
+    private long peakBytes;
     private boolean resumeScheduled;
 
     ClientMemory(long maxBytes, LoopContext context) {
@@ -74,9 +75,10 @@
     /** Records that connections hold this many bytes more, or fewer if it is negative. */
     void adjust(long bytes) {
         heldBytes += bytes;
-        if (bytes > 0) {
+        if (heldBytes > peakBytes) {
+            peakBytes = heldBytes;
             context.counters().raiseTo(PEAK_COUNTER, heldBytes);
-        } else if (!waiting.isEmpty() && !resumeScheduled) {
+        } else if (bytes < 0 && !waiting.isEmpty() && !resumeScheduled) {
             resumeScheduled = true;
             context.wheel().schedule(context.clock().nowMs(), this::resumeWaiting);
         }
