Log each request's events by its id, where the log's level is debug

Change: RequestLog writes key=value lines for accepted, joined, attempt, attempt_ended, attempt_not_sent, client_gone with the way the connection ended, refused and answered; log.level and log.requestLinesPerSecond, bounded a second with a count of what was left out (log.omitted). Off by default.

The cost on a null job was not measured yet.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -20,6 +20,7 @@
 import plumpost.control.SharedBans;
 import plumpost.count.Counters;
 import plumpost.dispatch.DispatchCore;
+import plumpost.dispatch.RequestLog;
 import plumpost.front.Front;
 import plumpost.gearman.GearmanFront;
 import plumpost.http.AnswerEncoder;
@@ -81,7 +82,10 @@
         lastFile = NodeConfig.parse(file);
         config = NodeConfig.from(lastFile, System.getenv());
         log = Logs.sink(
-                config.name(), config.peers() != null && config.logFormat() == null ? "text" : config.logFormat());
+                config.name(),
+                config.peers() != null && config.log().format() == null
+                        ? "text"
+                        : config.log().format());
         inheritedFd = System.getenv("NODE_FD");
         lastFile.ignored().forEach(this::log);
         loop = new SelectorLoop(clock, wheel, counters, this::log);
@@ -93,6 +97,10 @@
                 counters,
                 coreBounds(Runtime.getRuntime().maxMemory(), config.gearman()),
                 this::log);
+        if (config.log().logsRequests()) {
+            core.logRequests(
+                    RequestLog.to(this::log, clock, counters, config.log().requestLinesPerSecond()));
+        }
         LoopContext context = new LoopContext(loop, clock, unixTime, wheel, counters, this::log);
         platform = new Platform(
                 config,
--- a/src/main/java/plumpost/config/NodeConfig.java
+++ b/src/main/java/plumpost/config/NodeConfig.java
@@ -25,7 +25,7 @@
  * @param rawSettings the section {@code settings} as read
  * @param lastNodeList the last known list of route nodes
  * @param gearman the Gearman front's settings, or null if it is off
- * @param logFormat text or json, or null if the file does not set it
+ * @param log the settings of the log
  * @param ops the address for operators' calls, or null
  * @param peers the section on this scheduler's fleet as read, or null if it is in none
  */
@@ -39,10 +39,15 @@
         Fields rawSettings,
         Fields lastNodeList,
         GearmanConfig gearman,
-        String logFormat,
+        LogConfig log,
         InetSocketAddress ops,
         Fields peers) {
 
+    /** Creates a configuration; without settings of the log it has the defaults. */
+    public NodeConfig {
+        log = log == null ? LogConfig.DEFAULT : log;
+    }
+
     /** Creates a configuration without a fleet. */
     public NodeConfig(
             String name,
@@ -54,9 +59,9 @@
             Fields raw,
             Fields known,
             GearmanConfig gearman,
-            String logFormat,
+            LogConfig log,
             InetSocketAddress ops) {
-        this(name, listen, discovery, seed, sockets, settings, raw, known, gearman, logFormat, ops, null);
+        this(name, listen, discovery, seed, sockets, settings, raw, known, gearman, log, ops, null);
     }
 
     /**
@@ -135,7 +140,7 @@
                 raw,
                 file.objectOrEmpty("known"),
                 isObject(file, "gearman") ? GearmanConfig.read(ownSection(file, "gearman"), raw) : null,
-                isObject(file, "log") ? logFormat(ownSection(file, "log")) : null,
+                isObject(file, "log") ? LogConfig.read(ownSection(file, "log")) : null,
                 address(environment, "NODE_OPS", file, "ops"),
                 fleetSection(file));
         if (config.listen == null && config.gearman == null) {
@@ -170,15 +175,6 @@
         return fleet ? ownSection(file, "peers") : null;
     }
 
-    private static String logFormat(Fields section) {
-        section.allowOnly("format");
-        String format = section.text("format", "text");
-        if (!format.equals("text") && !format.equals("json")) {
-            throw new BadInput(section.context() + ": field format is " + format + ", not text or json");
-        }
-        return format;
-    }
-
     /** Reads a section {@code gearman}, resolving its names of classes, plants and models in the given settings. */
     public static GearmanConfig gearman(Fields section, Fields settings) {
         return GearmanConfig.read(section, settings);
--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -44,6 +44,7 @@
     private final ArrayDeque<Runnable> pendingEvents = new ArrayDeque<>();
     private final ArrayDeque<Runnable> pendingActions = new ArrayDeque<>();
     private boolean processing;
+    private RequestLog requestLog = RequestLog.disabled();
 
     /** Limits: open jobs and their bytes in memory, kept outcomes and their bytes, bytes of one streamed result. */
     public record Bounds(int openJobs, long bodyBytes, int keptOutcomes, long keptBytes, long resultBytes) {
@@ -89,6 +90,16 @@
         this.keptOutcomes = new KeptOutcomes(clock, bounds.keptOutcomes(), bounds.keptBytes());
     }
 
+    /** Logs the events of each request from now on. */
+    public void logRequests(RequestLog log) {
+        requestLog = log;
+    }
+
+    /** Returns the log of the requests' events, in which a front records what only it knows of a request. */
+    public RequestLog requestLog() {
+        return requestLog;
+    }
+
     double nowMs() {
         return clock.nowMs();
     }
@@ -248,6 +259,7 @@
             OpenJob existing = ledger.findByUniqueKey(spec.unique());
             if (existing != null) {
                 joinedClients.add(existing, spec, replyTo);
+                requestLog.event(existing.spec.id(), "joined", "");
                 if (existing.stream != null && existing.stream.isStarted()) {
                     replyTo.part(existing.stream.content());
                 }
@@ -256,6 +268,7 @@
             KeptOutcomes.Outcome outcome = keptOutcomes.find(spec.unique());
             if (outcome != null) {
                 counters.count("jobs.kept");
+                requestLog.event(spec.id(), "answered", "outcome=kept");
                 if (outcome.result() == null) {
                     counters.count("jobs.failed." + jobClass.name());
                     replyTo.failed();
@@ -276,6 +289,7 @@
                 || spec.unique() != null && !keptOutcomes.hasCapacity(ledger.uniqueKeyCount());
         if (full || RuleGuard.tooLittleLeft(spec.patienceMs())) {
             counters.count(full ? "jobs.overfull" : "jobs.too_late");
+            requestLog.event(spec.id(), "refused", full ? "reason=overfull" : "reason=too_late");
             counters.count("jobs.refused." + jobClass.name());
             replyTo.refused(full ? 1000 : 0);
             return null;
@@ -283,6 +297,12 @@
         OpenJob job = new OpenJob(spec, jobClass, nowMs() + spec.patienceMs(), leaseAuthority);
         job.recipients.add(replyTo);
         ledger.add(job);
+        if (requestLog.isEnabled()) {
+            requestLog.event(
+                    spec.id(),
+                    "accepted",
+                    "class=" + jobClass.name() + " remaining_ms=" + Math.round(spec.patienceMs()));
+        }
         job.deadlineTimer = wheel.schedule(job.deadlineMs, () -> onDeadline(job));
         process(() -> logic.onJobArrived(
                 nowMs(),
@@ -311,6 +331,10 @@
             return;
         }
         counters.count("jobs.client_gone");
+        if (requestLog.isEnabled()) {
+            requestLog.event(
+                    job.spec.id(), "client_gone", "by=" + replyTo.endReason() + " attempts=" + job.attempts.size());
+        }
         if (job.spec.unique() == null || !job.mayHaveRun()) {
             job.abandoned = true;
             close(job);
@@ -490,6 +514,7 @@
             return; // its result could not be passed on: the attempt has ended as failed
         }
         attempt.ending = ending;
+        logAttempt(attempt, "attempt_ended", " ending=" + ending);
         ledger.counts().setRunning(job, false);
         counters.count("attempts." + ending.name().toLowerCase(Locale.ROOT));
         WorkerRegistry.Node worker = workers.find(attempt.node);
@@ -538,6 +563,7 @@
         List<ReplyTo> recipients = List.copyOf(job.recipients);
         close(job);
         counters.count("jobs." + outcome + "." + job.jobClass.name());
+        requestLog.event(job.spec.id(), "answered", requestLog.isEnabled() ? "outcome=" + outcome : "");
         if (job.spec.unique() != null && job.mayHaveRun()) {
             keptOutcomes.keep(job.spec.unique(), result, job.jobClass.deadlineMs());
         }
@@ -614,15 +640,18 @@
         job.attempts.add(attempt);
         if (violation != null) {
             guard.report(violation, jobId, "attempt " + attempt.number + " on " + node + " not sent");
+            logAttempt(attempt, "attempt_not_sent", " reason=" + violation);
             reportNotSent(attempt);
             return;
         }
         if (RuleGuard.tooLittleLeft(job.deadlineMs - nowMs())) {
             counters.count("attempts.too_little_left");
+            logAttempt(attempt, "attempt_not_sent", " reason=TOO_LITTLE_LEFT");
             reportNotSent(attempt);
             return;
         }
         counters.count("attempts.out");
+        logAttempt(attempt, "attempt", "");
         worker.outstanding++;
         ledger.counts().setRunning(job, true);
         if (job.leaseAuthority == null) {
@@ -633,6 +662,13 @@
         }
     }
 
+    private void logAttempt(Attempt attempt, String event, String details) {
+        if (requestLog.isEnabled()) {
+            requestLog.event(
+                    attempt.job.spec.id(), event, "number=" + attempt.number + " worker=" + attempt.node + details);
+        }
+    }
+
     /** Reads the clients' connections first, as one may have closed since the last read; returns whether the job ended. */
     boolean closedAfterPoll(OpenJob job) {
         List.copyOf(job.recipients).forEach(ReplyTo::pollConnection);
--- a/src/main/java/plumpost/dispatch/ReplyTo.java
+++ b/src/main/java/plumpost/dispatch/ReplyTo.java
@@ -34,4 +34,9 @@
 
     /** Passes on a warning of the route node. */
     default void warned(ByteBuffer text) {}
+
+    /** Returns how the client's connection ended, in one word, or {@code "-"} if that is not known. */
+    default String endReason() {
+        return "-";
+    }
 }
--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -42,6 +42,11 @@
         connection.readAvailable();
     }
 
+    /** Returns how the client ended its connection. */
+    String endReason() {
+        return connection.connection.endReason();
+    }
+
     /** Handles a packet, after those before it on its connection have been answered. */
     void onPacket(Packet packet) {
         switch (packet.type()) {
--- a/src/main/java/plumpost/gearman/Submission.java
+++ b/src/main/java/plumpost/gearman/Submission.java
@@ -38,6 +38,11 @@
         }
     }
 
+    @Override
+    public String endReason() {
+        return client == null ? "-" : client.endReason();
+    }
+
     boolean isDone() {
         return done;
     }
--- a/src/main/java/plumpost/net/Connection.java
+++ b/src/main/java/plumpost/net/Connection.java
@@ -15,6 +15,14 @@
         return "-";
     }
 
+    /**
+     * Returns how the peer ended the connection: {@code "fin"}, or the name of the error, such as
+     * {@code "connection_reset_by_peer"}; {@code "-"} as long as it has not.
+     */
+    default String endReason() {
+        return "-";
+    }
+
     /** Closes the connection after all pending output has been written; its handler is not called any more. */
     void finish();
 
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -381,6 +381,7 @@
         private boolean paused;
         private boolean inBatch;
         private double waitedMs;
+        private String endReason = "-";
 
         SocketConnection(SocketChannel channel, Listener listener) {
             this.channel = channel;
@@ -466,9 +467,13 @@
                     counters.count("net.interrupted");
                     return 0;
                 }
+                if (count == END_OF_STREAM) {
+                    endReason = "fin";
+                }
                 return count;
             } catch (IOException e) {
-                counters.count("net.broken." + errorName(e));
+                endReason = errorName(e);
+                counters.count("net.broken." + endReason);
                 return END_OF_STREAM;
             }
         }
@@ -625,6 +630,11 @@
             return connected && outgoing.isEmpty();
         }
 
+        @Override
+        public String endReason() {
+            return endReason;
+        }
+
         @Override
         public String peer() {
             return channel.socket().getInetAddress() == null
--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -356,6 +356,11 @@
         connection.readAvailable();
     }
 
+    @Override
+    public String endReason() {
+        return connection.endReason();
+    }
+
     private void answer(int status, ByteBuffer body, String fields, boolean close) {
         if (closed) {
             return;
