--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -28,6 +28,7 @@
 import plumpost.http.BadMessageException;
 import plumpost.log.Logs;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Listener;
 import plumpost.net.LoopContext;
 import plumpost.net.SelectorLoop;
 import plumpost.peers.Fleet;
@@ -63,7 +64,7 @@
     private final Platform platform;
     private final List<Front> fronts = new ArrayList<>(2);
     /** Listeners on sockets that the platform shares with the next process; this process stops accepting on them at SIGTERM. */
-    private final List<SelectorLoop.Listener> inheritedListeners = new ArrayList<>(1);
+    private final List<Listener> inheritedListeners = new ArrayList<>(1);
 
     private final String inheritedFd;
     private final SharedBans sharedBans;
@@ -250,7 +251,7 @@
                     .append(' ')
                     .append(front.open(
                             (address, handlerFactory, maxConnections, batched, maxUnreadBytes, shedConnection) -> {
-                                SelectorLoop.Listener listener;
+                                Listener listener;
                                 if (address.equals(config.listen()) && inheritedFd != null && !inheritedFd.isEmpty()) {
                                     listener = loop.adopt(
                                             inheritedSocket(inheritedFd),
@@ -370,7 +371,7 @@
         log("stopping, " + core.openJobCount() + " jobs open, " + Math.round(clock.nowMs() - signalledAtMs)
                 + " ms after the signal was received");
         // The next process already accepts on the shared socket and takes all new connections.
-        inheritedListeners.forEach(SelectorLoop.Listener::close);
+        inheritedListeners.forEach(Listener::close);
         fronts.forEach(front -> front.stop(signalledAtMs, NEW_CONNECTION_GRACE_MS));
         if (fleet != null) {
             fleet.stop();
--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -1,7 +1,6 @@
 package plumpost.dispatch;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.List;
 import java.util.Locale;
@@ -41,9 +40,7 @@
     private final WorkerRegistry workers = new WorkerRegistry();
     private final JobLedger ledger;
     private final JoinedClients joinedClients;
-    private final ArrayDeque<Runnable> pendingEvents = new ArrayDeque<>();
-    private final ArrayDeque<Runnable> pendingActions = new ArrayDeque<>();
-    private boolean processing;
+    private final EventQueue eventQueue;
     private RequestLog requestLog = RequestLog.disabled();
 
     /** Limits: open jobs and their bytes in memory, kept outcomes and their bytes, bytes of one streamed result. */
@@ -84,6 +81,7 @@
         this.ledger = new JobLedger(bounds);
         this.joinedClients = new JoinedClients(this, clock, wheel, counters);
         this.log = log;
+        this.eventQueue = new EventQueue(counters, log);
         this.guard = new RuleGuard(counters, log);
         this.audit = new JobAudit(ledger, guard, clock, wheel, this::failAndForget);
         this.logic = dispatcherFactory.apply(new ActionQueue());
@@ -91,8 +89,8 @@
     }
 
     /** Logs the events of each request from now on. */
-    public void logRequests(RequestLog log) {
-        requestLog = log;
+    public void logRequests(RequestLog newLog) {
+        requestLog = newLog;
     }
 
     /** Returns the log of the requests' events, in which a front records what only it knows of a request. */
@@ -514,7 +512,7 @@
             return; // its result could not be passed on: the attempt has ended as failed
         }
         attempt.ending = ending;
-        logAttempt(attempt, "attempt_ended", " ending=" + ending);
+        requestLog.attempt(attempt, "attempt_ended", " ending=" + ending);
         ledger.counts().setRunning(job, false);
         counters.count("attempts." + ending.name().toLowerCase(Locale.ROOT));
         WorkerRegistry.Node worker = workers.find(attempt.node);
@@ -577,37 +575,8 @@
         job.recipients.clear();
     }
 
-    /** Passes events to the module one at a time and carries out the actions that it requests after each. */
     private void process(Runnable event) {
-        pendingEvents.add(event);
-        if (processing) {
-            return;
-        }
-        processing = true;
-        try {
-            for (Runnable next = pendingEvents.poll(); next != null; next = pendingEvents.poll()) {
-                runGuarded(next);
-                for (Runnable action = pendingActions.poll(); action != null; action = pendingActions.poll()) {
-                    runGuarded(action);
-                }
-            }
-        } finally {
-            processing = false;
-        }
-    }
-
-    /** Logs an exception instead of ending the scheduler; the backstop timer answers jobs that it leaves open. */
-    private void runGuarded(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException exception) {
-            counters.count("guard.fault");
-            log.accept("fault in the dispatch core: " + exception + location(exception));
-        }
-    }
-
-    private static String location(RuntimeException exception) {
-        return exception.getStackTrace().length == 0 ? "" : " at " + exception.getStackTrace()[0];
+        eventQueue.process(event);
     }
 
     /** Starts an attempt, the only place that does so for all fronts; one that breaks a rule ends as not sent. */
@@ -640,18 +609,18 @@
         job.attempts.add(attempt);
         if (violation != null) {
             guard.report(violation, jobId, "attempt " + attempt.number + " on " + node + " not sent");
-            logAttempt(attempt, "attempt_not_sent", " reason=" + violation);
+            requestLog.attempt(attempt, "attempt_not_sent", " reason=" + violation);
             reportNotSent(attempt);
             return;
         }
         if (RuleGuard.tooLittleLeft(job.deadlineMs - nowMs())) {
             counters.count("attempts.too_little_left");
-            logAttempt(attempt, "attempt_not_sent", " reason=TOO_LITTLE_LEFT");
+            requestLog.attempt(attempt, "attempt_not_sent", " reason=TOO_LITTLE_LEFT");
             reportNotSent(attempt);
             return;
         }
         counters.count("attempts.out");
-        logAttempt(attempt, "attempt", "");
+        requestLog.attempt(attempt, "attempt", "");
         worker.outstanding++;
         ledger.counts().setRunning(job, true);
         if (job.leaseAuthority == null) {
@@ -662,13 +631,6 @@
         }
     }
 
-    private void logAttempt(Attempt attempt, String event, String details) {
-        if (requestLog.isEnabled()) {
-            requestLog.event(
-                    attempt.job.spec.id(), event, "number=" + attempt.number + " worker=" + attempt.node + details);
-        }
-    }
-
     /** Reads the clients' connections first, as one may have closed since the last read; returns whether the job ended. */
     boolean closedAfterPoll(OpenJob job) {
         List.copyOf(job.recipients).forEach(ReplyTo::pollConnection);
@@ -710,7 +672,7 @@
         @Override
         public void assign(String jobId, String worker, double timeoutMs) {
             OpenJob job = ledger.find(jobId); // resolved now: its client may leave before this is carried out
-            pendingActions.add(() -> {
+            eventQueue.addAction(() -> {
                 DispatchCore.this.assign(jobId, job, worker);
                 Attempt attempt = job == null ? null : job.outstandingAttempt();
                 if (timeoutMs > 0 && attempt != null) {
@@ -734,7 +696,7 @@
         }
 
         private void finish(String jobId, Consumer<OpenJob> action) {
-            pendingActions.add(() -> {
+            eventQueue.addAction(() -> {
                 OpenJob job = ledger.find(jobId);
                 if (job != null) {
                     action.accept(job);
@@ -745,12 +707,12 @@
 
         @Override
         public void cancel(String jobId, int number) {
-            pendingActions.add(() -> DispatchCore.this.cancel(jobId, number));
+            eventQueue.addAction(() -> DispatchCore.this.cancel(jobId, number));
         }
 
         @Override
         public void probe(String worker) {
-            pendingActions.add(() -> DispatchCore.this.probe(worker));
+            eventQueue.addAction(() -> DispatchCore.this.probe(worker));
         }
 
         @Override
@@ -760,7 +722,7 @@
 
         @Override
         public void requestWorkerList() {
-            pendingActions.add(workers::subscribe);
+            eventQueue.addAction(workers::subscribe);
         }
 
         @Override
--- a/src/main/java/plumpost/dispatch/RequestLog.java
+++ b/src/main/java/plumpost/dispatch/RequestLog.java
@@ -66,6 +66,13 @@
                 + (details.isEmpty() ? "" : " " + details));
     }
 
+    /** Logs an event of an attempt; {@code details} are further pairs that begin with a space, or empty. */
+    void attempt(Attempt attempt, String event, String details) {
+        if (isEnabled()) {
+            event(attempt.spec().id(), event, "number=" + attempt.number + " worker=" + attempt.node + details);
+        }
+    }
+
     private void startWindow(double nowMs) {
         windowStartMs = nowMs;
         linesInWindow = 0;
--- a/src/main/java/plumpost/lab/soak/SoakWorkers.java
+++ b/src/main/java/plumpost/lab/soak/SoakWorkers.java
@@ -16,6 +16,7 @@
 import plumpost.lab.soak.RequestRecord.AttemptRecord;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
+import plumpost.net.Listener;
 import plumpost.net.SelectorLoop;
 import plumpost.time.Clock;
 import plumpost.time.TimerWheel;
@@ -72,7 +73,7 @@
     final class Worker {
         private final String name;
         private final long bornMs;
-        private final SelectorLoop.Listener listener;
+        private final Listener listener;
         private final InetSocketAddress address;
         private final Set<WorkerConnection> connections = new LinkedHashSet<>();
         private String state = "up";
