Read clients' connections to their end, whatever was sent, before and between attempts

Class: a peer's end was learnt only by way of its data, and the data was made to wait.

Change: while an answer is due a connection is always read; what fits 64 KiB and the memory is kept, the requests beyond are parsed, counted and refused in their turn (RequestBacklog). A read reports whether it found the end of what had arrived (within a share of the turn, TurnShare); if not, attempts, first and last bytes wait for the next turn (ClientPresence, Attempt.whenSendable). A request that waits for memory is refused after 80 ms in place of 2 s. An end in the kernel's word (EPOLLRDHUP, TCP_INFO) was weighed and left: a FIN is behind the sender's unsent bytes while we do not read, where no call on our side shows it.

--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -17,8 +17,11 @@
     final WorkerEntry workerEntry;
 
     Ending ending;
-    /** Whether it waits for its lease; until that is granted no node has seen it. */
-    boolean awaitingLease;
+    /**
+     * Whether it waits for its lease, or until its client's connection has been read to its end; no node has seen it until
+     * then.
+     */
+    boolean onHold;
 
     private final DispatchCore core;
 
@@ -48,12 +51,18 @@
     }
 
     /**
-     * Returns whether the attempt may still be written: false once the attempt or the job has ended, the node drains or
-     * is gone, or the window is over in which a repeat is harmless. Reads the clients' connections first.
+     * Calls {@code send} if the attempt may still be written, and {@code cancel} if not: once the attempt or the job has ended,
+     * the node drains or is gone, or the window is over in which a repeat is harmless. Reads the clients' connections first;
+     * while a client's close may lie behind bytes that are not read yet, it waits and calls neither.
      */
-    public boolean mayStillBeSent() {
-        return !core.closedAfterPoll(job)
-                && ending == null
+    public void whenSendable(Runnable send, Runnable cancel) {
+        core.whenSendable(this, send, cancel);
+    }
+
+    /** Returns whether the attempt may still be written, as far as its own scheduler knows. */
+    boolean mayStillBeSent() {
+        return ending == null
+                && !job.answered
                 && core.isServing(node)
                 && job.mayRepeat(this, workerEntry, core.nowMs());
     }
--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -343,7 +343,7 @@
 
     /** Cancels a job that no node has and answers its clients that it failed; false if a node has it. */
     public boolean cancelIfNotRunning(OpenJob job) {
-        if (job.answered || job.running() && !job.outstandingAttempt().awaitingLease) {
+        if (job.answered || job.running() && !job.outstandingAttempt().onHold) {
             return false;
         }
         counters.count("jobs.called_off");
@@ -412,7 +412,7 @@
 
     private void withdraw(OpenJob job, Ending ending) {
         Attempt attempt = job.outstandingAttempt();
-        if (attempt != null && attempt.awaitingLease) {
+        if (attempt != null && attempt.onHold) {
             ended(attempt, Ending.MOOT, null, null);
         } else if (attempt != null) {
             attempt.link.giveUp(attempt);
@@ -422,15 +422,39 @@
 
     /** Sends an attempt that has waited for its lease, or ends it as not sent. */
     private void onLeaseDecision(Attempt attempt, boolean granted) {
-        if (granted && attempt.mayStillBeSent()) {
-            attempt.awaitingLease = false;
-            attempt.link.send(attempt);
-            return;
-        }
         if (granted) {
-            attempt.job.leaseAuthority.leaseNotUsed(attempt);
+            whenSendable(attempt, () -> send(attempt), () -> {
+                attempt.job.leaseAuthority.leaseNotUsed(attempt);
+                ended(attempt, Ending.MOOT, null, null);
+            });
+        } else {
+            ended(attempt, Ending.MOOT, null, null);
         }
-        ended(attempt, Ending.MOOT, null, null);
+    }
+
+    private static void send(Attempt attempt) {
+        attempt.onHold = false;
+        attempt.link.send(attempt);
+    }
+
+    /** Calls one of the two once it is known whether a client of the job is still there. */
+    void whenSendable(Attempt attempt, Runnable send, Runnable cancel) {
+        ClientPresence presence = ClientPresence.poll(attempt.job);
+        if (presence == ClientPresence.GONE || !attempt.mayStillBeSent()) {
+            cancel.run();
+        } else if (presence == ClientPresence.PRESENT) {
+            send.run();
+        } else if (RuleGuard.tooLittleLeft(attempt.leftMs())) {
+            cancel.run();
+        } else {
+            pollAgain(attempt, send, cancel);
+        }
+    }
+
+    /** Decides again once more has been read of what the clients have sent. */
+    private void pollAgain(Attempt attempt, Runnable send, Runnable cancel) {
+        counters.count("attempts.client_unread");
+        wheel.schedule(nowMs(), () -> whenSendable(attempt, send, cancel));
     }
 
     void fullySent(Attempt attempt) {
@@ -519,7 +543,7 @@
         if (worker != null) {
             worker.outstanding = Math.max(0, worker.outstanding - 1); // a node removed and listed again starts at 0
         }
-        if (job.leaseAuthority != null && !attempt.awaitingLease && ending != Ending.OK && !job.answered) {
+        if (job.leaseAuthority != null && !attempt.onHold && ending != Ending.OK && !job.answered) {
             job.leaseAuthority.ended(attempt, ending.neverRan());
         }
         if (ending == Ending.OK && !job.answered) {
@@ -585,7 +609,8 @@
             guard.report(RuleGuard.Violation.OVER, jobId, "an attempt on " + node + " after its answer");
             return;
         }
-        if (job.abandoned || closedAfterPoll(job)) {
+        ClientPresence presence = ClientPresence.poll(job);
+        if (job.abandoned || presence == ClientPresence.GONE) {
             reportNotSent(new Attempt(this, job, node, null, null, nowMs()));
             return;
         }
@@ -623,20 +648,17 @@
         requestLog.attempt(attempt, "attempt", "");
         worker.outstanding++;
         ledger.counts().setRunning(job, true);
-        if (job.leaseAuthority == null) {
-            attempt.link.send(attempt);
+        attempt.onHold = true;
+        if (job.leaseAuthority == null && presence == ClientPresence.PRESENT) {
+            send(attempt);
+        } else if (job.leaseAuthority == null) {
+            requestLog.attempt(attempt, "attempt_held", " reason=client_unread");
+            pollAgain(attempt, () -> send(attempt), () -> ended(attempt, Ending.MOOT, null, null));
         } else {
-            attempt.awaitingLease = true;
             job.leaseAuthority.requestLease(attempt, yes -> onLeaseDecision(attempt, yes));
         }
     }
 
-    /** Reads the clients' connections first, as one may have closed since the last read; returns whether the job ended. */
-    boolean closedAfterPoll(OpenJob job) {
-        List.copyOf(job.recipients).forEach(ReplyTo::pollConnection);
-        return job.answered;
-    }
-
     /** Ends an attempt that was not sent and reports it to the module. */
     private void reportNotSent(Attempt attempt) {
         OpenJob job = attempt.job;
--- a/src/main/java/plumpost/dispatch/ReplyTo.java
+++ b/src/main/java/plumpost/dispatch/ReplyTo.java
@@ -23,8 +23,13 @@
         return true;
     }
 
-    /** Reads the client's connection, to notice that it has closed before its job is sent to a node. */
-    default void pollConnection() {}
+    /**
+     * Reads the client's connection, to notice that it has closed before its job is sent to a node. Returns false if more has
+     * arrived than may be read now, so that a close may still lie behind it.
+     */
+    default boolean pollConnection() {
+        return true;
+    }
 
     /** Passes on a part of the result. The final answer contains the full result all the same. */
     default void part(ByteBuffer part) {}
--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -37,9 +37,9 @@
         statusLookup = new StatusLookup(front);
     }
 
-    /** Reads what the client has sent, which may show that it has disconnected. */
-    void readAvailable() {
-        connection.readAvailable();
+    /** Reads what the client has sent, which may show that it has disconnected; returns whether all of it was read. */
+    boolean readAvailable() {
+        return connection.readAvailable();
     }
 
     /** Returns how the client ended its connection. */
--- a/src/main/java/plumpost/gearman/GearmanConnection.java
+++ b/src/main/java/plumpost/gearman/GearmanConnection.java
@@ -99,11 +99,9 @@
         }
     }
 
-    /** Reads what the socket holds, including its end, unless a read is running already. */
-    void readAvailable() {
-        if (!closed && !reading) {
-            connection.readAvailable();
-        }
+    /** Reads what the socket holds, including its end, unless a read is running already; returns whether all was read. */
+    boolean readAvailable() {
+        return closed || (reading ? connection.readToEnd() : connection.readAvailable());
     }
 
     /** Handles the next packet or line. Returns false if more bytes are needed. */
--- a/src/main/java/plumpost/gearman/Submission.java
+++ b/src/main/java/plumpost/gearman/Submission.java
@@ -32,10 +32,8 @@
     }
 
     @Override
-    public void pollConnection() {
-        if (client != null) {
-            client.readAvailable();
-        }
+    public boolean pollConnection() {
+        return client == null || client.readAvailable();
     }
 
     @Override
--- a/src/main/java/plumpost/http/BodyReader.java
+++ b/src/main/java/plumpost/http/BodyReader.java
@@ -28,6 +28,8 @@
     private int trailerLineBytes;
     private byte[] buffer = new byte[0];
     private int length;
+    /** Whether the bytes are counted and dropped. */
+    private boolean discarding;
 
     /** Creates a reader for a body of {@code framing} bytes; -2 stands for chunks, Long.MAX_VALUE for the connection's end. */
     BodyReader(long framing, int maxBytes) throws BadMessageException {
@@ -53,7 +55,7 @@
 
     /** Returns the buffered bytes. */
     ByteBuffer bytes() {
-        return ByteBuffer.wrap(buffer, 0, length);
+        return ByteBuffer.wrap(buffer, 0, discarding ? 0 : length);
     }
 
     /** Returns the memory in use, in bytes. */
@@ -66,6 +68,12 @@
         return chunked || complete() ? Integer.MAX_VALUE : remaining;
     }
 
+    /** Drops the bytes received so far and those still to come; the framing and the maximum size are checked all the same. */
+    void discardAll() {
+        discarding = true;
+        buffer = new byte[0];
+    }
+
     /** Drops the first bytes of the buffer, which have been processed. */
     void discard(int count) {
         System.arraycopy(buffer, count, buffer, 0, length - count);
@@ -81,7 +89,7 @@
                 readFraming(received.get());
             }
         }
-        if (complete() && length < buffer.length) {
+        if (complete() && length < buffer.length && !discarding) {
             buffer = Arrays.copyOf(buffer, length);
         }
         return complete();
@@ -92,10 +100,14 @@
         if (length + count > maxBytes) {
             throw new BadMessageException(413, "body too large");
         }
-        if (length + count > buffer.length) {
-            buffer = Arrays.copyOf(buffer, newCapacity(length + count));
+        if (discarding) {
+            received.position(received.position() + count);
+        } else {
+            if (length + count > buffer.length) {
+                buffer = Arrays.copyOf(buffer, newCapacity(length + count));
+            }
+            received.get(buffer, length, count);
         }
-        received.get(buffer, length, count);
         length += count;
         remaining -= remaining == Long.MAX_VALUE ? 0 : count;
         if (remaining == 0) {
--- a/src/main/java/plumpost/http/Head.java
+++ b/src/main/java/plumpost/http/Head.java
@@ -10,6 +10,7 @@
 public final class Head {
     private static final int MAX_BYTES = 16 * 1024;
     private static final int MAX_FIELDS = 96;
+    private static final int INITIAL_FIELDS = 12;
     private static final Set<String> HOP_BY_HOP_FIELDS = Set.of(
             "connection",
             "keep-alive",
@@ -35,7 +36,9 @@
     private byte[] bytes = new byte[512];
     private int length;
     private int lineStart;
-    private final int[] fieldOffsets = new int[4 * MAX_FIELDS];
+    /** Four offsets for each field: of its name, its colon, its value and its end. */
+    private int[] fieldOffsets = new int[4 * INITIAL_FIELDS];
+
     private int fieldCount;
     private int firstSpace;
     private int secondSpace;
@@ -121,6 +124,9 @@
         if (fieldCount == MAX_FIELDS) {
             throw new BadMessageException(431, "too many fields");
         }
+        if (4 * fieldCount == fieldOffsets.length) {
+            fieldOffsets = Arrays.copyOf(fieldOffsets, Math.min(4 * MAX_FIELDS, 2 * fieldOffsets.length));
+        }
         int offset = 4 * fieldCount++;
         fieldOffsets[offset] = from;
         fieldOffsets[offset + 1] = colon;
@@ -141,9 +147,9 @@
         return -1;
     }
 
-    /** Returns the memory in use for the received bytes. */
+    /** Returns the memory in use for the received bytes and the places of the fields in them. */
     int capacity() {
-        return bytes.length;
+        return bytes.length + Integer.BYTES * fieldOffsets.length;
     }
 
     /** Returns whether any byte of the message has been received. */
--- a/src/main/java/plumpost/http/RequestReader.java
+++ b/src/main/java/plumpost/http/RequestReader.java
@@ -9,6 +9,7 @@
     private BodyReader bodyReader;
     private String method;
     private String version;
+    private boolean discardsBody;
 
     /** Creates a reader that accepts bodies up to the given number of bytes. */
     public RequestReader(int bodyLimit) {
@@ -37,10 +38,26 @@
                 throw new BadMessageException(400, "chunks are not known to this version");
             }
             bodyReader = new BodyReader(framing == -1 ? 0 : framing, bodyLimit);
+            if (discardsBody) {
+                bodyReader.discardAll();
+            }
         }
         return bodyReader.feed(received);
     }
 
+    /** Drops the body of the current request, which is to be refused: its bytes are read and not kept. */
+    public void discardBody() {
+        discardsBody = true;
+        if (bodyReader != null) {
+            bodyReader.discardAll();
+        }
+    }
+
+    /** Returns whether the body of the current request is dropped. */
+    public boolean discardsBody() {
+        return discardsBody;
+    }
+
     /** Returns whether a request has begun and is not complete. */
     public boolean isIncomplete() {
         return head.hasStarted() && (bodyReader == null || !bodyReader.complete());
@@ -98,12 +115,13 @@
 
     /** Returns whether the client closes the connection after this request. */
     public boolean closesConnection() {
-        return head.closesConnection(version);
+        return bodyReader != null && head.closesConnection(version);
     }
 
     /** Prepares for the next request; buffers returned for the last one stay valid. */
     public void reset() {
         head = new Head();
         bodyReader = null;
+        discardsBody = false;
     }
 }
--- a/src/main/java/plumpost/net/Connection.java
+++ b/src/main/java/plumpost/net/Connection.java
@@ -43,6 +43,14 @@
         return 0;
     }
 
-    /** Reads what has already arrived, so that a close by the peer is noticed before the next write. */
-    void readAvailable();
+    /**
+     * Reads what has already arrived, as far as this connection's share of the turn goes. Returns whether all of it was read,
+     * so that a close by the peer has been noticed; if not, the rest is read in later turns.
+     */
+    boolean readAvailable();
+
+    /** Returns whether the last read found the end of what had arrived; callable while its bytes are being handled. */
+    default boolean readToEnd() {
+        return true;
+    }
 }
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -36,6 +36,8 @@
     /** Accepted connections that are finishing and not closed yet. */
     final Set<SocketConnection> finishingConnections = new LinkedHashSet<>();
 
+    final TurnShare turnShare = new TurnShare();
+    private final ArrayDeque<Runnable> nextTurnTasks = new ArrayDeque<>();
     private final ConcurrentLinkedQueue<Runnable> externalTasks = new ConcurrentLinkedQueue<>();
     private double lastSelectMs;
 
@@ -80,13 +82,15 @@
      */
     public void turn(double maxWaitMs) throws IOException {
         double nowMs = clock.nowMs();
-        double waitMs = deferredTasks.isEmpty() ? wheel.idleUntil(nowMs, maxWaitMs) - nowMs : 0;
+        int tasksOfThisTurn = nextTurnTasks.size();
+        double waitMs = deferredTasks.isEmpty() && tasksOfThisTurn == 0 ? wheel.idleUntil(nowMs, maxWaitMs) - nowMs : 0;
         if (waitMs <= 0) {
             selector.selectNow();
         } else {
             selector.select((long) Math.ceil(waitMs));
         }
         double selectedAtMs = clock.nowMs();
+        turnShare.startTurn(selector.selectedKeys().size());
         for (SelectionKey key : selector.selectedKeys()) {
             runGuarded(() -> ((ReadyHandler) key.attachment()).onReady(key));
         }
@@ -99,6 +103,9 @@
         for (int remaining = deferredTasks.size(); remaining > 0; remaining--) {
             runGuarded(deferredTasks.poll());
         }
+        for (int remaining = tasksOfThisTurn; remaining > 0; remaining--) {
+            runGuarded(nextTurnTasks.poll());
+        }
         for (SocketConnection connection = batchedWrites.poll();
                 connection != null;
                 connection = batchedWrites.poll()) {
@@ -111,6 +118,11 @@
         return clock.nowMs() - lastSelectMs;
     }
 
+    @Override
+    public void runNextTurn(Runnable task) {
+        nextTurnTasks.add(task);
+    }
+
     /** Runs a task on the loop's thread; may be called from any thread. */
     public void execute(Runnable task) {
         externalTasks.add(task);
--- a/src/main/java/plumpost/net/SocketConnection.java
+++ b/src/main/java/plumpost/net/SocketConnection.java
@@ -13,6 +13,8 @@
     private static final int MAX_UNREAD_BYTES = 2 << 20;
     /** Returned by a read at the end of the stream. */
     private static final int END_OF_STREAM = -1;
+    /** Returned by a read that was interrupted. */
+    private static final int INTERRUPTED = -3;
 
     /** Full-buffer reads that discard input at a close; a peer that has sent more may be reset. */
     private static final int MAX_DISCARD_READS = 16;
@@ -29,6 +31,13 @@
     private boolean paused;
     private boolean inBatch;
     private double waitedMs;
+    /** The turn to which {@link #shareLeft} belongs. */
+    private long shareTurn = -1;
+
+    private int shareLeft;
+    /** Whether the last read found the end of what had arrived. */
+    private boolean readToEnd = true;
+
     private String endReason = "-";
 
     SocketConnection(SelectorLoop loop, SocketChannel channel, Listener listener) {
@@ -99,7 +108,7 @@
                 flushOutgoing();
             }
             if (!closed && readyKey.isReadable()) {
-                readFromSocket();
+                readShare();
             }
         } catch (IOException e) {
             handleEnd();
@@ -109,21 +118,47 @@
         }
     }
 
-    private void readFromSocket() {
-        int limit = finishing ? BUFFER_BYTES : Math.min(BUFFER_BYTES, handler.readLimit());
-        if (limit <= 0) {
-            pauseReading();
-            return;
+    /** Reads until all that has arrived is read or this turn's share is used up; returns whether all of it was read. */
+    private boolean readShare() {
+        while (!closed) {
+            int limit = Math.min(remainingShare(), finishing ? BUFFER_BYTES : handler.readLimit());
+            if (limit <= 0) {
+                if (remainingShare() > 0) {
+                    pauseReading();
+                }
+                return false;
+            }
+            int count = readOnce(limit);
+            if (count < limit) {
+                return count != INTERRUPTED;
+            }
+        }
+        return true;
+    }
+
+    /** Returns how many bytes this connection may still read in the current turn. */
+    private int remainingShare() {
+        if (shareTurn != loop.turnShare.turn()) {
+            shareTurn = loop.turnShare.turn();
+            shareLeft = loop.turnShare.bytesPerConnection();
         }
+        return shareLeft;
+    }
+
+    /** Reads up to the limit once and passes the bytes to the handler; returns what {@link #read} returned. */
+    private int readOnce(int limit) {
         // A handler may read another connection meanwhile, so each read uses a buffer of its own.
         ByteBuffer buffer = loop.takeReadBuffer();
         try {
             int count = read(buffer.limit(limit));
+            shareLeft -= Math.max(0, count);
+            readToEnd = count < limit && count != INTERRUPTED;
             if (count == END_OF_STREAM) {
                 handleEnd();
             } else if (count > 0 && !finishing) {
                 handler.received(buffer.flip());
             }
+            return count;
         } catch (RuntimeException | Error e) {
             handleEnd();
             throw new IllegalStateException("on a connection: " + e, e);
@@ -133,15 +168,15 @@
     }
 
     /**
-     * Reads what has arrived and returns the number of bytes, or {@link #END_OF_STREAM}. The JDK reports an interrupted call
-     * (EINTR) by a smaller number: nothing was read then, and the selector selects the connection again.
+     * Reads what has arrived and returns the number of bytes, {@link #END_OF_STREAM} or {@link #INTERRUPTED}. The JDK reports
+     * an interrupted call (EINTR) by a number under -1: nothing was read then, and the selector selects the connection again.
      */
     private int read(ByteBuffer buffer) {
         try {
             int count = channel.read(buffer);
             if (count < END_OF_STREAM) {
                 loop.counters.count("net.interrupted");
-                return 0;
+                return INTERRUPTED;
             }
             if (count == END_OF_STREAM) {
                 endReason = "fin";
@@ -155,10 +190,13 @@
     }
 
     @Override
-    public void readAvailable() {
-        if (connected && !closed && !paused) {
-            readFromSocket();
-        }
+    public boolean readToEnd() {
+        return readToEnd;
+    }
+
+    @Override
+    public boolean readAvailable() {
+        return closed || connected && readShare();
     }
 
     @Override
--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -14,11 +14,12 @@
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
 import plumpost.net.LoopContext;
+import plumpost.time.TimerWheel;
 
 /**
- * One connection of a client: reads requests one by one, submits jobs to the core and writes the answers. Pipelined requests
- * are buffered until the answer to the current one has been written; above a limit, or while all connections together hold
- * too much memory, reading is paused until then.
+ * One connection of a client: reads requests one by one, submits jobs to the core and writes the answers. Requests that come
+ * ahead of the answer to the current one wait for it, and beyond a limit are refused in their turn; the connection is read all
+ * the while, so that the client's end is noticed behind whatever it has sent.
  */
 final class ClientConnection implements ConnectionHandler, ReplyTo, ClientMemory.Holder {
     /** The shed rank of a connection that must not be shed. */
@@ -26,6 +27,10 @@
 
     private static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int MAX_READ_AHEAD_BYTES = 64 * 1024;
+    /** Requests answered in one turn of the loop; the others of a client that sends many wait behind other clients. */
+    private static final int MAX_REQUESTS_PER_TURN = 32;
+    /** A request that has waited for memory for this long is refused, so that the client's end behind it is noticed. */
+    private static final double MAX_MEMORY_WAIT_MS = 80;
     /** Clients send a request as soon as they have connected; without one after this time, a connection may be shed. */
     private static final double FIRST_REQUEST_MS = 100;
     /** A connection whose request has been incomplete for this long may be shed. */
@@ -42,7 +47,7 @@
     private OpenJob job;
 
     private double jobTakenAtMs;
-    private final ReadAheadBuffer readAhead = new ReadAheadBuffer();
+    private final RequestBacklog backlog = new RequestBacklog(MAX_BODY_BYTES);
     /** The bytes just received, while they are being parsed. */
     private ByteBuffer received = EMPTY;
     /** Bytes of the last answer, while the socket has not taken all of them. */
@@ -55,6 +60,11 @@
     private boolean requestOpen;
 
     private boolean parsing;
+    /** Whether the next turn of the loop continues to parse. */
+    private boolean parseScheduled;
+    /** Refuses the request that waits for memory, or null. */
+    private TimerWheel.Timer memoryTimer;
+
     private boolean closed;
     private boolean continueSent;
     private boolean answered;
@@ -81,12 +91,17 @@
 
     /** Returns whether a request has begun and is not complete. */
     boolean readingRequest() {
-        return reader.isIncomplete();
+        return reader.isIncomplete() || !requestOpen && !backlog.hasWork() && backlog.dropsIncompleteRequest();
+    }
+
+    /** Returns whether the request that is being received is dropped for lack of memory. */
+    boolean dropsRequest() {
+        return reader.discardsBody() || backlog.dropsIncompleteRequest();
     }
 
     /** Returns whether there is neither an open request nor any byte of another. */
     boolean idle() {
-        return !requestOpen && !reader.isIncomplete() && readAhead.isEmpty();
+        return !requestOpen && !reader.isIncomplete() && backlog.isEmpty();
     }
 
     /** Returns whether nothing has been received on the connection yet. */
@@ -96,7 +111,7 @@
 
     /** Returns whether the client is expected to send the rest of a request, or its first one. */
     boolean awaitsRequestBytes() {
-        return !requestOpen && (reader.isIncomplete() || !answered);
+        return !requestOpen && (readingRequest() || !answered);
     }
 
     /** Returns whether all answers have been written to the socket. */
@@ -115,7 +130,7 @@
      * close and reconnects; otherwise {@link #NEVER_SHED}.
      */
     int shedRank() {
-        if (requestOpen || !readAhead.isEmpty()) {
+        if (requestOpen || !backlog.isEmpty()) {
             return NEVER_SHED;
         }
         if (reader.isIncomplete()) {
@@ -134,17 +149,49 @@
 
     @Override
     public int readLimit() {
-        long limit = readsAhead() ? MAX_READ_AHEAD_BYTES - readAhead.size() : reader.missingBodyBytes();
-        if (limit <= 0) {
-            // Closing would lose the open job, so flow control makes the client wait.
-            context.counters().count("front.far_ahead");
-            return 0;
+        if (!mayParse()) {
+            return Integer
+                    .MAX_VALUE; // an answer is due: what comes ahead of it is kept or dropped, and the end is noticed
+        }
+        if (backlog.hasWork()) {
+            return 0; // the next turn parses it
+        }
+        if (!backlog.isEmpty() || reader.discardsBody()) {
+            return Integer.MAX_VALUE;
         }
-        return (int) Math.min(limit, front.memory().requestAllowance(this));
+        int allowance = (int) Math.min(reader.missingBodyBytes(), front.memory().requestAllowance(this));
+        watchMemoryWait(allowance <= 0);
+        return allowance;
+    }
+
+    private void watchMemoryWait(boolean waiting) {
+        if (waiting && memoryTimer == null) {
+            memoryTimer = context.wheel().schedule(nowMs() + MAX_MEMORY_WAIT_MS, this::endMemoryWait);
+        } else if (!waiting && memoryTimer != null) {
+            memoryTimer.cancel();
+            memoryTimer = null;
+        }
+    }
+
+    /** Refuses the request that has waited for memory: its rest is read and dropped. */
+    private void endMemoryWait() {
+        memoryTimer = null;
+        if (closed || !front.memory().isWaiting(this)) {
+            return;
+        }
+        if (!reader.hasHead()) {
+            reject(503, "the requests being received use up the memory for them");
+            return;
+        }
+        context.counters().count("front.memory_refused");
+        front.memory().stopWaiting(this);
+        reader.discardBody();
+        reportHeldBytes();
+        connection.resumeReading();
     }
 
     private boolean readsAhead() {
-        return !mayParse() || !readAhead.isEmpty();
+        return !mayParse() || !backlog.isEmpty();
     }
 
     @Override
@@ -155,7 +202,7 @@
     @Override
     public long heldBytes() {
         long requestBytes = job == null ? reader.capacity() : 0; // an open job's are counted by the core
-        return requestBytes + readAhead.capacity() + unwrittenBytes;
+        return requestBytes + backlog.capacity() + unwrittenBytes;
     }
 
     @Override
@@ -177,7 +224,10 @@
     @Override
     public void received(ByteBuffer newBytes) {
         if (readsAhead()) {
-            readAhead.append(newBytes);
+            keepAhead(newBytes);
+            if (!parsing && mayParse()) {
+                parse();
+            }
         } else {
             received = newBytes;
             parse();
@@ -190,21 +240,17 @@
         return !closed && !requestOpen && (unwrittenBytes == 0 || front.refusesJobs());
     }
 
-    /** Parses what has been received, and then what was read ahead, up to the end of a request that is not answered yet. */
+    /** Parses what has been received, and then what came ahead, up to the end of a request that is not answered yet. */
     private void parse() {
         parsing = true;
         try {
-            while (mayParse() && (received.hasRemaining() || !readAhead.isEmpty())) {
-                if (!reader.isIncomplete() && answered) {
-                    stateSinceMs = nowMs(); // the time of the first request counts from the connect
-                }
-                if (reader.feed(received.hasRemaining() ? received : readAhead.bytes())) {
-                    requestOpen = true;
-                    handleRequest();
-                } else if (!continueSent && reader.awaitsContinue()) {
-                    continueSent = true;
-                    connection.write(AnswerEncoder.ascii("HTTP/1.1 100 Continue\r\n\r\n"));
+            int answeredRequests = 0;
+            while (mayParse() && (received.hasRemaining() || backlog.hasWork())) {
+                if (answeredRequests == MAX_REQUESTS_PER_TURN) {
+                    scheduleParse();
+                    break;
                 }
+                answeredRequests += parseNext() ? 1 : 0;
             }
         } catch (BadMessageException e) {
             reject(e.status(), e.getMessage());
@@ -212,15 +258,56 @@
             parsing = false;
         }
         if (!closed) {
-            readAhead.append(received);
-            readAhead.releaseIfParsed();
+            keepAhead(received);
+            backlog.releaseIfDone();
             connection.resumeReading();
         }
         received = EMPTY;
     }
 
-    /** Parses what was read ahead, after the answer to the last request has been written. */
-    private void parseReadAhead() {
+    /** Parses up to the end of the next request and handles it; returns whether one was complete. */
+    private boolean parseNext() throws BadMessageException {
+        if (!reader.isIncomplete() && answered) {
+            stateSinceMs = nowMs(); // the time of the first request counts from the connect
+        }
+        if (!received.hasRemaining() && backlog.size() == 0) {
+            refuseDropped();
+            return true;
+        }
+        if (reader.feed(received.hasRemaining() ? received : backlog.bytes())) {
+            requestOpen = true;
+            handleRequest();
+            return true;
+        }
+        if (!continueSent && reader.awaitsContinue()) {
+            continueSent = true;
+            connection.write(AnswerEncoder.ascii("HTTP/1.1 100 Continue\r\n\r\n"));
+        }
+        return false;
+    }
+
+    /** Refuses the next request that came too far ahead to be kept. */
+    private void refuseDropped() throws BadMessageException {
+        boolean last = backlog.takeDropped();
+        context.counters().count("front.far_ahead");
+        requestOpen = true;
+        answer(503, EMPTY, "", last);
+    }
+
+    private void keepAhead(ByteBuffer bytes) {
+        long room = MAX_READ_AHEAD_BYTES - backlog.size();
+        backlog.add(bytes, Math.min(room, front.memory().readAheadAllowance(this)));
+    }
+
+    private void scheduleParse() {
+        if (!parseScheduled) {
+            parseScheduled = true;
+            context.network().runNextTurn(this::continueParsing);
+        }
+    }
+
+    private void continueParsing() {
+        parseScheduled = false;
         if (mayParse()) {
             parse();
             reportHeldBytes();
@@ -229,10 +316,10 @@
 
     /**
      * Returns whether the client has already disconnected. On a connection that was accepted or read late, the close may have
-     * arrived together with the request, and the job would otherwise be dispatched before the close is read.
+     * arrived together with the request, and the job would otherwise be submitted before the close is read.
      */
     private boolean clientDisconnected() {
-        readAhead.append(received); // ahead of the bytes that are read now
+        keepAhead(received); // ahead of the bytes that are read now
         if (!closed) {
             connection.readAvailable();
         }
@@ -243,6 +330,10 @@
 
     private void handleRequest() {
         context.counters().count("front.requests");
+        if (reader.discardsBody()) {
+            answer(503, EMPTY, "", false);
+            return;
+        }
         String path = reader.path();
         switch (path) {
             case "/health/ready" -> requireGet(() -> answer(front.reportsReady() ? 200 : 503, EMPTY, "", false));
@@ -324,7 +415,7 @@
                     .accept("last call: " + job.spec().id() + " is answered, taken "
                             + Math.round(nowMs() - jobTakenAtMs) + " ms ago");
             core.endBeforeStop(job);
-        } else if (reader.isIncomplete()) {
+        } else if (readingRequest()) {
             context.counters().count("front.half_at_end");
             requestOpen = true;
             answer(503, EMPTY, "", true); // it was not accepted, so the client may send it elsewhere
@@ -352,8 +443,8 @@
     }
 
     @Override
-    public void pollConnection() {
-        connection.readAvailable();
+    public boolean pollConnection() {
+        return connection.readAvailable();
     }
 
     @Override
@@ -367,7 +458,7 @@
         }
         context.counters().count("front.answers." + status);
         // Buffered requests are answered before the connection is closed.
-        boolean closing = close || front.closesAfterAnswers() && readAhead.isEmpty() || reader.closesConnection();
+        boolean closing = close || front.closesAfterAnswers() && backlog.isEmpty() || reader.closesConnection();
         requestOpen = false;
         answered = true;
         continueSent = false;
@@ -396,9 +487,10 @@
 
     private void continueAfterAnswer() {
         reportHeldBytes();
-        if (!readAhead.isEmpty()) {
-            context.wheel().schedule(nowMs(), this::parseReadAhead); // not within the core's call for the last answer
+        if (backlog.hasWork()) {
+            scheduleParse(); // not within the core's call for the last answer
         } else {
+            backlog.releaseIfDone();
             resumeReading();
         }
     }
@@ -408,7 +500,7 @@
     /** Marks the connection as closed and frees its memory, since the socket may linger for a while. */
     private void close() {
         closed = true;
-        readAhead.clear();
+        backlog.clear();
         received = EMPTY;
         reader.reset();
         reportHeldBytes();
--- a/src/main/java/plumpost/platform/ClientMemory.java
+++ b/src/main/java/plumpost/platform/ClientMemory.java
@@ -62,6 +62,11 @@
         return 0;
     }
 
+    /** Returns how many bytes a connection may keep now of what it reads ahead of an answer; it does not wait for more. */
+    long readAheadAllowance(Holder holder) {
+        return Math.max(0, allowance(holder, 0));
+    }
+
     private long allowance(Holder holder, long promisedBytes) {
         long limit = holder.readsBody() ? maxBytes : maxBytes / 2;
         return Math.max(GUARANTEED_BYTES - holder.heldBytes(), limit - heldBytes - promisedBytes);
--- a/src/main/java/plumpost/platform/HttpFront.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -140,7 +140,7 @@
         if (!client.answersWritten() && stateAgeMs > MAX_UNREAD_ANSWER_MS) {
             context.counters().count("front.unread");
             client.abort();
-        } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS && memory.isWaiting(client)) {
+        } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS && client.dropsRequest()) {
             client.reject(503, "the requests being received use up the memory for them");
         } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS) {
             context.counters().count("front.slow");
--- a/src/main/java/plumpost/platform/WarmUp.java
+++ b/src/main/java/plumpost/platform/WarmUp.java
@@ -91,6 +91,11 @@
         return connection;
     }
 
+    @Override
+    public void runNextTurn(Runnable task) {
+        pendingTasks.add(task);
+    }
+
     /** A connection whose remote end answers requests like a route node and like discovery. */
     private final class MemoryConnection implements Connection {
         private final RequestReader reader = new RequestReader(1024);
@@ -150,6 +155,8 @@
         public void closeNow() {}
 
         @Override
-        public void readAvailable() {}
+        public boolean readAvailable() {
+            return true;
+        }
     }
 }
--- a/src/main/java/plumpost/platform/WorkerLinks.java
+++ b/src/main/java/plumpost/platform/WorkerLinks.java
@@ -223,12 +223,27 @@
             if (closed) {
                 return;
             }
-            if (attempt != null && !attempt.mayStillBeSent()) {
-                // The node began to drain while connecting: nothing has been written, and nothing will be.
-                endWith(Ending.CONNECT_FAILED);
-            } else {
+            if (attempt == null) {
                 writeRequest();
+                return;
             }
+            // The node may have begun to drain while connecting: nothing has been written, and nothing will be.
+            writeIfSendable(attempt, this::writeRequest);
+        }
+
+        /** Writes once it is known that the attempt may still be sent, or else ends it: the node has seen nothing of it. */
+        private void writeIfSendable(Attempt current, Runnable write) {
+            current.whenSendable(
+                    () -> {
+                        if (attempt == current) {
+                            write.run();
+                        }
+                    },
+                    () -> {
+                        if (attempt == current) {
+                            endWith(Ending.CONNECT_FAILED);
+                        }
+                    });
         }
 
         private void writeRequest() {
@@ -270,14 +285,11 @@
                 if (attempt == current) {
                     connection.readAvailable();
                 }
-                if (attempt != current) {
-                    return;
-                }
-                if (current.mayStillBeSent()) {
-                    requestWritten = true;
-                    connection.write(last);
-                } else {
-                    endWith(Ending.CONNECT_FAILED);
+                if (attempt == current) {
+                    writeIfSendable(current, () -> {
+                        requestWritten = true;
+                        connection.write(last);
+                    });
                 }
             });
         }
--- a/src/test/java/plumpost/SocketRig.java
+++ b/src/test/java/plumpost/SocketRig.java
@@ -352,6 +352,11 @@
             }
         }
 
+        /** Sends the bytes without a turn of the loop, as many as the socket's buffers take. */
+        public void sendWithoutTurns(String bytes) throws IOException {
+            channel.write(ByteBuffer.wrap(bytes.getBytes(StandardCharsets.ISO_8859_1)));
+        }
+
         /** Reads what has arrived and returns all text received since the last {@link #expect}. */
         public String text() {
             ByteBuffer buffer = ByteBuffer.allocate(4096);
@@ -368,6 +373,13 @@
             return text.toString();
         }
 
+        /** Reads what has arrived; returns and clears the received text. */
+        public String takeText() {
+            String received = text();
+            text.setLength(0);
+            return received;
+        }
+
         /** Turns the loop until the received text contains the given text; returns and clears the received text. */
         public String expect(String expected) {
             turnUntil("expecting " + expected + ", got " + text, () -> text().contains(expected));
--- a/src/test/java/plumpost/platform/ClientDisconnectTest.java
+++ b/src/test/java/plumpost/platform/ClientDisconnectTest.java
@@ -74,6 +74,63 @@
         }
     }
 
+    /** Guards a client's end that lies behind more bytes than one turn reads, when its request is taken. */
+    @ParameterizedTest
+    @EnumSource(Disconnect.class)
+    void disconnectBehindMoreBytesThanOneTurnReads(Disconnect kind) throws IOException {
+        for (String className : CLASSES) {
+            try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+                Peer client = rig.client();
+                client.sendWithoutTurns(
+                        job(className, "a") + job(className, "b").repeat(4_000));
+                kind.disconnect(client);
+                assertThat(wasForwarded(rig, 1_000)).as(className).isFalse();
+                assertThat(rig.core.openJobCount()).isZero();
+            }
+        }
+    }
+
+    /** Guards a client's end behind requests sent ahead of an answer, of which some are not kept: it is noticed at once. */
+    @ParameterizedTest
+    @EnumSource(Disconnect.class)
+    void disconnectBehindRequestsAheadOfTheAnswer(Disconnect kind) throws IOException {
+        for (String className : CLASSES) {
+            try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+                rig.platform.applyFleetLine("{\"seq\":2,\"whole\":true,\"hosts\":[]}");
+                Peer client = rig.client();
+                client.send(job(className, "a"));
+                rig.turnUntil("held", () -> rig.core.openJobCount() == 1);
+                client.send(job(className, "b").repeat(4_000));
+                kind.disconnect(client);
+                rig.turnUntil("noticed", () -> rig.core.openJobCount() == 0);
+                rig.platform.applyFleetLine("{\"seq\":3,\"whole\":true,\"hosts\":[" + rig.hostEntry(0, "up") + "]}");
+                assertThat(wasForwarded(rig, 1_000)).isFalse();
+                assertThat(rig.counters.get("jobs.client_gone")).isEqualTo(1);
+            }
+        }
+    }
+
+    /** Guards a client's end behind a few bytes for which there is no memory left. */
+    @ParameterizedTest
+    @EnumSource(Disconnect.class)
+    void disconnectWhileTheMemoryForClientsIsUsedUp(Disconnect kind) throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            rig.platform.applyFleetLine("{\"seq\":2,\"whole\":true,\"hosts\":[]}");
+            for (int i = 0; i < 40; i++) {
+                rig.client()
+                        .send(job("route-plan", "m" + i)
+                                + job("route-plan", "n" + i).repeat(200));
+            }
+            Peer client = rig.client();
+            client.send(job("pickup-order", "a"));
+            rig.turnUntil("held", () -> rig.core.openJobCount() == 41);
+            client.send(job("pickup-order", "b").repeat(100));
+            kind.disconnect(client);
+            rig.turnUntil("noticed", () -> rig.core.openJobCount() == 40);
+            assertThat(rig.core.findJob("a")).isNull();
+        }
+    }
+
     /** Guards the wait for a node: none is listed when the client disconnects, and one is listed a moment later. */
     @ParameterizedTest
     @EnumSource(Disconnect.class)
