Start no attempt for a job whose clients have all left; give attempts' start a class of its own

Cause: a job with a unique key that may have run is kept when its last client leaves, so that a resubmission gets its outcome, and its further attempts went out all the same: begun after the client's close. It now fails then, which its kept outcome tells a client that comes again.

--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -41,6 +41,7 @@
     private final JobLedger ledger;
     private final JoinedClients joinedClients;
     private final EventQueue eventQueue;
+    private final AttemptStarter starter;
     private RequestLog requestLog = RequestLog.disabled();
 
     /** Limits: open jobs and their bytes in memory, kept outcomes and their bytes, bytes of one streamed result. */
@@ -83,6 +84,7 @@
         this.log = log;
         this.eventQueue = new EventQueue(counters, log);
         this.guard = new RuleGuard(counters, log);
+        this.starter = new AttemptStarter(this, workers, guard, ledger, counters, wheel);
         this.audit = new JobAudit(ledger, guard, clock, wheel, this::failAndForget);
         this.logic = dispatcherFactory.apply(new ActionQueue());
         this.keptOutcomes = new KeptOutcomes(clock, bounds.keptOutcomes(), bounds.keptBytes());
@@ -132,6 +134,11 @@
         return ledger.findByUniqueKey(uniqueKey);
     }
 
+    /** Decides whether an attempt that waited may be sent. */
+    void whenSendable(Attempt attempt, Runnable send, Runnable cancel) {
+        starter.whenSendable(attempt, send, cancel);
+    }
+
     boolean isServing(String node) {
         return workers.isServing(node);
     }
@@ -341,6 +348,13 @@
         }
     }
 
+    /** Ends a job that may have run and for which nobody waits any more, in place of a further attempt. */
+    void endWithoutClients(OpenJob job) {
+        if (!job.answered && job.recipients.isEmpty()) {
+            failAndForget(job);
+        }
+    }
+
     /** Cancels a job that no node has and answers its clients that it failed; false if a node has it. */
     public boolean cancelIfNotRunning(OpenJob job) {
         if (job.answered || job.running() && !job.outstandingAttempt().onHold) {
@@ -420,43 +434,6 @@
         }
     }
 
-    /** Sends an attempt that has waited for its lease, or ends it as not sent. */
-    private void onLeaseDecision(Attempt attempt, boolean granted) {
-        if (granted) {
-            whenSendable(attempt, () -> send(attempt), () -> {
-                attempt.job.leaseAuthority.leaseNotUsed(attempt);
-                ended(attempt, Ending.MOOT, null, null);
-            });
-        } else {
-            ended(attempt, Ending.MOOT, null, null);
-        }
-    }
-
-    private static void send(Attempt attempt) {
-        attempt.onHold = false;
-        attempt.link.send(attempt);
-    }
-
-    /** Calls one of the two once it is known whether a client of the job is still there. */
-    void whenSendable(Attempt attempt, Runnable send, Runnable cancel) {
-        ClientPresence presence = ClientPresence.poll(attempt.job);
-        if (presence == ClientPresence.GONE || !attempt.mayStillBeSent()) {
-            cancel.run();
-        } else if (presence == ClientPresence.PRESENT) {
-            send.run();
-        } else if (RuleGuard.tooLittleLeft(attempt.leftMs())) {
-            cancel.run();
-        } else {
-            pollAgain(attempt, send, cancel);
-        }
-    }
-
-    /** Decides again once more has been read of what the clients have sent. */
-    private void pollAgain(Attempt attempt, Runnable send, Runnable cancel) {
-        counters.count("attempts.client_unread");
-        wheel.schedule(nowMs(), () -> whenSendable(attempt, send, cancel));
-    }
-
     void fullySent(Attempt attempt) {
         counters.count("attempts.whole." + attempt.job.jobClass.name());
     }
@@ -603,64 +580,8 @@
         eventQueue.process(event);
     }
 
-    /** Starts an attempt, the only place that does so for all fronts; one that breaks a rule ends as not sent. */
-    private void assign(String jobId, OpenJob job, String node) {
-        if (job == null || job.answered && !job.abandoned) {
-            guard.report(RuleGuard.Violation.OVER, jobId, "an attempt on " + node + " after its answer");
-            return;
-        }
-        ClientPresence presence = ClientPresence.poll(job);
-        if (job.abandoned || presence == ClientPresence.GONE) {
-            reportNotSent(new Attempt(this, job, node, null, null, nowMs()));
-            return;
-        }
-        WorkerRegistry.Node worker = workers.find(node);
-        RuleGuard.Violation violation = guard.findViolation(
-                job,
-                worker,
-                workers.isBanned(node),
-                new RuleGuard.Limits(
-                        settings.classes().size(),
-                        settings.limits().maxAttempts(),
-                        settings.rules().coldMs()),
-                nowMs());
-        Attempt attempt = new Attempt(
-                this,
-                job,
-                node,
-                worker == null ? null : worker.listing.link(),
-                worker == null ? null : worker.listing.entry(),
-                nowMs());
-        job.attempts.add(attempt);
-        if (violation != null) {
-            guard.report(violation, jobId, "attempt " + attempt.number + " on " + node + " not sent");
-            requestLog.attempt(attempt, "attempt_not_sent", " reason=" + violation);
-            reportNotSent(attempt);
-            return;
-        }
-        if (RuleGuard.tooLittleLeft(job.deadlineMs - nowMs())) {
-            counters.count("attempts.too_little_left");
-            requestLog.attempt(attempt, "attempt_not_sent", " reason=TOO_LITTLE_LEFT");
-            reportNotSent(attempt);
-            return;
-        }
-        counters.count("attempts.out");
-        requestLog.attempt(attempt, "attempt", "");
-        worker.outstanding++;
-        ledger.counts().setRunning(job, true);
-        attempt.onHold = true;
-        if (job.leaseAuthority == null && presence == ClientPresence.PRESENT) {
-            send(attempt);
-        } else if (job.leaseAuthority == null) {
-            requestLog.attempt(attempt, "attempt_held", " reason=client_unread");
-            pollAgain(attempt, () -> send(attempt), () -> ended(attempt, Ending.MOOT, null, null));
-        } else {
-            job.leaseAuthority.requestLease(attempt, yes -> onLeaseDecision(attempt, yes));
-        }
-    }
-
     /** Ends an attempt that was not sent and reports it to the module. */
-    private void reportNotSent(Attempt attempt) {
+    void reportNotSent(Attempt attempt) {
         OpenJob job = attempt.job;
         attempt.ending = Ending.MOOT;
         process(() -> logic.onAttemptEnded(
@@ -695,7 +616,7 @@
         public void assign(String jobId, String worker, double timeoutMs) {
             OpenJob job = ledger.find(jobId); // resolved now: its client may leave before this is carried out
             eventQueue.addAction(() -> {
-                DispatchCore.this.assign(jobId, job, worker);
+                starter.start(jobId, job, worker);
                 Attempt attempt = job == null ? null : job.outstandingAttempt();
                 if (timeoutMs > 0 && attempt != null) {
                     wheel.schedule(attempt.sentAtMs + timeoutMs, () -> {
