--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -42,6 +42,12 @@
         return connection.readAvailable();
     }
 
+    /** Returns whether the client has ended its connection, which it may have done right behind its request. */
+    private boolean clientDisconnected() {
+        connection.readAvailable();
+        return connection.isClosed();
+    }
+
     /** Returns how the client ended its connection. */
     String endReason() {
         return connection.connection.endReason();
@@ -196,6 +202,10 @@
         if (!joins && rejectIfFull(request)) {
             return;
         }
+        if (!inBackground && clientDisconnected()) {
+            front.context.counters().count("gearman.gone_before");
+            return;
+        }
         Submission submission = new Submission(inBackground ? null : this, front.handleOf(request.id()));
         awaited.add(submission);
         OpenJob openJob = front.core.submit(request, submission);
--- a/src/main/java/plumpost/gearman/GearmanConnection.java
+++ b/src/main/java/plumpost/gearman/GearmanConnection.java
@@ -16,6 +16,11 @@
 
     private static final double MIN_BYTES_PER_MS = 16;
 
+    /** Packets and lines handled in one turn of the loop; the others of a peer that sends many wait behind other peers. */
+    private static final int MAX_REQUESTS_PER_TURN = 256;
+
+    private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+
     /** Bytes of a long admin answer that are written at a time. */
     private static final int ANSWER_CHUNK_BYTES = 64 * 1024;
 
@@ -32,6 +37,13 @@
     private boolean reading;
     private double pendingSinceMs = Double.NaN;
     private boolean hasReceivedBytes;
+    /** Received bytes that the next turn handles. */
+    private ByteBuffer leftover = EMPTY;
+
+    private boolean leftoverScheduled;
+    /** Whether the end has been looked for since the read that is being handled. */
+    private boolean lookedForEnd;
+
     private ByteBuffer adminAnswer;
 
     GearmanConnection(GearmanFront front, Connection connection, long number) {
@@ -86,12 +98,68 @@
         return text.append('\n').toString();
     }
 
+    @Override
+    public int readLimit() {
+        return leftover.hasRemaining() || answerOrder.isPaused() ? 0 : Integer.MAX_VALUE;
+    }
+
     @Override
     public void received(ByteBuffer input) {
         hasReceivedBytes = true;
+        if (reading) {
+            keepForNextTurn(input); // read to look for the end, while the bytes before these are being handled
+            return;
+        }
+        handle(input);
+        if (!closed && input.hasRemaining()) {
+            ByteBuffer rest = ByteBuffer.allocate(input.remaining()).put(input).flip();
+            leaveToNextTurn(rest);
+        }
+    }
+
+    /** Leaves the rest of what was being handled to the next turn, ahead of what was read meanwhile. */
+    private void leaveToNextTurn(ByteBuffer rest) {
+        ByteBuffer readMeanwhile = leftover;
+        leftover = rest;
+        keepForNextTurn(readMeanwhile);
+        scheduleLeftover();
+    }
+
+    private void keepForNextTurn(ByteBuffer input) {
+        if (input.hasRemaining()) {
+            leftover = ByteBuffer.allocate(leftover.remaining() + input.remaining())
+                    .put(leftover)
+                    .put(input)
+                    .flip();
+            scheduleLeftover();
+        }
+    }
+
+    private void scheduleLeftover() {
+        if (!leftoverScheduled) {
+            leftoverScheduled = true;
+            front.context.network().runNextTurn(this::handleLeftover);
+        }
+    }
+
+    private void handleLeftover() {
+        leftoverScheduled = false;
+        ByteBuffer input = leftover;
+        leftover = EMPTY;
+        handle(input);
+        if (!closed && input.hasRemaining()) {
+            leaveToNextTurn(input);
+        } else if (!closed && !leftover.hasRemaining() && !answerOrder.isPaused()) {
+            connection.resumeReading();
+        }
+    }
+
+    /** Handles packets and lines, as many as one turn allows. */
+    private void handle(ByteBuffer input) {
         reading = true;
+        lookedForEnd = false;
         try {
-            while (!closed && readNext(input)) {
+            for (int handled = 0; !closed && handled < MAX_REQUESTS_PER_TURN && readNext(input); handled++) {
                 pendingSinceMs = Double.NaN;
             }
         } finally {
@@ -99,9 +167,27 @@
         }
     }
 
-    /** Reads what the socket holds, including its end, unless a read is running already; returns whether all was read. */
+    /**
+     * Reads what the socket holds, including its end; returns whether all of it was read. While a read is being handled, this is
+     * done once, and what it finds is handled in the next turn.
+     */
     boolean readAvailable() {
-        return closed || (reading ? connection.readToEnd() : connection.readAvailable());
+        if (closed) {
+            return true;
+        }
+        if (!reading) {
+            return connection.readAvailable();
+        }
+        if (!lookedForEnd) {
+            lookedForEnd = true;
+            connection.readAvailable();
+        }
+        return closed || connection.readToEnd();
+    }
+
+    /** Returns whether the peer has ended the connection, as far as it has been read. */
+    boolean isClosed() {
+        return closed;
     }
 
     /** Handles the next packet or line. Returns false if more bytes are needed. */
@@ -265,6 +351,7 @@
         endAdminAnswer();
         reader.release();
         answerOrder.clear();
+        leftover = EMPTY;
         front.removeConnection(this);
         if (client != null) {
             client.onDisconnected();
--- a/src/main/java/plumpost/net/SelectorLoop.java
+++ b/src/main/java/plumpost/net/SelectorLoop.java
@@ -23,6 +23,7 @@
     private static final double MAX_SLEEP_MS = 500;
     static final double LINGER_MS = 500;
     private static final int MAX_UNREAD_BYTES = 2 << 20;
+    private static final int MAX_EXTERNAL_TASKS_PER_TURN = 1_000;
 
     final Selector selector;
     final Clock clock;
@@ -83,7 +84,9 @@
     public void turn(double maxWaitMs) throws IOException {
         double nowMs = clock.nowMs();
         int tasksOfThisTurn = nextTurnTasks.size();
-        double waitMs = deferredTasks.isEmpty() && tasksOfThisTurn == 0 ? wheel.idleUntil(nowMs, maxWaitMs) - nowMs : 0;
+        double waitMs = deferredTasks.isEmpty() && batchedWrites.isEmpty() && tasksOfThisTurn == 0
+                ? wheel.idleUntil(nowMs, maxWaitMs) - nowMs
+                : 0;
         if (waitMs <= 0) {
             selector.selectNow();
         } else {
@@ -97,20 +100,28 @@
         selector.selectedKeys().clear();
         lastSelectMs = selectedAtMs;
         runGuarded(() -> wheel.advanceTo(clock.nowMs()));
-        for (Runnable task = externalTasks.poll(); task != null; task = externalTasks.poll()) {
-            runGuarded(task);
-        }
+        runExternalTasks();
         for (int remaining = deferredTasks.size(); remaining > 0; remaining--) {
             runGuarded(deferredTasks.poll());
         }
         for (int remaining = tasksOfThisTurn; remaining > 0; remaining--) {
             runGuarded(nextTurnTasks.poll());
         }
-        for (SocketConnection connection = batchedWrites.poll();
-                connection != null;
-                connection = batchedWrites.poll()) {
-            runGuarded(connection::flushBatch);
+        for (int remaining = batchedWrites.size(); remaining > 0; remaining--) {
+            runGuarded(batchedWrites.poll()::flushBatch);
+        }
+    }
+
+    /** Runs the tasks of other threads; if there are very many, the others wait for the next turn. */
+    private void runExternalTasks() {
+        for (int ran = 0; ran < MAX_EXTERNAL_TASKS_PER_TURN; ran++) {
+            Runnable task = externalTasks.poll();
+            if (task == null) {
+                return;
+            }
+            runGuarded(task);
         }
+        selector.wakeup();
     }
 
     /** Returns the time since the last selection in milliseconds; bytes read now may have arrived that much earlier. */
