Run a request that may not be repeated once under its id, also when it comes again

Cause: the core joined resubmissions and kept outcomes by unique key only, and the platform's front gave its jobs none: DispatchCore.removeClient forgot the job with its last client. Two fronts, two answers to what makes a job the same.

Change: the HTTP front gives jobs whose class may not simply be repeated a unique key of their id, so that the core, which owns keys for both fronts, joins them, tells their outcome, and keeps a run going whose client left. The outcomes of ids stay past the deadline until their place is needed (KeptOutcomes). Nothing that may have run is told 503: not in a shutdown, not far ahead of an answer, not for lack of memory. An order whose last byte its link withholds has not run (Attempt.withholdLastByte), so one that its client left then is dropped as before. Classes whose repeats are harmless keep 409 while open.

Not yet: the other process of an upgrade.

--- a/src/main/java/plumpost/count/Counters.java
+++ b/src/main/java/plumpost/count/Counters.java
@@ -24,6 +24,11 @@
         count[0] = Math.max(count[0], value);
     }
 
+    /** Sets a gauge to its current value. */
+    public void set(String name, long value) {
+        counts.computeIfAbsent(name, n -> new long[1])[0] = value;
+    }
+
     /** Returns the value of a counter, 0 if it was never counted. */
     public long get(String name) {
         long[] count = counts.get(name);
--- a/src/main/java/plumpost/dispatch/Attempt.java
+++ b/src/main/java/plumpost/dispatch/Attempt.java
@@ -23,6 +23,9 @@
      */
     boolean onHold;
 
+    /** Whether its link withholds the last byte, without which the node can't have begun. */
+    private boolean lastByteWithheld;
+
     private final DispatchCore core;
 
     Attempt(DispatchCore core, OpenJob job, String node, NodeLink link, WorkerEntry workerEntry, double sentAtMs) {
@@ -67,6 +70,16 @@
                 && job.mayRepeat(this, workerEntry, core.nowMs());
     }
 
+    /** Reports whether the link withholds the last byte, so that the node can't begin yet. */
+    public void withholdLastByte(boolean withheld) {
+        lastByteWithheld = withheld;
+    }
+
+    /** Returns whether the node may have begun. */
+    boolean mayHaveRun() {
+        return ending == null ? !onHold && !lastByteWithheld : !ending.neverRan();
+    }
+
     /** Reports that the attempt's last byte has been written, so that it counts as sent. A link calls this once. */
     public void fullySent() {
         core.fullySent(this);
--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -87,7 +87,7 @@
         this.starter = new AttemptStarter(this, workers, guard, ledger, counters, wheel);
         this.audit = new JobAudit(ledger, guard, clock, wheel, this::failAndForget);
         this.logic = dispatcherFactory.apply(new ActionQueue());
-        this.keptOutcomes = new KeptOutcomes(clock, bounds.keptOutcomes(), bounds.keptBytes());
+        this.keptOutcomes = new KeptOutcomes(clock, counters, bounds.keptOutcomes(), bounds.keptBytes());
     }
 
     /** Logs the events of each request from now on. */
@@ -355,6 +355,11 @@
         }
     }
 
+    /** Ends all jobs that may have run and for which nobody waits any more, because the scheduler stops. */
+    public void endJobsWithoutClients() {
+        ledger.snapshot().forEach(this::endWithoutClients);
+    }
+
     /** Cancels a job that no node has and answers its clients that it failed; false if a node has it. */
     public boolean cancelIfNotRunning(OpenJob job) {
         if (job.answered || job.running() && !job.outstandingAttempt().onHold) {
@@ -371,6 +376,11 @@
         return (int) matching.stream().filter(this::cancelIfNotRunning).count();
     }
 
+    /** Returns whether a job under a unique key is open, or its outcome is kept because it may have run. */
+    public boolean isKnown(String uniqueKey) {
+        return findJobByUniqueKey(uniqueKey) != null || isOutcomeKept(uniqueKey);
+    }
+
     /** Returns whether the outcome of a job under a unique key is kept. */
     public boolean isOutcomeKept(String uniqueKey) {
         return keptOutcomes.find(uniqueKey) != null;
@@ -564,7 +574,7 @@
         counters.count("jobs." + outcome + "." + job.jobClass.name());
         requestLog.event(job.spec.id(), "answered", requestLog.isEnabled() ? "outcome=" + outcome : "");
         if (job.spec.unique() != null && job.mayHaveRun()) {
-            keptOutcomes.keep(job.spec.unique(), result, job.jobClass.deadlineMs());
+            keptOutcomes.keep(job.spec.unique(), result, job.jobClass.deadlineMs(), job.spec.uniqueIsId());
         }
         recipients.forEach(reply);
     }
--- a/src/main/java/plumpost/dispatch/JobSpec.java
+++ b/src/main/java/plumpost/dispatch/JobSpec.java
@@ -18,6 +18,7 @@
  * @param key locality key: the subject of the job, or null
  * @param retry whether the client marked it as a retry
  * @param unique key under which a resubmission is the same job, qualified by its front, or null
+ * @param uniqueIsId whether the unique key names this job for good, so that its outcome is kept for as long as there is room
  * @param work kind of work and scheduling properties besides the class
  */
 public record JobSpec(
@@ -34,6 +35,7 @@
         String key,
         boolean retry,
         String unique,
+        boolean uniqueIsId,
         Work work) {
 
     /**
@@ -63,7 +65,7 @@
             boolean retry,
             String unique,
             Work work) {
-        this(id, cls, target, "", body, patienceMs, costMs, slots, memory, tenant, key, retry, unique, work);
+        this(id, cls, target, "", body, patienceMs, costMs, slots, memory, tenant, key, retry, unique, false, work);
     }
 
     /** Creates a job whose kind of work is its class. */
--- a/src/main/java/plumpost/dispatch/OpenJob.java
+++ b/src/main/java/plumpost/dispatch/OpenJob.java
@@ -56,7 +56,7 @@
     /** Returns the first attempt that may have run, or null. */
     private Attempt firstPossibleRun() {
         for (Attempt attempt : attempts) {
-            if (attempt.ending == null ? !attempt.onHold : !attempt.ending.neverRan()) {
+            if (attempt.mayHaveRun()) {
                 return attempt;
             }
         }
--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -46,8 +46,11 @@
     /** The open job that the client waits for, or null. */
     private OpenJob job;
 
+    /** Whether the open job was submitted before under the same id, so that the core does not hold this request. */
+    private boolean joined;
+
     private double jobTakenAtMs;
-    private final RequestBacklog backlog = new RequestBacklog(MAX_BODY_BYTES);
+    private final RequestBacklog backlog = new RequestBacklog(MAX_BODY_BYTES, this::mayHaveRun);
     /** The bytes just received, while they are being parsed. */
     private ByteBuffer received = EMPTY;
     /** Bytes of the last answer, while the socket has not taken all of them. */
@@ -201,7 +204,7 @@
 
     @Override
     public long heldBytes() {
-        long requestBytes = job == null ? reader.capacity() : 0; // an open job's are counted by the core
+        long requestBytes = job == null || joined ? reader.capacity() : 0; // an open job's are counted by the core
         return requestBytes + backlog.capacity() + unwrittenBytes;
     }
 
@@ -288,10 +291,11 @@
 
     /** Refuses the next request that came too far ahead to be kept. */
     private void refuseDropped() throws BadMessageException {
+        int status = backlog.droppedMayHaveRun() ? 500 : 503;
         boolean last = backlog.takeDropped();
         context.counters().count("front.far_ahead");
         requestOpen = true;
-        answer(503, EMPTY, "", last);
+        answer(status, EMPTY, "", last);
     }
 
     private void keepAhead(ByteBuffer bytes) {
@@ -331,7 +335,7 @@
     private void handleRequest() {
         context.counters().count("front.requests");
         if (reader.discardsBody()) {
-            answer(503, EMPTY, "", false);
+            answer(mayHaveRun(reader) ? 500 : 503, EMPTY, "", false);
             return;
         }
         String path = reader.path();
@@ -358,9 +362,26 @@
         answer(405, EMPTY, "Allow: " + allowed + "\r\n", true);
     }
 
-    private void submit(String path) {
+    /** Returns the index of the class that a request's path names, or -1 if none is offered under that name. */
+    private int classOf(String path) {
         int end = path.indexOf('/', 1);
-        int classIndex = core.findOfferedClass(path.substring(1, end < 0 ? path.length() : end));
+        return core.findOfferedClass(path.substring(1, end < 0 ? path.length() : end));
+    }
+
+    /**
+     * Returns whether a request, whose head is complete, comes again under an id that may have run and may not be repeated: then
+     * it must not be refused, which would invite another try.
+     */
+    private boolean mayHaveRun(RequestReader request) {
+        int classIndex = classOf(request.path());
+        String uniqueKey = classIndex < 0
+                ? null
+                : JobRequestReader.uniqueKey(request, core.settings().classes().get(classIndex));
+        return uniqueKey != null && core.isKnown(uniqueKey);
+    }
+
+    private void submit(String path) {
+        int classIndex = classOf(path);
         if (classIndex < 0) {
             reject(404, "no such class");
             return;
@@ -378,11 +399,12 @@
             reject(400, "malformed field: " + e.getMessage());
             return;
         }
-        if (core.findJob(request.id()) != null) {
+        boolean comesAgain = request.unique() != null && core.isKnown(request.unique());
+        if (!comesAgain && core.findJob(request.id()) != null) {
             reject(409, "a job of this id is open");
         } else if (clientDisconnected()) {
             context.counters().count("front.gone_before");
-        } else if (front.refusesJobs()) {
+        } else if (front.refusesJobs() && !comesAgain) {
             context.counters().count("front.after_last_call");
             refused(0);
         } else {
@@ -396,6 +418,7 @@
         jobTakenAtMs = nowMs();
         OpenJob taken = core.submit(request, this);
         job = requestOpen ? taken : null; // the core may have answered it already
+        joined = job != null && job.spec() != request;
         if (closed && job != null) {
             core.removeClient(job, this); // the client left while the core was taking the job
         }
@@ -418,7 +441,8 @@
         } else if (readingRequest()) {
             context.counters().count("front.half_at_end");
             requestOpen = true;
-            answer(503, EMPTY, "", true); // it was not accepted, so the client may send it elsewhere
+            boolean again = reader.hasHead() && mayHaveRun(reader);
+            answer(again ? 500 : 503, EMPTY, "", true); // it was not accepted, so the client may send it elsewhere
         }
     }
 
--- a/src/main/java/plumpost/platform/HttpFront.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -113,6 +113,7 @@
                 client.endForShutdown();
             }
         }
+        core.endJobsWithoutClients();
     }
 
     /** Returns whether idle connections are being closed and no client waits for an answer. */
--- a/src/main/java/plumpost/platform/JobRequestReader.java
+++ b/src/main/java/plumpost/platform/JobRequestReader.java
@@ -6,6 +6,7 @@
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
 import plumpost.config.LoadReports;
+import plumpost.decision.Dispatcher.Effect;
 import plumpost.decision.Dispatcher.JobClass;
 import plumpost.dispatch.JobSpec;
 import plumpost.http.Head;
@@ -23,6 +24,9 @@
     private static final String ESTIMATE = "X-Estimate";
     private static final String LABELS = "X-Labels";
     private static final String RETRY = "X-Resent";
+    /** Separates this front's keys from those of others, which begin with the name of a function. */
+    private static final String KEY_PREFIX = "\0http\0";
+
     private static final String KEY_COOKIE_PREFIX = "obj=";
     /** The form of ids that a worker reads and returns unchanged: printable ASCII without spaces. */
     private static final String ID_PATTERN = "[!-~]{1,128}";
@@ -75,10 +79,25 @@
                 0,
                 key(head),
                 "1".equals(head.field(RETRY)),
-                null,
+                uniqueKey(jobClass, id),
+                true,
                 new JobSpec.Work(classIndex, null, null, null, 0, Double.NaN));
     }
 
+    /**
+     * Returns the key under which a request that comes again is the same job, or null if repeats are harmless: the id where the
+     * class may not simply be repeated.
+     */
+    private static String uniqueKey(JobClass jobClass, String id) {
+        return jobClass.effect() == Effect.FREE ? null : KEY_PREFIX + id;
+    }
+
+    /** Returns the unique key of a request whose head is complete, or null if it has none. */
+    static String uniqueKey(RequestReader request, JobClass jobClass) {
+        String id = request.head().singleField(ID);
+        return id == null ? null : uniqueKey(jobClass, id);
+    }
+
     private static double number(Head head, String field, double defaultValue) {
         String text = head.field(field);
         if (text == null) {
--- a/src/main/java/plumpost/platform/RequestBacklog.java
+++ b/src/main/java/plumpost/platform/RequestBacklog.java
@@ -1,6 +1,7 @@
 package plumpost.platform;
 
 import java.nio.ByteBuffer;
+import java.util.function.Predicate;
 import plumpost.http.BadMessageException;
 import plumpost.http.RequestReader;
 
@@ -13,18 +14,23 @@
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     private final int bodyLimit;
+    private final Predicate<RequestReader> mayHaveRun;
     private ByteBuffer kept = EMPTY;
     /** Parses the requests that are dropped, or null while none is. */
     private RequestReader dropReader;
 
     private int droppedRequests;
+    /** Whether any of the dropped requests may have run before, so that none of them is told to try again. */
+    private boolean anyMayHaveRun;
     /** Whether nothing behind the dropped requests counts, since the last of them ends the connection. */
     private boolean lastDropped;
     /** The malformed request behind the dropped ones, or null. */
     private BadMessageException malformed;
 
-    RequestBacklog(int bodyLimit) {
+    /** Creates a backlog; {@code mayHaveRun} tells whether a dropped request comes again under an id that may have run. */
+    RequestBacklog(int bodyLimit, Predicate<RequestReader> mayHaveRun) {
         this.bodyLimit = bodyLimit;
+        this.mayHaveRun = mayHaveRun;
     }
 
     /** Returns whether there is nothing ahead, and no request is being dropped. */
@@ -122,6 +128,7 @@
             while (received.hasRemaining() && !lastDropped) {
                 if (dropReader.feed(received)) {
                     droppedRequests++;
+                    anyMayHaveRun |= mayHaveRun.test(dropReader);
                     lastDropped = dropReader.closesConnection();
                     startNextDropped();
                 }
@@ -150,6 +157,11 @@
         return last;
     }
 
+    /** Returns whether one of the dropped requests, which are answered alike, may have run before. */
+    boolean droppedMayHaveRun() {
+        return anyMayHaveRun;
+    }
+
     /** Frees the memory if all bytes have been parsed, and keeps requests again once all dropped ones are refused. */
     void releaseIfDone() {
         if (!kept.hasRemaining()) {
@@ -157,6 +169,7 @@
         }
         if (dropReader != null && !hasWork() && !dropReader.isIncomplete() && !lastDropped) {
             dropReader = null;
+            anyMayHaveRun = false;
         }
     }
 
--- a/src/main/java/plumpost/platform/WorkerLinks.java
+++ b/src/main/java/plumpost/platform/WorkerLinks.java
@@ -109,6 +109,7 @@
             // The node may reset a reused connection at the next request, and an order could then not be retried.
             WorkerConnection connection =
                     isRepeatable(attempt) ? takeConnection(attempt.spec().id()) : new WorkerConnection(this);
+            attempt.withholdLastByte(!isRepeatable(attempt));
             attempts.put(attempt, connection);
             connection.start(attempt, null);
         }
@@ -288,6 +289,7 @@
                 if (attempt == current) {
                     writeIfSendable(current, () -> {
                         requestWritten = true;
+                        current.withholdLastByte(false);
                         connection.write(last);
                     });
                 }
