Share between the processes of an upgrade which of them has run an id

Cause: what has run was known to one process only, while both accept on the inherited socket and the old one may be killed at any moment. Class: an owner of ids per process where two processes are one scheduler.

Change: where NODE_FD is set, a job whose class may not be repeated is claimed before its first attempt by a line appended to a file in the shared directory; the order of the lines decides between two processes, a kill leaves the claim, a job that never ran gives it back, a line cut off is skipped. The other process answers 500. The file is bounded by a process that is alone, which a lock tells; while the directory takes no writes, claims hold in this process and are written later. Elsewhere nothing of it is loaded.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -18,6 +18,7 @@
 import plumpost.control.ControlOperations;
 import plumpost.control.ControlServer;
 import plumpost.control.SharedBans;
+import plumpost.control.SharedRunClaims;
 import plumpost.count.Counters;
 import plumpost.dispatch.DispatchCore;
 import plumpost.dispatch.RequestLog;
@@ -103,6 +104,9 @@
                     RequestLog.to(this::log, clock, counters, config.log().requestLinesPerSecond()));
         }
         LoopContext context = new LoopContext(loop, clock, unixTime, wheel, counters, this::log);
+        if (inheritedFd != null && !inheritedFd.isEmpty()) {
+            core.shareRuns(new SharedRunClaims(sharedDirectory(), context));
+        }
         platform = new Platform(
                 config,
                 core,
--- a/src/main/java/plumpost/dispatch/AttemptStarter.java
+++ b/src/main/java/plumpost/dispatch/AttemptStarter.java
@@ -43,6 +43,11 @@
             core.reportNotSent(new Attempt(core, job, node, null, null, core.nowMs()));
             return;
         }
+        if (!core.claimRun(job)) {
+            core.endAsRunElsewhere(job);
+            core.reportNotSent(new Attempt(core, job, node, null, null, core.nowMs()));
+            return;
+        }
         WorkerRegistry.Node worker = workers.find(node);
         RuleGuard.Violation violation = guard.findViolation(
                 job,
--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -43,6 +43,7 @@
     private final EventQueue eventQueue;
     private final AttemptStarter starter;
     private RequestLog requestLog = RequestLog.disabled();
+    private RunClaims runClaims = RunClaims.NONE;
 
     /** Limits: open jobs and their bytes in memory, kept outcomes and their bytes, bytes of one streamed result. */
     public record Bounds(int openJobs, long bodyBytes, int keptOutcomes, long keptBytes, long resultBytes) {
@@ -100,6 +101,20 @@
         return requestLog;
     }
 
+    /** Shares with the other processes of this scheduler which jobs have run, from now on. */
+    public void shareRuns(RunClaims claims) {
+        runClaims = claims;
+    }
+
+    /** Claims a job that may not be repeated before its first attempt; returns whether it may run in this process. */
+    boolean claimRun(OpenJob job) {
+        if (job.spec.uniqueIsId() && job.spec.unique() != null && !job.claimed) {
+            job.claimed = runClaims.claim(job.spec.unique());
+            return job.claimed;
+        }
+        return true;
+    }
+
     double nowMs() {
         return clock.nowMs();
     }
@@ -284,6 +299,13 @@
                 return null;
             }
         }
+        if (spec.unique() != null && spec.uniqueIsId() && runClaims.isClaimedElsewhere(spec.unique())) {
+            counters.count("jobs.ran_elsewhere");
+            counters.count("jobs.failed." + jobClass.name());
+            requestLog.event(spec.id(), "answered", "outcome=ran_elsewhere");
+            replyTo.failed();
+            return null;
+        }
         if (ledger.find(spec.id()) != null) {
             counters.count("jobs.twice");
             counters.count("jobs.failed." + jobClass.name());
@@ -355,6 +377,12 @@
         }
     }
 
+    /** Fails a job that another process of this scheduler has claimed first. */
+    void endAsRunElsewhere(OpenJob job) {
+        counters.count("jobs.ran_elsewhere");
+        failAndForget(job);
+    }
+
     /** Ends all jobs that may have run and for which nobody waits any more, because the scheduler stops. */
     public void endJobsWithoutClients() {
         ledger.snapshot().forEach(this::endWithoutClients);
@@ -378,7 +406,9 @@
 
     /** Returns whether a job under a unique key is open, or its outcome is kept because it may have run. */
     public boolean isKnown(String uniqueKey) {
-        return findJobByUniqueKey(uniqueKey) != null || isOutcomeKept(uniqueKey);
+        return findJobByUniqueKey(uniqueKey) != null
+                || isOutcomeKept(uniqueKey)
+                || runClaims.isClaimedElsewhere(uniqueKey);
     }
 
     /** Returns whether the outcome of a job under a unique key is kept. */
@@ -582,6 +612,9 @@
     private void close(OpenJob job) {
         ledger.remove(job);
         job.answered = true;
+        if (job.claimed && !job.mayHaveRun()) {
+            runClaims.release(job.spec.unique());
+        }
         job.deadlineTimer.cancel();
         job.recipients.clear();
     }
--- a/src/main/java/plumpost/dispatch/OpenJob.java
+++ b/src/main/java/plumpost/dispatch/OpenJob.java
@@ -17,6 +17,8 @@
     boolean answered;
     /** Whether it was closed because all its clients have left. */
     boolean abandoned;
+    /** Whether this process has claimed the run of the job among the processes of its scheduler. */
+    boolean claimed;
 
     TimerWheel.Timer deadlineTimer;
     /** The share that is done, as last reported. */
