Count the time that a request waited behind another one of its connection

Cause: a request that came ahead of an answer got its whole X-Remaining-Ms when it was parsed, however long it had waited. Class: time counted from when the program looks at a request, not from when it came.

Measured: ConnectionClosingTest.aRequestThatWaitedAheadTellsOnlyTheTimeThatIsLeft passes; it was not run without the change.

--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -57,6 +57,8 @@
     private long unwrittenBytes;
     /** The bytes that this connection has reported to hold. */
     private long reportedBytes;
+    /** How long the current request has waited behind others of its connection since its last byte was read. */
+    private double waitedAheadMs;
     /** When a request last began, an answer was written or the connection was accepted. */
     private double stateSinceMs;
     /** Whether a complete request has no answer yet. */
@@ -277,8 +279,10 @@
             refuseDropped();
             return true;
         }
-        if (reader.feed(received.hasRemaining() ? received : backlog.bytes())) {
+        boolean cameAhead = !received.hasRemaining();
+        if (reader.feed(cameAhead ? backlog.bytes() : received)) {
             requestOpen = true;
+            waitedAheadMs = cameAhead ? nowMs() - backlog.parsedArrivedAtMs() : 0;
             handleRequest();
             return true;
         }
@@ -300,7 +304,7 @@
 
     private void keepAhead(ByteBuffer bytes) {
         long room = MAX_READ_AHEAD_BYTES - backlog.size();
-        backlog.add(bytes, Math.min(room, front.memory().readAheadAllowance(this)));
+        backlog.add(bytes, Math.min(room, front.memory().readAheadAllowance(this)), nowMs());
     }
 
     private void scheduleParse() {
@@ -393,7 +397,7 @@
         JobSpec request;
         try {
             JobClass jobClass = core.settings().classes().get(classIndex);
-            double unreadMs = Math.max(front.unreadMs(), connection.backlogWaitMs());
+            double unreadMs = Math.max(waitedAheadMs, Math.max(front.unreadMs(), connection.backlogWaitMs()));
             request = JobRequestReader.read(reader, classIndex, jobClass, unreadMs);
         } catch (BadInput e) {
             reject(400, "malformed field: " + e.getMessage());
--- a/src/main/java/plumpost/platform/RequestBacklog.java
+++ b/src/main/java/plumpost/platform/RequestBacklog.java
@@ -16,10 +16,13 @@
     private final int bodyLimit;
     private final Predicate<RequestReader> mayHaveRun;
     private ByteBuffer kept = EMPTY;
+    private final ArrivalTimes arrivalTimes = new ArrivalTimes();
     /** Parses the requests that are dropped, or null while none is. */
     private RequestReader dropReader;
 
     private int droppedRequests;
+    /** Bytes at the end of the kept ones that were dropped with their request. */
+    private int droppedTailBytes;
     /** Whether any of the dropped requests may have run before, so that none of them is told to try again. */
     private boolean anyMayHaveRun;
     /** Whether nothing behind the dropped requests counts, since the last of them ends the connection. */
@@ -66,12 +69,15 @@
     /**
      * Consumes received bytes and keeps a copy behind those already here, up to {@code room} more bytes. From the first request
      * on that does not fit, requests are dropped until all of them are refused.
+     *
+     * @param nowMs when the bytes were received
      */
-    void add(ByteBuffer received, long room) {
+    void add(ByteBuffer received, long room, double nowMs) {
         if (!received.hasRemaining()) {
             return;
         }
         if (dropReader == null && received.remaining() <= room) {
+            arrivalTimes.add(received.remaining(), nowMs);
             keep(received, room);
             return;
         }
@@ -81,6 +87,15 @@
         drop(received);
     }
 
+    /** Returns when the last byte that was parsed from here was received, or a little earlier. */
+    double parsedArrivedAtMs() {
+        return arrivalTimes.atMs(remainingWithDroppedTail());
+    }
+
+    private int remainingWithDroppedTail() {
+        return kept.remaining() + droppedTailBytes;
+    }
+
     private void keep(ByteBuffer received, long room) {
         int needed = kept.remaining() + received.remaining();
         if (kept.capacity() >= needed) {
@@ -109,6 +124,7 @@
             lastDropped = true;
             return;
         }
+        droppedTailBytes = kept.limit() - end;
         kept.limit(end);
     }
 
@@ -166,6 +182,8 @@
     void releaseIfDone() {
         if (!kept.hasRemaining()) {
             kept = EMPTY;
+            droppedTailBytes = 0;
+            arrivalTimes.clear();
         }
         if (dropReader != null && !hasWork() && !dropReader.isIncomplete() && !lastDropped) {
             dropReader = null;
--- a/src/test/java/plumpost/platform/ConnectionClosingTest.java
+++ b/src/test/java/plumpost/platform/ConnectionClosingTest.java
@@ -213,6 +213,31 @@
                 .collect(Collectors.joining());
     }
 
+    /** Guards the time that a worker is told for a request that waited behind another one of its connection. */
+    @Test
+    void aRequestThatWaitedAheadTellsOnlyTheTimeThatIsLeft() throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            Peer client = rig.client();
+            client.send(SocketRig.jobRequest("route-plan", "a", "X-Remaining-Ms: 7000\r\n", "x"));
+            Peer node = rig.nodes.get(0).accept();
+            node.expect("POST /route-plan");
+            node.send(SocketRig.CHUNKED + SocketRig.chunk("{\"id\":\"a\",\"state\":\"started\"}\n"));
+            rig.advance(100);
+            client.send(SocketRig.jobRequest("route-plan", "b", "X-Remaining-Ms: 6000\r\n", "x"));
+            rig.advance(900);
+            client.send(SocketRig.jobRequest("route-plan", "c", "X-Remaining-Ms: 6000\r\n", "x"));
+            rig.advance(1_000);
+            node.send(SocketRig.chunk(SocketRig.doneLine("a", "r")) + "0\r\n\r\n");
+            assertThat(tellsMs(node.expect("X-Txn: b"))).isBetween(4_000, 4_150);
+            node.send(SocketRig.doneAnswer("b"));
+            assertThat(tellsMs(node.expect("X-Txn: c"))).isBetween(4_900, 5_150);
+        }
+    }
+
+    private static int tellsMs(String request) {
+        return Integer.parseInt(request.replaceAll("(?s).*X-Remaining-Ms: ([0-9]+).*", "$1"));
+    }
+
     /** Guards a pipelined request during shutdown: it is answered too before its connection is closed. */
     @Test
     void aPipelinedRequestIsAnsweredDuringShutdown() throws IOException {
