Have the soak play clients that leave, flood, come again or crowd, and check memory

The incident's clients were not in the soak: its clients leave with nothing unread, send one request at a time and never come again. Every other restart gets a second SIGTERM after 0.9 s; the rule MEMORY holds the peak of each process against its 192 MB. SchedulerProcess sends no signal to a process that has ended, whose number may be another's.

Resets are not played by it (ClientDisconnectTest and DepartedClientsIT do).

--- a/src/main/java/plumpost/lab/SchedulerProcess.java
+++ b/src/main/java/plumpost/lab/SchedulerProcess.java
@@ -161,6 +161,9 @@
     }
 
     private void signal(String name) throws IOException, InterruptedException {
+        if (!process.isAlive()) {
+            return; // its number may belong to another process by now
+        }
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                 .inheritIO()
                 .start()
--- a/src/main/java/plumpost/lab/soak/FaultKind.java
+++ b/src/main/java/plumpost/lab/soak/FaultKind.java
@@ -33,7 +33,15 @@
     /** Workers reset connections that carry requests and close idle ones. */
     RESETTING_WORKERS(2),
     /** A worker crashes and is replaced. */
-    WORKER_CRASH(1);
+    WORKER_CRASH(1),
+    /** Clients leave while up to megabytes of what they sent are unread. */
+    DEPARTING_CLIENTS(4),
+    /** A client sends small requests on one connection without a pause. */
+    FLOODING_CLIENT(2),
+    /** Clients leave and come again under the id of an order that may have run. */
+    REPEATED_IDS(3),
+    /** Very many connections idle or stop half way through a large request. */
+    CROWD(1);
 
     private final int weight;
 
--- a/src/main/java/plumpost/lab/soak/Oracle.java
+++ b/src/main/java/plumpost/lab/soak/Oracle.java
@@ -42,7 +42,9 @@
         /** A process ended unexpectedly or with an error, or was not ready in time. */
         CRASH,
         /** A client that stopped in the middle of a request was neither answered nor disconnected in time. */
-        STALLED
+        STALLED,
+        /** A process used more memory than its configuration allows. */
+        MEMORY
     }
 
     /** How long after the notification a scheduler may still send to a draining worker, as the platform defines it. */
--- a/src/main/java/plumpost/lab/soak/SchedulerSlot.java
+++ b/src/main/java/plumpost/lab/soak/SchedulerSlot.java
@@ -22,6 +22,12 @@
     /** The protocol guarantees at least this time between SIGTERM and SIGKILL for deadlines of 3 s and more. */
     private static final long KILL_AFTER_MS = 3_700;
 
+    /** The memory limit of each process; see {@link #configuration}. */
+    private static final int MEMORY_LIMIT_MB = 192;
+
+    /** When a second SIGTERM follows the first, where one does. */
+    private static final long SECOND_SIGNAL_MS = 900;
+
     private static final double READY_WITHIN_MS = 10_000;
     private static final int OPERATOR_TIMEOUT_MS = 2_000;
 
@@ -121,6 +127,21 @@
         return log.subList(Math.max(0, log.size() - 5), log.size());
     }
 
+    /** Checks the peak memory of the current process against its limit. */
+    void checkMemory() throws InterruptedException {
+        try {
+            long peakMb = process.resourceUsage().peakKb() / 1024;
+            SchedulerRun run = currentRun;
+            events.runOnLoop(() -> {
+                if (peakMb > MEMORY_LIMIT_MB) {
+                    events.recordViolation(Oracle.Rule.MEMORY, run + " used " + peakMb + " MB of " + MEMORY_LIMIT_MB);
+                }
+            });
+        } catch (IOException e) {
+            return; // the process has ended
+        }
+    }
+
     /** Sends SIGTERM, then SIGKILL as early as is allowed, and starts a new process after a pause. */
     void restart(long pauseMs) throws IOException, InterruptedException {
         if (!tryBeginChange()) {
@@ -131,7 +152,13 @@
             double now = events.nowMs();
             events.runOnLoop(() -> ending.terminatedAt = now);
             process.terminate();
-            int code = process.awaitEnd(KILL_AFTER_MS);
+            boolean secondSignal = runCount % 2 == 0;
+            int code = process.awaitEnd(secondSignal ? SECOND_SIGNAL_MS : KILL_AFTER_MS);
+            if (secondSignal && code < 0) {
+                process.terminate();
+                code = process.awaitEnd(KILL_AFTER_MS - SECOND_SIGNAL_MS);
+            }
+            int exitCode = code;
             if (code > 0) {
                 events.recordViolation(Oracle.Rule.CRASH, ending + " ended with " + code);
             }
@@ -140,7 +167,7 @@
             double endedAt = events.nowMs();
             events.runOnLoop(() -> {
                 ending.endedAt = endedAt;
-                ending.endedCleanly = code == 0;
+                ending.endedCleanly = exitCode == 0;
             });
             Thread.sleep(pauseMs);
             start();
@@ -246,7 +273,7 @@
     private String configuration(String knownWorkers) {
         return "{\"name\":\"s" + index + "\",\"listen\":\"127.0.0.1:0\",\"ops\":\"127.0.0.1:0\",\"seed\":\"" + runCount
                 + index + "\",\"discovery\":\"" + discovery
-                + "\",\"limits\":{\"memory_mb\":192,\"sockets\":1024},\"known\":"
+                + "\",\"limits\":{\"memory_mb\":" + MEMORY_LIMIT_MB + ",\"sockets\":1024},\"known\":"
                 + knownWorkers + ",\"settings\":" + settings() + "}";
     }
 
--- a/src/main/java/plumpost/lab/soak/SoakRun.java
+++ b/src/main/java/plumpost/lab/soak/SoakRun.java
@@ -50,6 +50,7 @@
     private final SoakDiscovery discovery;
     private final SoakWorkers workers;
     private final SoakClients clients;
+    private final HostileClients hostileClients;
     private final List<SchedulerSlot> slots = new ArrayList<>();
     private final ScheduledExecutorService faults = Executors.newScheduledThreadPool(FAULT_THREADS);
     private final Path folder = Files.createTempDirectory("plumpost-soak");
@@ -67,6 +68,7 @@
         discovery = new SoakDiscovery(loop, wheel, clock, oracle);
         workers = new SoakWorkers(loop, wheel, clock, oracle, discovery, random.split());
         clients = new SoakClients(loop, wheel, clock, oracle, random.split(), plan.requestsPerSecond());
+        hostileClients = new HostileClients(loop, wheel, clock, oracle, random.split());
         for (int i = 0; i < plan.workers(); i++) {
             discovery.add(workers.start(0));
         }
@@ -104,6 +106,9 @@
             oracle.judge(nowMs());
             oracle.judgeAll();
         });
+        for (SchedulerSlot slot : slots) {
+            slot.checkMemory();
+        }
         printReport();
         return oracle.violations();
     }
@@ -196,6 +201,10 @@
             }
             case RELOADS -> slot.reload(fault.size);
             case OPERATOR_CALLS -> operatorCalls(slot, fault);
+            case DEPARTING_CLIENTS -> runOnLoop(() -> hostileClients.depart(slot.currentRun()));
+            case FLOODING_CLIENT -> runOnLoop(() -> hostileClients.flood(slot.currentRun(), fault.length));
+            case REPEATED_IDS -> runOnLoop(() -> hostileClients.comeAgain(slot.currentRun()));
+            case CROWD -> runOnLoop(() -> hostileClients.crowd(slot.currentRun(), fault.length));
             case DISCOVERY -> runOnLoop(() -> disturbDiscovery(fault));
             default -> runOnLoop(() -> disturbWorkers(fault));
         }
