Keep both of two operators' calls that reach the two processes of an upgrade at once

Change: a write takes a lock, reads the file, puts this process's changes into it and renames; while the other process writes, the next poll tries again and the call is not acknowledged until then.

Measured: SharedBansTest.callsAtBothProcessesAtOnceAreBothKept fails before (the file has one worker) and passes; its order is forced by calling record behind a write of the other process.

--- a/src/main/java/plumpost/control/SharedBans.java
+++ b/src/main/java/plumpost/control/SharedBans.java
@@ -1,11 +1,14 @@
 package plumpost.control;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import plumpost.dispatch.DispatchCore;
@@ -99,18 +102,25 @@
         return unwritten.isEmpty();
     }
 
+    /** Writes the changes into what the file holds now, unless the other process is writing: then the next poll tries again. */
     private void write() {
-        String text = core.bansText();
         Path partial = file.resolveSibling(FILE_NAME + ".new");
-        try {
+        try (FileChannel lockFile = FileChannel.open(
+                        file.resolveSibling(FILE_NAME + ".lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+                FileLock lock = lockFile.tryLock()) {
+            if (lock == null) {
+                return;
+            }
+            refresh(); // the other process may have written since the last poll
+            String text = core.bansText();
             Files.writeString(partial, text, StandardCharsets.US_ASCII);
             Files.move(partial, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            lastText = text;
         } catch (IOException | RuntimeException e) {
             writeOutage.failed(e.toString());
             return;
         }
         writeOutage.recovered();
-        lastText = text;
         unwritten.clear();
     }
 }
--- a/src/test/java/plumpost/control/SharedBansTest.java
+++ b/src/test/java/plumpost/control/SharedBansTest.java
@@ -100,6 +100,25 @@
         assertThat(Files.readString(directory.resolve(SharedBans.FILE_NAME))).isEqualTo("node1\nnode2\n");
     }
 
+    /** Guards two operators' calls that reach both processes of an upgrade at once: neither process loses the other's. */
+    @Test
+    void callsAtBothProcessesAtOnceAreBothKept(@TempDir Path directory) throws IOException {
+        Scenario oldProcess = new Scenario(2);
+        Scenario newProcess = new Scenario(2);
+        SharedBans oldBans = new SharedBans(directory, oldProcess.core, context(oldProcess));
+        SharedBans newBans = new SharedBans(directory, newProcess.core, context(newProcess));
+        oldBans.start();
+        newBans.start();
+        new ControlOperations(oldProcess.core, oldProcess.counters, oldBans, () -> true).takeOffline("node1");
+        newProcess.core.offline("node2"); // this call has read the file before the other one wrote it
+        newBans.record("node2", true);
+        oldProcess.play("wait " + (SharedBans.POLL_INTERVAL_MS + 4));
+        newProcess.play("wait " + (SharedBans.POLL_INTERVAL_MS + 4));
+        assertThat(Files.readString(directory.resolve(SharedBans.FILE_NAME))).isEqualTo("node1\nnode2\n");
+        assertThat(oldProcess.core.avoidedNodeCount()).isEqualTo(2);
+        assertThat(newProcess.core.avoidedNodeCount()).isEqualTo(2);
+    }
+
     private static plumpost.net.LoopContext context(Scenario scenario) {
         return new plumpost.net.LoopContext(
                 null, () -> scenario.nowMs, scenario.wheel(), scenario.counters, scenario.log::add);
