--- a/src/test/java/plumpost/cli/ShutdownFaultsIT.java
+++ b/src/test/java/plumpost/cli/ShutdownFaultsIT.java
@@ -44,6 +44,7 @@
     /** What disturbs the scheduler during its shutdown. */
     enum Disturbance {
         NONE,
+        SIGNALLED_AGAIN,
         SUSPENDED_AT_THE_SIGNAL,
         SUSPENDED_AT_THE_LAST_CALL,
         SUSPENDED_AGAIN_AND_AGAIN,
@@ -104,6 +105,11 @@
             Timeline timeline, Disturbance disturbance, SchedulerProcess scheduler, FaultLibrary faults) {
         switch (disturbance) {
             case NONE -> {}
+            case SIGNALLED_AGAIN -> {
+                timeline.schedule(50, scheduler::terminate);
+                timeline.schedule(1_500, scheduler::terminate);
+                timeline.schedule(2_500, scheduler::terminate);
+            }
             case SUSPENDED_AT_THE_SIGNAL -> timeline.schedule(MAX_HOLD_UP_MS, scheduler::resume);
             case SUSPENDED_AT_THE_LAST_CALL -> suspendAt(timeline, scheduler, 3_000, 3_600, 100);
             case SUSPENDED_AGAIN_AND_AGAIN -> suspendAt(timeline, scheduler, 20, 3_600, 250);
