Give the routing of a request a class of its own, and log why a connection is closed

With log.level debug each close by this side is logged with its reason in one word (answer_408, shed, idle, silent, shutdown, answer_unread).

--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -2,8 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.Locale;
-import plumpost.config.Json.BadInput;
-import plumpost.decision.Dispatcher.JobClass;
 import plumpost.dispatch.DispatchCore;
 import plumpost.dispatch.JobSpec;
 import plumpost.dispatch.OpenJob;
@@ -50,7 +48,8 @@
     private boolean joined;
 
     private double jobTakenAtMs;
-    private final RequestBacklog backlog = new RequestBacklog(MAX_BODY_BYTES, this::mayHaveRun);
+    private final RequestRouter router;
+    private final RequestBacklog backlog;
     /** The bytes just received, while they are being parsed. */
     private ByteBuffer received = EMPTY;
     /** Bytes of the last answer, while the socket has not taken all of them. */
@@ -80,6 +79,8 @@
         this.core = core;
         this.context = context;
         this.connection = connection;
+        router = new RequestRouter(front, core, context, this);
+        backlog = new RequestBacklog(MAX_BODY_BYTES, router::mayHaveRun);
         stateSinceMs = nowMs();
     }
 
@@ -155,8 +156,8 @@
     @Override
     public int readLimit() {
         if (!mayParse()) {
-            return Integer
-                    .MAX_VALUE; // an answer is due: what comes ahead of it is kept or dropped, and the end is noticed
+            // An answer is due: what comes ahead of it is kept or dropped, and the client's end is noticed.
+            return Integer.MAX_VALUE;
         }
         if (backlog.hasWork()) {
             return 0; // the next turn parses it
@@ -339,84 +340,19 @@
     private void handleRequest() {
         context.counters().count("front.requests");
         if (reader.discardsBody()) {
-            answer(mayHaveRun(reader) ? 500 : 503, EMPTY, "", false);
+            answer(router.mayHaveRun(reader) ? 500 : 503, EMPTY, "", false);
             return;
         }
-        String path = reader.path();
-        switch (path) {
-            case "/health/ready" -> requireGet(() -> answer(front.reportsReady() ? 200 : 503, EMPTY, "", false));
-            case "/health/live" -> requireGet(() -> answer(200, EMPTY, "", false));
-            case "/counters" ->
-                requireGet(
-                        () -> answer(200, AnswerEncoder.ascii(context.counters().toString()), "", false));
-            default -> submit(path);
-        }
+        double unreadMs = Math.max(waitedAheadMs, Math.max(front.unreadMs(), connection.backlogWaitMs()));
+        router.handle(reader, unreadMs);
     }
 
-    private void requireGet(Runnable handler) {
-        if (reader.method().equals("GET")) {
-            handler.run();
-        } else {
-            rejectMethod("GET");
-        }
-    }
-
-    private void rejectMethod(String allowed) {
-        context.counters().count("front.bad.405");
-        answer(405, EMPTY, "Allow: " + allowed + "\r\n", true);
-    }
-
-    /** Returns the index of the class that a request's path names, or -1 if none is offered under that name. */
-    private int classOf(String path) {
-        int end = path.indexOf('/', 1);
-        return core.findOfferedClass(path.substring(1, end < 0 ? path.length() : end));
-    }
-
-    /**
-     * Returns whether a request, whose head is complete, comes again under an id that may have run and may not be repeated: then
-     * it must not be refused, which would invite another try.
-     */
-    private boolean mayHaveRun(RequestReader request) {
-        int classIndex = classOf(request.path());
-        String uniqueKey = classIndex < 0
-                ? null
-                : JobRequestReader.uniqueKey(request, core.settings().classes().get(classIndex));
-        return uniqueKey != null && core.isKnown(uniqueKey);
-    }
-
-    private void submit(String path) {
-        int classIndex = classOf(path);
-        if (classIndex < 0) {
-            reject(404, "no such class");
-            return;
-        }
-        if (!reader.method().equals("POST")) {
-            rejectMethod("POST");
-            return;
-        }
-        JobSpec request;
-        try {
-            JobClass jobClass = core.settings().classes().get(classIndex);
-            double unreadMs = Math.max(waitedAheadMs, Math.max(front.unreadMs(), connection.backlogWaitMs()));
-            request = JobRequestReader.read(reader, classIndex, jobClass, unreadMs);
-        } catch (BadInput e) {
-            reject(400, "malformed field: " + e.getMessage());
-            return;
-        }
-        boolean comesAgain = request.unique() != null && core.isKnown(request.unique());
-        if (!comesAgain && core.findJob(request.id()) != null) {
-            reject(409, "a job of this id is open");
-        } else if (clientDisconnected()) {
+    /** Submits a job, unless its client has left behind the request. */
+    void submit(JobSpec request) {
+        if (clientDisconnected()) {
             context.counters().count("front.gone_before");
-        } else if (front.refusesJobs() && !comesAgain) {
-            context.counters().count("front.after_last_call");
-            refused(0);
-        } else {
-            submit(request);
+            return;
         }
-    }
-
-    private void submit(JobSpec request) {
         front.jobSubmitted();
         hasSubmittedJob = true;
         jobTakenAtMs = nowMs();
@@ -428,6 +364,17 @@
         }
     }
 
+    /** Answers a request of a wrong method, and closes the connection. */
+    void rejectMethod(String allowed) {
+        context.counters().count("front.bad.405");
+        answer(405, EMPTY, "Allow: " + allowed + "\r\n", true);
+    }
+
+    /** Answers a call that is no job. */
+    void answerCall(int status, String body) {
+        answer(status, AnswerEncoder.ascii(body), "", false);
+    }
+
     /** Answers a request that is malformed or cannot be served with an error, and closes the connection. */
     void reject(int status, String reason) {
         context.counters().count("front.bad." + status);
@@ -445,7 +392,7 @@
         } else if (readingRequest()) {
             context.counters().count("front.half_at_end");
             requestOpen = true;
-            boolean again = reader.hasHead() && mayHaveRun(reader);
+            boolean again = reader.hasHead() && router.mayHaveRun(reader);
             answer(again ? 500 : 503, EMPTY, "", true); // it was not accepted, so the client may send it elsewhere
         }
     }
@@ -495,7 +442,7 @@
         ByteBuffer head = AnswerEncoder.head(status, body.remaining(), closing, fields);
         connection.write(head, body.duplicate());
         if (closing) {
-            finish();
+            finish("answer_" + status);
             return;
         }
         reader.reset();
@@ -535,20 +482,32 @@
         front.remove(this);
     }
 
-    /** Closes the connection after its answers have been written. */
-    void finish() {
+    /** Closes the connection after its answers have been written, and logs the reason in one word. */
+    void finish(String reason) {
+        logClose(reason);
         reportOpenJob();
         close();
         connection.finish();
     }
 
-    /** Closes the connection at once. */
-    void abort() {
+    /** Closes the connection at once, and logs the reason in one word. */
+    void abort(String reason) {
+        logClose(reason);
         reportOpenJob();
         close();
         connection.closeNow();
     }
 
+    private void logClose(String reason) {
+        if (core.requestLog().isEnabled()) {
+            core.requestLog()
+                    .event(
+                            job == null ? "-" : job.spec().id(),
+                            "closed",
+                            "by=" + reason + " peer=" + connection.peer());
+        }
+    }
+
     /** Tells the core that the connection is closed before its open job was answered. */
     private void reportOpenJob() {
         if (job != null) {
--- a/src/main/java/plumpost/platform/HttpFront.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -94,7 +94,7 @@
         for (ClientConnection client : List.copyOf(connections)) {
             client.pollConnection(); // a request that has already arrived is served
             if (connections.contains(client) && client.idle()) {
-                client.finish();
+                client.finish("shutdown");
             }
         }
     }
@@ -140,7 +140,7 @@
         double stateAgeMs = client.stateAgeMs();
         if (!client.answersWritten() && stateAgeMs > MAX_UNREAD_ANSWER_MS) {
             context.counters().count("front.unread");
-            client.abort();
+            client.abort("answer_unread");
         } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS && client.dropsRequest()) {
             client.reject(503, "the requests being received use up the memory for them");
         } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS) {
@@ -148,9 +148,9 @@
             client.reject(408, "");
         } else if (client.neverUsed() && stateAgeMs > MAX_REQUEST_MS) {
             context.counters().count("front.silent");
-            client.finish();
+            client.finish("silent");
         } else if (client.idle() && stateAgeMs > MAX_IDLE_MS) {
-            client.finish();
+            client.finish("idle");
         }
     }
 
@@ -163,7 +163,7 @@
             }
             if (client == leastImportant()) {
                 context.counters().count("front.shed." + client.shedRank());
-                client.finish();
+                client.finish("shed");
                 return true;
             }
         }
