Test a member that is told to stop while its fleet has no leader

Nothing was found: a client whose order was agreed on is told WORK_FAIL, one whose order could not be proposed gets its answer, both before SIGKILL may come; the order is joined and runs once elsewhere when the fleet has a majority again.

--- a/src/test/java/plumpost/lab/fleet/OrdersIT.java
+++ b/src/test/java/plumpost/lab/fleet/OrdersIT.java
@@ -402,6 +402,36 @@
         assertThat(runCount("van")).isEqualTo(1);
     }
 
+    /** Guards clients of a scheduler that is told to stop while the fleet has no leader: they are answered before SIGKILL. */
+    @Test
+    void clientsOfAMemberWithoutALeaderAreAnsweredBeforeItEnds() throws Exception {
+        startCoveringFleet("");
+        SchedulerProcess first = lab.processes().get(0);
+        SchedulerProcess second = lab.processes().get(1);
+        SchedulerProcess third = lab.processes().get(2);
+        CompletableFuture<String> taken = CompletableFuture.supplyAsync(
+                () -> LabWorkers.submitAndWait(first, lab.history(), "order-it", "taken", ANSWER_TIMEOUT_MS));
+        awaitUntil("it is taken", () -> !lab.history().ofKind("joined").isEmpty());
+        second.signal("STOP");
+        third.signal("STOP");
+        CompletableFuture<String> untaken = CompletableFuture.supplyAsync(
+                () -> LabWorkers.submitAndWait(first, lab.history(), "order-it", "untaken", ANSWER_TIMEOUT_MS));
+        double signalledAtMs = lab.history().nowMs();
+        first.signal("TERM");
+        assertThat(taken.get(60, TimeUnit.SECONDS)).isEqualTo("WORK_FAIL");
+        assertThat(untaken.get(60, TimeUnit.SECONDS)).isNotEqualTo("WORK_COMPLETE");
+        assertThat(lab.history().nowMs() - signalledAtMs)
+                .as("before SIGKILL may come")
+                .isLessThan(3_700);
+        second.signal("CONT");
+        third.signal("CONT");
+        assertThat(first.awaitExit(TIMEOUT_MS)).isTrue();
+        addWorkers(second, 1, 1);
+        assertThat(LabWorkers.submitAndWait(second, lab.history(), "order-it", "taken", ANSWER_TIMEOUT_MS))
+                .isEqualTo("WORK_COMPLETE");
+        assertThat(runCount("taken")).isEqualTo(1);
+    }
+
     /** Guards every boundary in an order's life cycle: its holder is killed, or stopped and continued, exactly there. */
     @Test
     void whoeverEndsAtABoundaryLeavesTheOrderOnce() throws Exception {
