Evict a kept outcome without a search through the others

Seen on reading KeptOutcomes again: an outcome that has expired is not in the queue by expiry any more, and its eviction searched all of that queue, for each order once the bound is reached.

Measured: RepeatedIdTest and the Gearman and core tests pass; the saving was not measured.

--- a/src/main/java/plumpost/dispatch/KeptOutcomes.java
+++ b/src/main/java/plumpost/dispatch/KeptOutcomes.java
@@ -100,8 +100,9 @@
     private void remove(String uniqueKey) {
         Outcome outcome = byUniqueKey.remove(uniqueKey);
         if (outcome != null) {
-            byExpiry.remove(outcome);
-            evictableKeys.remove(uniqueKey);
+            if (!evictableKeys.remove(uniqueKey)) {
+                byExpiry.remove(outcome);
+            }
             bytes -= sizeBytes(outcome);
             counters.set(COUNT_GAUGE, byUniqueKey.size());
         }
