--- a/src/test/java/plumpost/dispatch/RuleGuardTest.java
+++ b/src/test/java/plumpost/dispatch/RuleGuardTest.java
@@ -109,6 +109,22 @@
                 leaseAuthority);
     }
 
+    /** Guards a client that leaves: its job may have run and is kept under its unique key, but gets no further attempt. */
+    @Test
+    void aJobWhoseClientsHaveAllLeftGetsNoFurtherAttempt() {
+        listNode(Phase.SERVING, 0);
+        submit("a", FREE_CLASS, "key");
+        assign("a");
+        OpenJob job = core.findJob("a");
+        core.removeClient(job, job.recipients.get(0));
+        assertThat(core.openJobCount()).isEqualTo(1);
+        sent.get(0).ended(Ending.RESET, null);
+        assign("a");
+        assertThat(sent).hasSize(1);
+        assertThat(core.openJobCount()).isZero();
+        assertThat(core.isOutcomeKept("key")).isTrue();
+    }
+
     /** Requests an attempt and triggers an event, as requested actions are carried out with the next event. */
     private void assign(String id) {
         moduleActions.assign(id, "n", 0);
