--- a/src/main/java/plumpost/lab/soak/SchedulerRun.java
+++ b/src/main/java/plumpost/lab/soak/SchedulerRun.java
@@ -4,6 +4,9 @@
 
 /** One process of one scheduler, from ready to end. Times are milliseconds of the laboratory's clock, NaN if not reached. */
 final class SchedulerRun {
+    /** The front accepts new connections for this long after SIGTERM. */
+    private static final double NEW_CONNECTIONS_MS = 300;
+
     final int scheduler;
     final int number;
     final InetSocketAddress front;
@@ -23,6 +26,11 @@
         this.readyAt = readyAt;
     }
 
+    /** Returns whether clients may open connections now: the platform sends no new ones long after SIGTERM. */
+    boolean acceptsNewConnections(double now) {
+        return !hasEnded() && (!wasTerminated() || now < terminatedAt + NEW_CONNECTIONS_MS);
+    }
+
     boolean hasEnded() {
         return !Double.isNaN(endedAt);
     }
