Take only an empty read for the end of what has arrived before an attempt

A read that a signal cuts short, or that the system makes short, returns less than there is, so that a client's end could still lie behind it while the attempt was sent.

Change: the poll before an attempt reads until a read brings nothing, or the end; what the selector reports is read as before. A poll of a connection on which nothing has come costs one read, as before. Connection.readToEnd is gone: the Gearman connection keeps what its own poll returned.

--- a/src/main/java/plumpost/gearman/GearmanConnection.java
+++ b/src/main/java/plumpost/gearman/GearmanConnection.java
@@ -43,6 +43,8 @@
     private boolean leftoverScheduled;
     /** Whether the end has been looked for since the read that is being handled. */
     private boolean lookedForEnd;
+    /** Whether all that had arrived was read when the end was looked for. */
+    private boolean readToEnd;
 
     private ByteBuffer adminAnswer;
 
@@ -180,9 +182,9 @@
         }
         if (!lookedForEnd) {
             lookedForEnd = true;
-            connection.readAvailable();
+            readToEnd = connection.readAvailable();
         }
-        return closed || connection.readToEnd();
+        return closed || readToEnd;
     }
 
     /** Returns whether the peer has ended the connection, as far as it has been read. */
--- a/src/main/java/plumpost/net/Connection.java
+++ b/src/main/java/plumpost/net/Connection.java
@@ -48,9 +48,4 @@
      * so that a close by the peer has been noticed; if not, the rest is read in later turns.
      */
     boolean readAvailable();
-
-    /** Returns whether the last read found the end of what had arrived; callable while its bytes are being handled. */
-    default boolean readToEnd() {
-        return true;
-    }
 }
--- a/src/main/java/plumpost/net/SocketConnection.java
+++ b/src/main/java/plumpost/net/SocketConnection.java
@@ -35,8 +35,6 @@
     private long shareTurn = -1;
 
     private int shareLeft;
-    /** Whether the last read found the end of what had arrived. */
-    private boolean readToEnd = true;
 
     private String endReason = "-";
 
@@ -79,7 +77,9 @@
     void accepted(double backlogWaitMs) {
         handler.opened();
         waitedMs = backlogWaitMs;
-        readAvailable();
+        if (!closed) { // its handler may have closed it
+            readReported();
+        }
         waitedMs = 0; // later bytes have not waited in the backlog
     }
 
@@ -108,7 +108,7 @@
                 flushOutgoing();
             }
             if (!closed && readyKey.isReadable()) {
-                readShare();
+                readReported();
             }
         } catch (IOException e) {
             handleEnd();
@@ -118,24 +118,41 @@
         }
     }
 
-    /** Reads until all that has arrived is read or this turn's share is used up; returns whether all of it was read. */
-    private boolean readShare() {
+    /** Reads what the selector has reported, until a read does not fill its buffer or this turn's share is used up. */
+    private void readReported() {
+        int limit;
+        int count;
+        do {
+            limit = readLimit();
+            count = limit > 0 ? readOnce(limit) : 0;
+        } while (count == limit && limit > 0 && !closed);
+    }
+
+    /**
+     * Reads until nothing more has arrived, which a read without any byte shows and a short one does not, or until this turn's
+     * share is used up. Returns whether all that had arrived was read.
+     */
+    private boolean readToEnd() {
         while (!closed) {
-            int limit = Math.min(remainingShare(), finishing ? BUFFER_BYTES : handler.readLimit());
-            if (limit <= 0) {
-                if (remainingShare() > 0) {
-                    pauseReading();
-                }
-                return false;
-            }
-            int count = readOnce(limit);
-            if (count < limit) {
-                return count != INTERRUPTED;
+            int limit = readLimit();
+            int count = limit > 0 ? readOnce(limit) : INTERRUPTED;
+            if (count == 0 || count == INTERRUPTED) {
+                return count == 0;
             }
         }
         return true;
     }
 
+    /** Returns how many bytes may be read now; reading pauses if the handler takes none. */
+    private int readLimit() {
+        int share = remainingShare();
+        int limit = finishing ? share : Math.min(share, handler.readLimit());
+        if (limit <= 0 && share > 0) {
+            pauseReading();
+        }
+        return Math.min(limit, BUFFER_BYTES);
+    }
+
     /** Returns how many bytes this connection may still read in the current turn. */
     private int remainingShare() {
         if (shareTurn != loop.turnShare.turn()) {
@@ -152,7 +169,6 @@
         try {
             int count = read(buffer.limit(limit));
             shareLeft -= Math.max(0, count);
-            readToEnd = count < limit && count != INTERRUPTED;
             if (count == END_OF_STREAM) {
                 handleEnd();
             } else if (count > 0 && !finishing) {
@@ -189,14 +205,9 @@
         }
     }
 
-    @Override
-    public boolean readToEnd() {
-        return readToEnd;
-    }
-
     @Override
     public boolean readAvailable() {
-        return closed || connected && readShare();
+        return closed || connected && readToEnd();
     }
 
     @Override
