Read Gearman connections in pieces of 16 KiB, since a flood leaves most to later turns

Seen on reading again: what a connection reads beyond its 256 packets a turn is held, up to 64 KiB and as much again from the look for its end, and connections that hold such bytes are not among those that are ready, so that the share of a turn does not shrink with them: 300 of them could hold 19 MB and more.

Change: 16 KiB at a time, a quarter of that. Large bodies take four reads where they took one; the share of a turn stays.

Measured: Gearman, conformance and flood tests pass; the memory under Gearman floods was not played.

--- a/src/main/java/plumpost/gearman/GearmanConnection.java
+++ b/src/main/java/plumpost/gearman/GearmanConnection.java
@@ -19,6 +19,9 @@
     /** Packets and lines handled in one turn of the loop; the others of a peer that sends many wait behind other peers. */
     private static final int MAX_REQUESTS_PER_TURN = 256;
 
+    /** Bytes read at a time, of which a flooding peer leaves most to later turns. */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     /** Bytes of a long admin answer that are written at a time. */
@@ -102,7 +105,7 @@
 
     @Override
     public int readLimit() {
-        return leftover.hasRemaining() || answerOrder.isPaused() ? 0 : Integer.MAX_VALUE;
+        return leftover.hasRemaining() || answerOrder.isPaused() ? 0 : MAX_READ_BYTES;
     }
 
     @Override
