Count rejected requests by reason and log each by its id

Change: each rejection has a reason of a fixed set (RejectReason), is counted as front.rejected.REASON and, where the level is debug, logged with its id, status, peer and detail, within the request log's limit of lines.

--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -34,6 +34,9 @@
     /** A connection whose request has been incomplete for this long may be shed. */
     private static final double HALF_REQUEST_MS = 300;
 
+    /** Characters of a rejection's detail that are logged; it may hold a value that the client sent. */
+    private static final int MAX_LOGGED_DETAIL = 200;
+
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     private final HttpFront front;
@@ -186,7 +189,7 @@
             return;
         }
         if (!reader.hasHead()) {
-            reject(503, "the requests being received use up the memory for them");
+            reject(503, RejectReason.NO_MEMORY, "the requests being received use up the memory for them");
             return;
         }
         context.counters().count("front.memory_refused");
@@ -259,7 +262,7 @@
                 answeredRequests += parseNext() ? 1 : 0;
             }
         } catch (BadMessageException e) {
-            reject(e.status(), e.getMessage());
+            reject(e.status(), RejectReason.MALFORMED_MESSAGE, e.getMessage());
         } finally {
             parsing = false;
         }
@@ -366,7 +369,7 @@
 
     /** Answers a request of a wrong method, and closes the connection. */
     void rejectMethod(String allowed) {
-        context.counters().count("front.bad.405");
+        recordRejection(405, RejectReason.METHOD, "the path takes " + allowed);
         answer(405, EMPTY, "Allow: " + allowed + "\r\n", true);
     }
 
@@ -376,10 +379,24 @@
     }
 
     /** Answers a request that is malformed or cannot be served with an error, and closes the connection. */
-    void reject(int status, String reason) {
-        context.counters().count("front.bad." + status);
+    void reject(int status, RejectReason reason, String detail) {
+        recordRejection(status, reason, detail);
         requestOpen = true;
-        answer(status, AnswerEncoder.ascii(reason), "", true);
+        answer(status, AnswerEncoder.ascii(detail), "", true);
+    }
+
+    private void recordRejection(int status, RejectReason reason, String detail) {
+        context.counters().count("front.bad." + status);
+        context.counters().count("front.rejected." + reason.word());
+        if (core.requestLog().isEnabled()) {
+            String id = reader.hasHead() ? JobRequestReader.loggableId(reader.head()) : "-";
+            core.requestLog()
+                    .event(
+                            id,
+                            "rejected",
+                            "status=" + status + " reason=" + reason.word() + " peer=" + connection.peer() + " detail="
+                                    + detail.substring(0, Math.min(MAX_LOGGED_DETAIL, detail.length())));
+        }
     }
 
     /** Answers the open job, or refuses an incomplete request, because SIGKILL may follow soon. */
--- a/src/main/java/plumpost/platform/HttpFront.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -142,10 +142,10 @@
             context.counters().count("front.unread");
             client.abort("answer_unread");
         } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS && client.dropsRequest()) {
-            client.reject(503, "the requests being received use up the memory for them");
+            client.reject(503, RejectReason.NO_MEMORY, "the requests being received use up the memory for them");
         } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS) {
             context.counters().count("front.slow");
-            client.reject(408, "");
+            client.reject(408, RejectReason.INCOMPLETE, "the request is not complete in time");
         } else if (client.neverUsed() && stateAgeMs > MAX_REQUEST_MS) {
             context.counters().count("front.silent");
             client.finish("silent");
--- a/src/main/java/plumpost/platform/JobRequestReader.java
+++ b/src/main/java/plumpost/platform/JobRequestReader.java
@@ -92,6 +92,12 @@
         return jobClass.effect() == Effect.FREE ? null : KEY_PREFIX + id;
     }
 
+    /** Returns the id of a request for logs, or {@code "-"} if it has none of the form of ids. */
+    static String loggableId(Head head) {
+        String id = head.singleField(ID);
+        return id != null && id.matches(ID_PATTERN) ? id : "-";
+    }
+
     /** Returns the unique key of a request whose head is complete, or null if it has none. */
     static String uniqueKey(RequestReader request, JobClass jobClass) {
         String id = request.head().singleField(ID);
--- a/src/main/java/plumpost/platform/RequestRouter.java
+++ b/src/main/java/plumpost/platform/RequestRouter.java
@@ -64,7 +64,7 @@
     private void handleJob(RequestReader request, double unreadMs) {
         int classIndex = classOf(request);
         if (classIndex < 0) {
-            client.reject(404, "no such class");
+            client.reject(404, RejectReason.UNKNOWN_CLASS, "no such class");
         } else if (!request.method().equals("POST")) {
             client.rejectMethod("POST");
         } else {
@@ -78,12 +78,12 @@
             JobClass jobClass = core.settings().classes().get(classIndex);
             job = JobRequestReader.read(request, classIndex, jobClass, unreadMs);
         } catch (BadInput e) {
-            client.reject(400, "malformed field: " + e.getMessage());
+            client.reject(400, RejectReason.MALFORMED_FIELD, "malformed field: " + e.getMessage());
             return;
         }
         boolean comesAgain = job.unique() != null && core.isKnown(job.unique());
         if (!comesAgain && core.findJob(job.id()) != null) {
-            client.reject(409, "a job of this id is open");
+            client.reject(409, RejectReason.KNOWN_ID, "a job of this id is open");
         } else if (front.refusesJobs() && !comesAgain) {
             context.counters().count("front.after_last_call");
             client.refused(0);
