Reject a request under the id of another one that is open or may have run

Class: a name taken for a proof of who asks.

Change: an id belongs to the client that submitted it first (JobSpec.exclusive). The core, asked in one place (KnownIds), rejects every other submission under an id that is open, may have run, or may run in the other process of an upgrade: 409 and a close, for all classes. No result of such a job is kept. Ids of repeatable classes are remembered for the class's deadline after their end, since a stranger's request is sent while the owner's is open and often read after it. One run per id stays, through the client's end, the upgrade and a kill in it.

--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -9,6 +9,7 @@
 import java.util.function.Predicate;
 import plumpost.count.Counters;
 import plumpost.decision.Dispatcher;
+import plumpost.decision.Dispatcher.Effect;
 import plumpost.decision.Dispatcher.Ending;
 import plumpost.decision.Dispatcher.ListMode;
 import plumpost.decision.Dispatcher.LoadReport;
@@ -36,14 +37,13 @@
     private final JobAudit audit;
     private final Bounds bounds;
     private final Dispatcher logic;
-    private final KeptOutcomes keptOutcomes;
+    private final KnownIds knownIds;
     private final WorkerRegistry workers = new WorkerRegistry();
     private final JobLedger ledger;
     private final JoinedClients joinedClients;
     private final EventQueue eventQueue;
     private final AttemptStarter starter;
     private RequestLog requestLog = RequestLog.disabled();
-    private RunClaims runClaims = RunClaims.NONE;
 
     /** Limits: open jobs and their bytes in memory, kept outcomes and their bytes, bytes of one streamed result. */
     public record Bounds(int openJobs, long bodyBytes, int keptOutcomes, long keptBytes, long resultBytes) {
@@ -88,7 +88,7 @@
         this.starter = new AttemptStarter(this, workers, guard, ledger, counters, wheel);
         this.audit = new JobAudit(ledger, guard, clock, wheel, this::failAndForget);
         this.logic = dispatcherFactory.apply(new ActionQueue());
-        this.keptOutcomes = new KeptOutcomes(clock, counters, bounds.keptOutcomes(), bounds.keptBytes());
+        this.knownIds = new KnownIds(ledger, clock, counters, bounds);
     }
 
     /** Logs the events of each request from now on. */
@@ -103,16 +103,12 @@
 
     /** Shares with the other processes of this scheduler which jobs have run, from now on. */
     public void shareRuns(RunClaims claims) {
-        runClaims = claims;
+        knownIds.shareRuns(claims);
     }
 
     /** Claims a job that may not be repeated before its first attempt; returns whether it may run in this process. */
     boolean claimRun(OpenJob job) {
-        if (job.spec.uniqueIsId() && job.spec.unique() != null && !job.claimed) {
-            job.claimed = runClaims.claim(job.spec.unique());
-            return job.claimed;
-        }
-        return true;
+        return knownIds.claimRun(job);
     }
 
     double nowMs() {
@@ -265,7 +261,8 @@
 
     /**
      * Submits a job; its reply-to gets exactly one final answer. A resubmission under a unique key joins the open job
-     * or gets the kept outcome. Returns the open job that will answer, or null if the answer was given immediately.
+     * or gets the kept outcome, or is rejected where the key is an id that belongs to one client. Returns the open job that
+     * will answer, or null if the answer was given immediately.
      */
     public OpenJob submit(JobSpec spec, ReplyTo replyTo) {
         return submit(spec, replyTo, null);
@@ -275,6 +272,12 @@
     public OpenJob submit(JobSpec spec, ReplyTo replyTo, LeaseAuthority leaseAuthority) {
         Dispatcher.JobClass jobClass = settings.classes().get(spec.classIndex());
         counters.count("jobs.in." + jobClass.name());
+        if (spec.exclusive() && isKnown(spec)) {
+            counters.count("jobs.known_id");
+            requestLog.event(spec.id(), "answered", "outcome=known_id");
+            replyTo.rejectedAsKnown();
+            return null;
+        }
         if (spec.unique() != null) {
             OpenJob existing = ledger.findByUniqueKey(spec.unique());
             if (existing != null) {
@@ -285,7 +288,7 @@
                 }
                 return existing;
             }
-            KeptOutcomes.Outcome outcome = keptOutcomes.find(spec.unique());
+            KeptOutcomes.Outcome outcome = knownIds.findOutcome(spec.unique());
             if (outcome != null) {
                 counters.count("jobs.kept");
                 requestLog.event(spec.id(), "answered", "outcome=kept");
@@ -299,21 +302,14 @@
                 return null;
             }
         }
-        if (spec.unique() != null && spec.uniqueIsId() && runClaims.isClaimedElsewhere(spec.unique())) {
-            counters.count("jobs.ran_elsewhere");
-            counters.count("jobs.failed." + jobClass.name());
-            requestLog.event(spec.id(), "answered", "outcome=ran_elsewhere");
-            replyTo.failed();
-            return null;
-        }
         if (ledger.find(spec.id()) != null) {
             counters.count("jobs.twice");
             counters.count("jobs.failed." + jobClass.name());
             replyTo.failed();
             return null;
         }
-        boolean full = !ledger.hasCapacity(spec)
-                || spec.unique() != null && !keptOutcomes.hasCapacity(ledger.uniqueKeyCount());
+        OpenJob job = new OpenJob(spec, jobClass, nowMs() + spec.patienceMs(), leaseAuthority);
+        boolean full = !ledger.hasCapacity(spec) || !knownIds.hasCapacity(job);
         if (full || RuleGuard.tooLittleLeft(spec.patienceMs())) {
             counters.count(full ? "jobs.overfull" : "jobs.too_late");
             requestLog.event(spec.id(), "refused", full ? "reason=overfull" : "reason=too_late");
@@ -321,7 +317,6 @@
             replyTo.refused(full ? 1000 : 0);
             return null;
         }
-        OpenJob job = new OpenJob(spec, jobClass, nowMs() + spec.patienceMs(), leaseAuthority);
         job.recipients.add(replyTo);
         ledger.add(job);
         if (requestLog.isEnabled()) {
@@ -350,8 +345,8 @@
     }
 
     /**
-     * Removes a client that has left. When none is left the job is abandoned, unless it has a unique key and may have
-     * run: then its client may resubmit it and must get the outcome of that run.
+     * Removes a client that has left. When none is left the job is abandoned, unless it may have run and either may not be
+     * repeated or may be joined: then it goes on to its end, since another run must not follow or others may ask for its outcome.
      */
     public void removeClient(OpenJob job, ReplyTo replyTo) {
         if (job.answered || !job.recipients.remove(replyTo) || !job.recipients.isEmpty()) {
@@ -362,9 +357,9 @@
             requestLog.event(
                     job.spec.id(), "client_gone", "by=" + replyTo.endReason() + " attempts=" + job.attempts.size());
         }
-        if (job.spec.unique() == null || !job.mayHaveRun()) {
+        if (!job.outlivesClients() || !job.mayHaveRun()) {
             job.abandoned = true;
-            close(job);
+            close(job, null);
             process(() -> logic.onClientGone(nowMs(), job.spec.id()));
             withdraw(job, Ending.CANCELLED);
         }
@@ -380,7 +375,9 @@
     /** Fails a job that another process of this scheduler has claimed first. */
     void endAsRunElsewhere(OpenJob job) {
         counters.count("jobs.ran_elsewhere");
-        failAndForget(job);
+        answer(job, "known_id", null, ReplyTo::rejectedAsKnown);
+        process(() -> logic.onClientGone(nowMs(), job.spec.id()));
+        withdraw(job, Ending.CANCELLED);
     }
 
     /** Ends all jobs that may have run and for which nobody waits any more, because the scheduler stops. */
@@ -404,16 +401,19 @@
         return (int) matching.stream().filter(this::cancelIfNotRunning).count();
     }
 
-    /** Returns whether a job under a unique key is open, or its outcome is kept because it may have run. */
-    public boolean isKnown(String uniqueKey) {
-        return findJobByUniqueKey(uniqueKey) != null
-                || isOutcomeKept(uniqueKey)
-                || runClaims.isClaimedElsewhere(uniqueKey);
+    /** Returns whether the id of a job is that of an open one, or of one that may have run. */
+    public boolean isKnown(JobSpec spec) {
+        return ledger.find(spec.id()) != null || isKnown(spec.unique(), spec.classIndex());
+    }
+
+    /** Returns whether a job under the unique key of an id is open here or has ended, or may have run in another process. */
+    public boolean isKnown(String uniqueKey, int classIndex) {
+        return knownIds.isKnown(uniqueKey, settings.classes().get(classIndex).effect() == Effect.FREE);
     }
 
     /** Returns whether the outcome of a job under a unique key is kept. */
     public boolean isOutcomeKept(String uniqueKey) {
-        return keptOutcomes.find(uniqueKey) != null;
+        return knownIds.findOutcome(uniqueKey) != null;
     }
 
     /** Ends a job because the scheduler stops before its deadline, while its clients can still be answered. */
@@ -600,21 +600,16 @@
 
     private void answer(OpenJob job, String outcome, ByteBuffer result, Consumer<ReplyTo> reply) {
         List<ReplyTo> recipients = List.copyOf(job.recipients);
-        close(job);
+        close(job, result);
         counters.count("jobs." + outcome + "." + job.jobClass.name());
         requestLog.event(job.spec.id(), "answered", requestLog.isEnabled() ? "outcome=" + outcome : "");
-        if (job.spec.unique() != null && job.mayHaveRun()) {
-            keptOutcomes.keep(job.spec.unique(), result, job.jobClass.deadlineMs(), job.spec.uniqueIsId());
-        }
         recipients.forEach(reply);
     }
 
-    private void close(OpenJob job) {
+    private void close(OpenJob job, ByteBuffer result) {
+        knownIds.recordEnd(job, result);
         ledger.remove(job);
         job.answered = true;
-        if (job.claimed && !job.mayHaveRun()) {
-            runClaims.release(job.spec.unique());
-        }
         job.deadlineTimer.cancel();
         job.recipients.clear();
     }
--- a/src/main/java/plumpost/dispatch/JobLedger.java
+++ b/src/main/java/plumpost/dispatch/JobLedger.java
@@ -15,6 +15,7 @@
     private final Map<String, OpenJob> byUniqueKey = new HashMap<>();
     private final OpenJobCounts counts = new OpenJobCounts();
     private long heldBytes;
+    private int outcomesToKeep;
 
     JobLedger(DispatchCore.Bounds bounds) {
         this.bounds = bounds;
@@ -30,9 +31,9 @@
         return byUniqueKey.get(uniqueKey);
     }
 
-    /** Returns the number of open jobs that have a unique key. */
-    int uniqueKeyCount() {
-        return byUniqueKey.size();
+    /** Returns the number of open jobs whose outcome has to be kept. */
+    int countOutcomesToKeep() {
+        return outcomesToKeep;
     }
 
     int size() {
@@ -70,6 +71,7 @@
         if (job.spec.unique() != null) {
             byUniqueKey.put(job.spec.unique(), job);
         }
+        outcomesToKeep += job.outlivesClients() ? 1 : 0;
     }
 
     void remove(OpenJob job) {
@@ -79,6 +81,7 @@
         if (job.spec.unique() != null) {
             byUniqueKey.remove(job.spec.unique());
         }
+        outcomesToKeep -= job.outlivesClients() ? 1 : 0;
     }
 
     private static long sizeBytes(JobSpec spec) {
--- a/src/main/java/plumpost/dispatch/JobSpec.java
+++ b/src/main/java/plumpost/dispatch/JobSpec.java
@@ -18,7 +18,8 @@
  * @param key locality key: the subject of the job, or null
  * @param retry whether the client marked it as a retry
  * @param unique key under which a resubmission is the same job, qualified by its front, or null
- * @param uniqueIsId whether the unique key names this job for good, so that its outcome is kept for as long as there is room
+ * @param exclusive whether the unique key is an id that belongs to the client which submitted it first: nobody joins the job or is
+ *     told its outcome, and another submission under a known id is rejected
  * @param work kind of work and scheduling properties besides the class
  */
 public record JobSpec(
@@ -35,7 +36,7 @@
         String key,
         boolean retry,
         String unique,
-        boolean uniqueIsId,
+        boolean exclusive,
         Work work) {
 
     /**
--- a/src/main/java/plumpost/dispatch/OpenJob.java
+++ b/src/main/java/plumpost/dispatch/OpenJob.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import plumpost.decision.Dispatcher.Effect;
 import plumpost.decision.Dispatcher.JobClass;
 import plumpost.decision.Dispatcher.WorkerEntry;
 import plumpost.time.TimerWheel;
@@ -55,6 +56,11 @@
         return firstPossibleRun() != null;
     }
 
+    /** Returns whether its run counts beyond its clients: it may not simply be repeated, or others may join it. */
+    boolean outlivesClients() {
+        return spec.unique() != null && (!spec.exclusive() || jobClass.effect() != Effect.FREE);
+    }
+
     /** Returns the first attempt that may have run, or null. */
     private Attempt firstPossibleRun() {
         for (Attempt attempt : attempts) {
--- a/src/main/java/plumpost/dispatch/ReplyTo.java
+++ b/src/main/java/plumpost/dispatch/ReplyTo.java
@@ -18,6 +18,11 @@
         failed();
     }
 
+    /** Final answer: the id is that of another job, which is open or may have run. Nothing was done with this one. */
+    default void rejectedAsKnown() {
+        failed();
+    }
+
     /** Returns whether a client waits for the answer; false for a background job. */
     default boolean waits() {
         return true;
--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -47,9 +47,6 @@
     /** The open job that the client waits for, or null. */
     private OpenJob job;
 
-    /** Whether the open job was submitted before under the same id, so that the core does not hold this request. */
-    private boolean joined;
-
     private double jobTakenAtMs;
     private final RequestRouter router;
     private final RequestBacklog backlog;
@@ -83,7 +80,7 @@
         this.context = context;
         this.connection = connection;
         router = new RequestRouter(front, core, context, this);
-        backlog = new RequestBacklog(MAX_BODY_BYTES, router::mayHaveRun);
+        backlog = new RequestBacklog(MAX_BODY_BYTES, router::hasKnownId);
         stateSinceMs = nowMs();
     }
 
@@ -210,7 +207,7 @@
 
     @Override
     public long heldBytes() {
-        long requestBytes = job == null || joined ? reader.capacity() : 0; // an open job's are counted by the core
+        long requestBytes = job == null ? reader.capacity() : 0; // an open job's are counted by the core
         return requestBytes + backlog.capacity() + unwrittenBytes;
     }
 
@@ -343,7 +340,11 @@
     private void handleRequest() {
         context.counters().count("front.requests");
         if (reader.discardsBody()) {
-            answer(router.mayHaveRun(reader) ? 500 : 503, EMPTY, "", false);
+            if (router.hasKnownId(reader)) {
+                rejectedAsKnown();
+            } else {
+                answer(503, EMPTY, "", false);
+            }
             return;
         }
         double unreadMs = Math.max(waitedAheadMs, Math.max(front.unreadMs(), connection.backlogWaitMs()));
@@ -361,7 +362,6 @@
         jobTakenAtMs = nowMs();
         OpenJob taken = core.submit(request, this);
         job = requestOpen ? taken : null; // the core may have answered it already
-        joined = job != null && job.spec() != request;
         if (closed && job != null) {
             core.removeClient(job, this); // the client left while the core was taking the job
         }
@@ -409,8 +409,11 @@
         } else if (readingRequest()) {
             context.counters().count("front.half_at_end");
             requestOpen = true;
-            boolean again = reader.hasHead() && router.mayHaveRun(reader);
-            answer(again ? 500 : 503, EMPTY, "", true); // it was not accepted, so the client may send it elsewhere
+            if (reader.hasHead() && router.hasKnownId(reader)) {
+                rejectedAsKnown();
+            } else {
+                answer(503, EMPTY, "", true); // it was not accepted, so the client may send it elsewhere
+            }
         }
     }
 
@@ -434,6 +437,11 @@
         answer(500, EMPTY, "", false);
     }
 
+    @Override
+    public void rejectedAsKnown() {
+        reject(409, RejectReason.KNOWN_ID, "the id is that of another request");
+    }
+
     @Override
     public boolean pollConnection() {
         return connection.readAvailable();
--- a/src/main/java/plumpost/platform/HttpFront.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -145,7 +145,7 @@
             client.reject(503, RejectReason.NO_MEMORY, "the requests being received use up the memory for them");
         } else if (client.readingRequest() && stateAgeMs > MAX_REQUEST_MS) {
             context.counters().count("front.slow");
-            client.reject(408, RejectReason.INCOMPLETE, "the request is not complete in time");
+            client.reject(408, RejectReason.INCOMPLETE, "");
         } else if (client.neverUsed() && stateAgeMs > MAX_REQUEST_MS) {
             context.counters().count("front.silent");
             client.finish("silent");
--- a/src/main/java/plumpost/platform/JobRequestReader.java
+++ b/src/main/java/plumpost/platform/JobRequestReader.java
@@ -6,7 +6,6 @@
 import plumpost.config.Json.BadInput;
 import plumpost.config.Json.Fields;
 import plumpost.config.LoadReports;
-import plumpost.decision.Dispatcher.Effect;
 import plumpost.decision.Dispatcher.JobClass;
 import plumpost.dispatch.JobSpec;
 import plumpost.http.Head;
@@ -79,29 +78,21 @@
                 0,
                 key(head),
                 "1".equals(head.field(RETRY)),
-                uniqueKey(jobClass, id),
+                KEY_PREFIX + id,
                 true,
                 new JobSpec.Work(classIndex, null, null, null, 0, Double.NaN));
     }
 
-    /**
-     * Returns the key under which a request that comes again is the same job, or null if repeats are harmless: the id where the
-     * class may not simply be repeated.
-     */
-    private static String uniqueKey(JobClass jobClass, String id) {
-        return jobClass.effect() == Effect.FREE ? null : KEY_PREFIX + id;
-    }
-
     /** Returns the id of a request for logs, or {@code "-"} if it has none of the form of ids. */
     static String loggableId(Head head) {
         String id = head.singleField(ID);
         return id != null && id.matches(ID_PATTERN) ? id : "-";
     }
 
-    /** Returns the unique key of a request whose head is complete, or null if it has none. */
-    static String uniqueKey(RequestReader request, JobClass jobClass) {
+    /** Returns the unique key of a request whose head is complete, or null if it has no id. */
+    static String uniqueKey(RequestReader request) {
         String id = request.head().singleField(ID);
-        return id == null ? null : uniqueKey(jobClass, id);
+        return id == null ? null : KEY_PREFIX + id;
     }
 
     private static double number(Head head, String field, double defaultValue) {
--- a/src/main/java/plumpost/platform/RequestRouter.java
+++ b/src/main/java/plumpost/platform/RequestRouter.java
@@ -50,15 +50,13 @@
     }
 
     /**
-     * Returns whether a request, whose head is complete, comes again under an id that may have run and may not be repeated: then
-     * it must not be refused, which would invite another try.
+     * Returns whether a request, whose head is complete, has the id of one that is open or may have run: then it must not be
+     * refused, which would invite another try.
      */
-    boolean mayHaveRun(RequestReader request) {
+    boolean hasKnownId(RequestReader request) {
         int classIndex = classOf(request);
-        String uniqueKey = classIndex < 0
-                ? null
-                : JobRequestReader.uniqueKey(request, core.settings().classes().get(classIndex));
-        return uniqueKey != null && core.isKnown(uniqueKey);
+        String uniqueKey = JobRequestReader.uniqueKey(request);
+        return classIndex >= 0 && uniqueKey != null && core.isKnown(uniqueKey, classIndex);
     }
 
     private void handleJob(RequestReader request, double unreadMs) {
@@ -81,10 +79,9 @@
             client.reject(400, RejectReason.MALFORMED_FIELD, "malformed field: " + e.getMessage());
             return;
         }
-        boolean comesAgain = job.unique() != null && core.isKnown(job.unique());
-        if (!comesAgain && core.findJob(job.id()) != null) {
-            client.reject(409, RejectReason.KNOWN_ID, "a job of this id is open");
-        } else if (front.refusesJobs() && !comesAgain) {
+        if (core.isKnown(job)) {
+            client.rejectedAsKnown();
+        } else if (front.refusesJobs()) {
             context.counters().count("front.after_last_call");
             client.refused(0);
         } else {
