Let only a worker's result for this very submission answer 200 on the HTTP front

Change: served() takes a WorkerResult, which only the core creates, at the end of an attempt. Gearman's joined clients and kept outcomes go on: joining under a key is that protocol's own.

--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -297,7 +297,7 @@
                     replyTo.failed();
                 } else {
                     counters.count("jobs.served." + jobClass.name());
-                    replyTo.served(outcome.result().duplicate());
+                    replyTo.served(WorkerResult.kept(outcome.result()));
                 }
                 return null;
             }
@@ -451,6 +451,11 @@
         guard.report(RuleGuard.Violation.CLOSED, job.spec.id(), "its connection was closed unanswered");
     }
 
+    /** Reports that a front was about to tell a client a result that no worker made for its submission, which is a defect. */
+    public void foreignResult(String jobId) {
+        guard.report(RuleGuard.Violation.FOREIGN_RESULT, jobId, "the result was not made for this submission");
+    }
+
     private void onDeadline(OpenJob job) {
         if (!job.answered) {
             withdraw(job, Ending.TIMEOUT);
@@ -564,7 +569,8 @@
             job.leaseAuthority.ended(attempt, ending.neverRan());
         }
         if (ending == Ending.OK && !job.answered) {
-            answer(job, "served", fullResult, r -> r.served(fullResult.duplicate()));
+            WorkerResult served = WorkerResult.of(attempt, fullResult);
+            answer(job, "served", fullResult, r -> r.served(served));
         }
         boolean answered = job.answered;
         process(() -> logic.onAttemptEnded(
--- a/src/main/java/plumpost/dispatch/ReplyTo.java
+++ b/src/main/java/plumpost/dispatch/ReplyTo.java
@@ -5,7 +5,7 @@
 /** Port to the client that submitted a job: exactly one of the three final answers is sent through it. */
 public interface ReplyTo {
     /** Final answer: served, with the route node's result. */
-    void served(ByteBuffer result);
+    void served(WorkerResult result);
 
     /** Final answer: refused. A retry is harmless, after the given time if it is above 0. */
     void refused(double retryAfterMs);
--- a/src/main/java/plumpost/dispatch/RuleGuard.java
+++ b/src/main/java/plumpost/dispatch/RuleGuard.java
@@ -37,6 +37,8 @@
         UNANSWERED,
         /** A connection that this process closed before it answered its open job. */
         CLOSED,
+        /** A result for a client that did not submit the job. */
+        FOREIGN_RESULT,
         /** The end of the process while a job has no answer. */
         ENDED
     }
--- a/src/main/java/plumpost/gearman/FleetJobs.java
+++ b/src/main/java/plumpost/gearman/FleetJobs.java
@@ -9,6 +9,7 @@
 import plumpost.dispatch.JobSpec;
 import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.ReplyTo;
+import plumpost.dispatch.WorkerResult;
 import plumpost.gearman.FunctionTable.Function;
 import plumpost.peers.Fleet;
 
@@ -127,7 +128,7 @@
         }
 
         @Override
-        public void served(ByteBuffer result) {
+        public void served(WorkerResult result) {
             end(false);
         }
 
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -13,6 +13,7 @@
 import plumpost.dispatch.LeaseAuthority;
 import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.ReplyTo;
+import plumpost.dispatch.WorkerResult;
 import plumpost.gearman.FunctionTable.Function;
 import plumpost.peers.Fleet;
 import plumpost.peers.Ledger;
@@ -186,7 +187,7 @@
 
     private static void answer(Submission submission, Ledger.OrderStatus order) {
         switch (order.stage()) {
-            case SERVED -> submission.served(ByteBuffer.wrap(order.result()));
+            case SERVED -> submission.completed(ByteBuffer.wrap(order.result()));
             case REFUSED -> submission.refused(RETRY_AFTER_MS);
             default -> {
                 if (order.result().length > 0) {
@@ -320,8 +321,8 @@
         }
 
         @Override
-        public void served(ByteBuffer result) {
-            end(Ledger.Report.DONE, copyOf(result));
+        public void served(WorkerResult result) {
+            end(Ledger.Report.DONE, copyOf(result.bytes()));
         }
 
         @Override
--- a/src/main/java/plumpost/gearman/Submission.java
+++ b/src/main/java/plumpost/gearman/Submission.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.ReplyTo;
+import plumpost.dispatch.WorkerResult;
 import plumpost.gearman.Packet.Type;
 
 /** One submitted job: sends JOB_CREATED, progress and exactly one final packet to the client that waits for it. */
@@ -80,7 +81,12 @@
     }
 
     @Override
-    public void served(ByteBuffer result) {
+    public void served(WorkerResult result) {
+        completed(result.bytes());
+    }
+
+    /** Tells the client the whole result, of which it may have got parts. */
+    void completed(ByteBuffer result) {
         ByteBuffer remainder = result.duplicate();
         remainder.position(remainder.position() + sentBytes);
         finish(() -> client.write(Type.WORK_COMPLETE, handle, remainder));
--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -6,6 +6,7 @@
 import plumpost.dispatch.JobSpec;
 import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.ReplyTo;
+import plumpost.dispatch.WorkerResult;
 import plumpost.http.AnswerEncoder;
 import plumpost.http.BadMessageException;
 import plumpost.http.RequestReader;
@@ -46,6 +47,8 @@
     private final RequestReader reader = new RequestReader(MAX_BODY_BYTES);
     /** The open job that the client waits for, or null. */
     private OpenJob job;
+    /** The job as this connection submitted it, until it is answered, or null. */
+    private JobSpec submitted;
 
     private double jobTakenAtMs;
     private final RequestRouter router;
@@ -360,6 +363,7 @@
         front.jobSubmitted();
         hasSubmittedJob = true;
         jobTakenAtMs = nowMs();
+        submitted = request;
         OpenJob taken = core.submit(request, this);
         job = requestOpen ? taken : null; // the core may have answered it already
         if (closed && job != null) {
@@ -419,9 +423,15 @@
 
     // ---- answers ----
 
+    /** Tells the client a result, the only way to an answer 200 for a job: it must have been made for this very request. */
     @Override
-    public void served(ByteBuffer result) {
-        answer(200, result, "", false);
+    public void served(WorkerResult result) {
+        if (!result.isFor(submitted)) {
+            core.foreignResult(submitted == null ? "-" : submitted.id());
+            failed();
+            return;
+        }
+        answer(200, result.bytes(), "", false);
     }
 
     @Override
@@ -463,6 +473,7 @@
         answered = true;
         continueSent = false;
         job = null;
+        submitted = null;
         stateSinceMs = nowMs();
         ByteBuffer head = AnswerEncoder.head(status, body.remaining(), closing, fields);
         connection.write(head, body.duplicate());
--- a/src/test/java/plumpost/dispatch/RuleGuardTest.java
+++ b/src/test/java/plumpost/dispatch/RuleGuardTest.java
@@ -92,7 +92,7 @@
                         uniqueKey),
                 new ReplyTo() {
                     @Override
-                    public void served(ByteBuffer result) {
+                    public void served(WorkerResult result) {
                         answers.add(id + " served");
                     }
 
