Reject JSON objects and load reports that name a field twice, at every reader

The same reader serves lists, settings, configuration, the control API, the fleet's state and load reports; the simulator's link had its own.

Change: one JSON factory with Jackson's strict duplicate detection for all readers; the message names the field.

--- a/src/main/java/plumpost/benchlink/SimulatorHost.java
+++ b/src/main/java/plumpost/benchlink/SimulatorHost.java
@@ -1,6 +1,5 @@
 package plumpost.benchlink;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -39,11 +38,10 @@
 
     /** Creates a host that reads batches from {@code in}, writes replies to {@code out} and errors to {@code err}. */
     public SimulatorHost(InputStream in, OutputStream out, PrintStream err) throws IOException {
-        JsonFactory factory = new JsonFactory();
-        this.in = factory.createParser(in);
+        this.in = Json.FACTORY.createParser(in);
         this.out = out;
         this.err = err;
-        json = factory.createGenerator(reply);
+        json = Json.FACTORY.createGenerator(reply);
         json.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
     }
 
--- a/src/main/java/plumpost/config/Json.java
+++ b/src/main/java/plumpost/config/Json.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -13,8 +15,12 @@
 
 /** Reads JSON objects into named fields with type and range checks. */
 public final class Json {
-    /** Limits the nesting depth, so that a peer's input cannot overflow the stack. */
-    static final JsonFactory FACTORY = JsonFactory.builder()
+    /**
+     * Limits the nesting depth, so that a peer's input cannot overflow the stack, and rejects an object that names a field twice,
+     * of which two readers may take different values.
+     */
+    public static final JsonFactory FACTORY = JsonFactory.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
             .streamReadConstraints(
                     StreamReadConstraints.builder().maxNestingDepth(32).build())
             .build();
@@ -35,10 +41,18 @@
         } catch (com.fasterxml.jackson.core.io.JsonEOFException e) {
             throw new BadInput(where + " is not JSON: it ends in the middle, after " + bytes.length + " bytes");
         } catch (IOException e) {
-            throw new BadInput(where + " is not JSON");
+            throw new BadInput(where + " is not JSON" + describe(e));
         }
     }
 
+    /** Returns what is wrong with malformed input where the message repeats only a field's name, or an empty text. */
+    static String describe(IOException e) {
+        boolean duplicate = e instanceof JsonProcessingException fault
+                && fault.getOriginalMessage() != null
+                && fault.getOriginalMessage().startsWith("Duplicate field");
+        return duplicate ? ": " + ((JsonProcessingException) e).getOriginalMessage() : "";
+    }
+
     /** Thrown for input that is malformed or has an invalid value; the message names the input and the field. */
     public static final class BadInput extends RuntimeException {
         private static final long serialVersionUID = 1L;
--- a/src/main/java/plumpost/config/JsonObjectStream.java
+++ b/src/main/java/plumpost/config/JsonObjectStream.java
@@ -55,7 +55,7 @@
                 }
             }
         } catch (IOException e) {
-            throw new BadInput(context + " is not JSON");
+            throw new BadInput(context + " is not JSON" + Json.describe(e));
         }
         if (!openValues.isEmpty()) {
             objectText.write(bytes, copied, bytes.length - copied); // whitespace between objects is dropped
--- a/src/main/java/plumpost/config/LoadReports.java
+++ b/src/main/java/plumpost/config/LoadReports.java
@@ -40,7 +40,10 @@
         for (String pair : text.split("[,\\s]+")) {
             int separator = pair.indexOf('=');
             try {
-                numbers.put(pair.substring(0, Math.max(0, separator)), Double.valueOf(pair.substring(separator + 1)));
+                Double value = Double.valueOf(pair.substring(separator + 1));
+                if (numbers.put(pair.substring(0, Math.max(0, separator)), value) != null) {
+                    throw new BadInput("a name twice in " + text);
+                }
             } catch (NumberFormatException e) {
                 throw new BadInput("not a number in " + pair);
             }
