Serve a worker's final line only where it names one result

Change: done needs its result as text; a line that follows in the same read and differs from the final one makes the answer malformed. The attempt then ends as an error, or reset on a reused connection, after which an order is failed and never sent again, and a repeatable job may be tried again. "served: the result that a worker gave for this request is the body" (PROTOCOL).

--- a/src/main/java/plumpost/platform/WorkerLinks.java
+++ b/src/main/java/plumpost/platform/WorkerLinks.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Supplier;
@@ -393,7 +395,8 @@
                     }
                     case "running" -> current.progressed(fields.number("share", 0));
                     case "done" -> {
-                        byte[] result = fields.text("result", "").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+                        byte[] result = fields.text("result").getBytes(StandardCharsets.UTF_8);
+                        checkNothingFollows(line);
                         return () -> current.served(ByteBuffer.wrap(result), load);
                     }
                     case "failed" -> {
@@ -414,6 +417,16 @@
             return null;
         }
 
+        /** Throws {@link BadInput} if the lines received go on after the final one, unless they repeat it. */
+        private void checkNothingFollows(byte[] lastLine) {
+            for (byte[] line = reader.nextLine(); line != null; line = reader.nextLine()) {
+                boolean blank = line.length == 0 || line.length == 1 && line[0] == '\r';
+                if (!blank && !Arrays.equals(line, lastLine)) {
+                    throw new BadInput("a line after the last one");
+                }
+            }
+        }
+
         private Runnable readWholeAnswer() {
             int status = reader.status();
             Attempt endedAttempt = attempt;
