Read requests strictly: targets, Host, lengths, chunks, trailers and the platform's fields

Class: each reader took what it needed and left the rest unread.

Change: Grammar holds the character classes, ChunkParser the framing of chunks with extensions and trailers (BodyReader keeps the data), JobFields the platform's fields, each at most once.

--- a/src/main/java/plumpost/http/AnswerReader.java
+++ b/src/main/java/plumpost/http/AnswerReader.java
@@ -1,6 +1,7 @@
 package plumpost.http;
 
 import java.nio.ByteBuffer;
+import java.util.Set;
 
 /** Parses consecutive HTTP answers from the bytes fed to it; the body can be read by lines. It does no I/O itself. */
 public final class AnswerReader {
@@ -32,7 +33,7 @@
             }
             long framing = status == 204 || status == 304 ? 0 : head.framing();
             endsWithConnection = framing == -1;
-            bodyReader = new BodyReader(endsWithConnection ? Long.MAX_VALUE : framing, bodyLimit);
+            bodyReader = new BodyReader(endsWithConnection ? Long.MAX_VALUE : framing, bodyLimit, Set.of());
         }
         return bodyReader.feed(received);
     }
--- a/src/main/java/plumpost/http/Head.java
+++ b/src/main/java/plumpost/http/Head.java
@@ -2,7 +2,9 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
@@ -22,17 +24,6 @@
             "expect",
             "content-length",
             "host");
-    private static final boolean[] TOKEN_CHARACTERS = new boolean[128];
-
-    static {
-        for (char c = '0'; c <= 'z'; c++) {
-            TOKEN_CHARACTERS[c] = Character.isLetterOrDigit(c);
-        }
-        for (char c : "!#$%&'*+-.^_`|~".toCharArray()) {
-            TOKEN_CHARACTERS[c] = true;
-        }
-    }
-
     private byte[] bytes = new byte[512];
     private int length;
     private int lineStart;
@@ -104,20 +95,20 @@
             throw new BadMessageException(400, "a field without a name");
         }
         for (int i = from; i < colon; i++) {
-            if (bytes[i] < 0 || !TOKEN_CHARACTERS[bytes[i]]) {
+            if (!Grammar.isToken(bytes[i])) {
                 throw new BadMessageException(400, "malformed field name");
             }
         }
         int start = colon + 1;
         int end = to;
-        while (start < end && isBlank(bytes[start])) {
+        while (start < end && Grammar.isBlank(bytes[start])) {
             start++;
         }
-        while (end > start && isBlank(bytes[end - 1])) {
+        while (end > start && Grammar.isBlank(bytes[end - 1])) {
             end--;
         }
         for (int i = start; i < end; i++) {
-            if (bytes[i] >= 0 && bytes[i] < ' ' && bytes[i] != '\t' || bytes[i] == 127) {
+            if (!Grammar.isFieldText(bytes[i])) {
                 throw new BadMessageException(400, "a control character in a field");
             }
         }
@@ -134,10 +125,6 @@
         fieldOffsets[offset + 3] = end;
     }
 
-    private static boolean isBlank(byte character) {
-        return character == ' ' || character == '\t';
-    }
-
     private int find(byte wanted, int from, int to) {
         for (int i = from; i < to; i++) {
             if (bytes[i] == wanted) {
@@ -186,6 +173,21 @@
         return i < 0 || indexOfField(name, i + 1) >= 0 ? null : value(i);
     }
 
+    /** Returns whether more than one field has a name. */
+    public boolean isRepeated(String name) {
+        int i = indexOfField(name, 0);
+        return i >= 0 && indexOfField(name, i + 1) >= 0;
+    }
+
+    /** Returns the values of all fields with a name. */
+    public List<String> fields(String name) {
+        List<String> values = new ArrayList<>();
+        for (int i = indexOfField(name, 0); i >= 0; i = indexOfField(name, i + 1)) {
+            values.add(value(i));
+        }
+        return values;
+    }
+
     private String value(int i) {
         return text(fieldOffsets[4 * i + 2], fieldOffsets[4 * i + 3]);
     }
--- a/src/main/java/plumpost/http/RequestReader.java
+++ b/src/main/java/plumpost/http/RequestReader.java
@@ -1,10 +1,12 @@
 package plumpost.http;
 
 import java.nio.ByteBuffer;
+import java.util.Set;
 
 /** Parses consecutive HTTP requests from the bytes fed to it; does no I/O itself. */
 public final class RequestReader {
     private final int bodyLimit;
+    private final Set<String> forbiddenTrailers;
     private Head head = new Head();
     private BodyReader bodyReader;
     private String method;
@@ -13,7 +15,18 @@
 
     /** Creates a reader that accepts bodies up to the given number of bytes. */
     public RequestReader(int bodyLimit) {
+        this(bodyLimit, Set.of());
+    }
+
+    /** Creates a reader that also rejects trailers with the given names, in lower case. */
+    public RequestReader(int bodyLimit, Set<String> forbiddenTrailers) {
         this.bodyLimit = bodyLimit;
+        this.forbiddenTrailers = forbiddenTrailers;
+    }
+
+    /** Returns whether bytes behind a request may begin another one, as far as they go. */
+    public static boolean mayBeginRequest(ByteBuffer bytes) {
+        return Grammar.mayBeginRequest(bytes);
     }
 
     /** Consumes bytes up to the end of the request; returns true once it is complete. */
@@ -27,17 +40,16 @@
             if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
                 throw new BadMessageException(400, "unknown version");
             }
-            if (version.equals("HTTP/1.1") && head.field("Host") == null) {
-                throw new BadMessageException(400, "no Host");
-            }
-            if (!head.startLinePart(1).startsWith("/")) {
-                throw new BadMessageException(400, "malformed target");
+            checkStartLine();
+            checkHost();
+            if (head.isRepeated("Content-Length")) {
+                throw new BadMessageException(400, "more than one Content-Length");
             }
             long framing = head.framing();
             if (framing == -2 && version.equals("HTTP/1.0")) {
                 throw new BadMessageException(400, "chunks are not known to this version");
             }
-            bodyReader = new BodyReader(framing == -1 ? 0 : framing, bodyLimit);
+            bodyReader = new BodyReader(framing == -1 ? 0 : framing, bodyLimit, forbiddenTrailers);
             if (discardsBody) {
                 bodyReader.discardAll();
             }
@@ -45,6 +57,27 @@
         return bodyReader.feed(received);
     }
 
+    private void checkStartLine() throws BadMessageException {
+        for (int i = 0; i < method.length(); i++) {
+            if (!Grammar.isToken((byte) method.charAt(i))) {
+                throw new BadMessageException(400, "malformed method");
+            }
+        }
+        if (!Grammar.isOriginForm(head.targetBytes())) {
+            throw new BadMessageException(400, "malformed target");
+        }
+    }
+
+    private void checkHost() throws BadMessageException {
+        String host = head.field("Host");
+        if (host == null && version.equals("HTTP/1.1")) {
+            throw new BadMessageException(400, "no Host");
+        }
+        if (head.isRepeated("Host") || host != null && !Grammar.isHost(host)) {
+            throw new BadMessageException(400, "malformed Host");
+        }
+    }
+
     /** Drops the body of the current request, which is to be refused: its bytes are read and not kept. */
     public void discardBody() {
         discardsBody = true;
--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -44,7 +44,7 @@
     private final DispatchCore core;
     private final LoopContext context;
     private final Connection connection;
-    private final RequestReader reader = new RequestReader(MAX_BODY_BYTES);
+    private final RequestReader reader = new RequestReader(MAX_BODY_BYTES, JobFields.NAMES);
     /** The open job that the client waits for, or null. */
     private OpenJob job;
     /** The job as this connection submitted it, until it is answered, or null. */
@@ -299,7 +299,7 @@
 
     /** Refuses the next request that came too far ahead to be kept. */
     private void refuseDropped() throws BadMessageException {
-        int status = backlog.droppedMayHaveRun() ? 500 : 503;
+        int status = backlog.droppedHaveKnownId() ? 500 : 503;
         boolean last = backlog.takeDropped();
         context.counters().count("front.far_ahead");
         requestOpen = true;
@@ -360,6 +360,11 @@
             context.counters().count("front.gone_before");
             return;
         }
+        if (!backlog.mayBeginRequest()) {
+            // Its length was shorter than what was sent, or there was none.
+            reject(400, RejectReason.MALFORMED_MESSAGE, "bytes behind the request that begin no other");
+            return;
+        }
         front.jobSubmitted();
         hasSubmittedJob = true;
         jobTakenAtMs = nowMs();
--- a/src/main/java/plumpost/platform/RequestBacklog.java
+++ b/src/main/java/plumpost/platform/RequestBacklog.java
@@ -14,7 +14,7 @@
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     private final int bodyLimit;
-    private final Predicate<RequestReader> mayHaveRun;
+    private final Predicate<RequestReader> hasKnownId;
     private ByteBuffer kept = EMPTY;
     private final ArrivalTimes arrivalTimes = new ArrivalTimes();
     /** Parses the requests that are dropped, or null while none is. */
@@ -23,17 +23,17 @@
     private int droppedRequests;
     /** Bytes at the end of the kept ones that were dropped with their request. */
     private int droppedTailBytes;
-    /** Whether any of the dropped requests may have run before, so that none of them is told to try again. */
-    private boolean anyMayHaveRun;
+    /** Whether any of the dropped requests has the id of one that may have run, so that none of them is told to try again. */
+    private boolean anyKnownId;
     /** Whether nothing behind the dropped requests counts, since the last of them ends the connection. */
     private boolean lastDropped;
     /** The malformed request behind the dropped ones, or null. */
     private BadMessageException malformed;
 
-    /** Creates a backlog; {@code mayHaveRun} tells whether a dropped request comes again under an id that may have run. */
-    RequestBacklog(int bodyLimit, Predicate<RequestReader> mayHaveRun) {
+    /** Creates a backlog; {@code hasKnownId} tells whether a dropped request has the id of another one. */
+    RequestBacklog(int bodyLimit, Predicate<RequestReader> hasKnownId) {
         this.bodyLimit = bodyLimit;
-        this.mayHaveRun = mayHaveRun;
+        this.hasKnownId = hasKnownId;
     }
 
     /** Returns whether there is nothing ahead, and no request is being dropped. */
@@ -51,6 +51,11 @@
         return dropReader != null && dropReader.isIncomplete();
     }
 
+    /** Returns whether what has come behind the current request may begin another one, as far as it goes. */
+    boolean mayBeginRequest() {
+        return RequestReader.mayBeginRequest(kept);
+    }
+
     /** Returns the number of kept bytes that wait to be parsed. */
     int size() {
         return kept.remaining();
@@ -129,7 +134,7 @@
     }
 
     private RequestReader newDropReader() {
-        RequestReader reader = new RequestReader(bodyLimit);
+        RequestReader reader = new RequestReader(bodyLimit, JobFields.NAMES);
         reader.discardBody();
         return reader;
     }
@@ -144,7 +149,7 @@
             while (received.hasRemaining() && !lastDropped) {
                 if (dropReader.feed(received)) {
                     droppedRequests++;
-                    anyMayHaveRun |= mayHaveRun.test(dropReader);
+                    anyKnownId |= hasKnownId.test(dropReader);
                     lastDropped = dropReader.closesConnection();
                     startNextDropped();
                 }
@@ -173,9 +178,9 @@
         return last;
     }
 
-    /** Returns whether one of the dropped requests, which are answered alike, may have run before. */
-    boolean droppedMayHaveRun() {
-        return anyMayHaveRun;
+    /** Returns whether one of the dropped requests, which are answered alike, has the id of another one. */
+    boolean droppedHaveKnownId() {
+        return anyKnownId;
     }
 
     /** Frees the memory if all bytes have been parsed, and keeps requests again once all dropped ones are refused. */
@@ -187,7 +192,7 @@
         }
         if (dropReader != null && !hasWork() && !dropReader.isIncomplete() && !lastDropped) {
             dropReader = null;
-            anyMayHaveRun = false;
+            anyKnownId = false;
         }
     }
 
