Know the ids of answered requests that never ran, too, for the class's deadline

Seen while the model of ids was written: an id whose request was refused or failed without a run was forgotten at once, so that a stranger's request, sent while the owner's was open and read after its answer, was served.

Change: KnownIds remembers each id whose client was answered. Forgotten at once are only ids that their client left before any run, since a request that crosses the end of its connection is sent once more as it is.

Measured: KnownIdsTest plays the table of docs/sound-requests.md, 136 rows (state, effect, both classes, after the deadline); all pass. RepeatedIdTest, PlatformTest, RuleGuardTest pass. KnownIdsTest was not run without the change.

--- a/src/main/java/plumpost/dispatch/KnownIds.java
+++ b/src/main/java/plumpost/dispatch/KnownIds.java
@@ -58,14 +58,14 @@
 
     /** Records the end of a job, which is not closed yet, with its result or null. */
     void recordEnd(OpenJob job, ByteBuffer result) {
-        if (!job.mayHaveRun()) {
-            if (job.claimed) {
-                runClaims.release(job.spec.unique());
-            }
-        } else if (job.outlivesClients()) {
+        boolean mayHaveRun = job.mayHaveRun();
+        if (!mayHaveRun && job.claimed) {
+            runClaims.release(job.spec.unique());
+        }
+        if (mayHaveRun && job.outlivesClients()) {
             boolean exclusive = job.spec.exclusive(); // such a result is told to its own client only, now
             keptOutcomes.keep(job.spec.unique(), exclusive ? null : result, job.jobClass.deadlineMs(), exclusive);
-        } else if (job.spec.exclusive()) {
+        } else if (job.spec.exclusive() && (mayHaveRun || !job.recipients.isEmpty())) {
             recentIds.add(job.spec.unique(), job.jobClass.deadlineMs());
         }
     }
--- a/src/main/java/plumpost/dispatch/RecentIds.java
+++ b/src/main/java/plumpost/dispatch/RecentIds.java
@@ -6,7 +6,7 @@
 import plumpost.time.Clock;
 
 /**
- * Keys of ended jobs whose repeats are harmless, bounded in number and time. Ids are new with each request, so one that comes
+ * Keys of ended jobs of which another run would be harmless, bounded in number and time. Ids are new with each request, so one that comes
  * again is not its owner's; it is often sent while the owner's request is open and read after its end.
  */
 final class RecentIds {
