Have the soak play bad clients all through, and count unsound requests that are served

Rule UNSOUND_SERVED: an answer under 400 to one of them, or 200 to an order that comes again though it may have run.

--- a/src/main/java/plumpost/lab/soak/FaultKind.java
+++ b/src/main/java/plumpost/lab/soak/FaultKind.java
@@ -38,6 +38,8 @@
     DEPARTING_CLIENTS(4),
     /** A client sends small requests on one connection without a pause. */
     FLOODING_CLIENT(2),
+    /** Clients send what is not sound, among it the ids of others' open requests. */
+    BAD_CLIENTS(6),
     /** Clients leave and come again under the id of an order that may have run. */
     REPEATED_IDS(3),
     /** Very many connections idle or stop half way through a large request. */
--- a/src/main/java/plumpost/lab/soak/HostileClients.java
+++ b/src/main/java/plumpost/lab/soak/HostileClients.java
@@ -242,8 +242,12 @@
         private final AnswerReader reader = new AnswerReader(MAX_ANSWER_BYTES);
         private boolean ended;
 
+        /** Whether the request may have run when this client sent it, so that it is not sound. */
+        private final boolean unsound;
+
         RepeatingClient(RequestRecord record) {
             this.record = record;
+            unsound = record.attempts.stream().anyMatch(RequestRecord.AttemptRecord::mayHaveRun);
             connection = loop.dial(record.schedulerRun.front, made -> this);
         }
 
@@ -271,6 +275,9 @@
                 return;
             }
             ended = true;
+            if (unsound && reader.status() == 200) {
+                oracle.recordViolation(Oracle.Rule.UNSOUND_SERVED, record + " came again and was served");
+            }
             byte[] body = new byte[reader.body().remaining()];
             reader.body().duplicate().get(body);
             oracle.answered(record, reader.status(), new String(body, StandardCharsets.UTF_8), clock.nowMs());
--- a/src/main/java/plumpost/lab/soak/Oracle.java
+++ b/src/main/java/plumpost/lab/soak/Oracle.java
@@ -35,6 +35,8 @@
         AFTER_LEAVE,
         /** A worker was told of more remaining time than the client had. */
         TOLD_TIME,
+        /** A request that is not sound was answered as served. */
+        UNSOUND_SERVED,
         /** A message that no peer sent: an unknown request id, a wrong answer or malformed HTTP. */
         FORGED,
         /** The program's own rule guard intervened or it logged a fault. */
@@ -100,6 +102,17 @@
         count("requests");
     }
 
+    /** Returns the requests that a worker of this process has taken and whose clients wait for the answer. */
+    List<RequestRecord> findRunning(SchedulerRun run) {
+        return open.values().stream()
+                .filter(request -> request.schedulerRun == run
+                        && request.forwarded()
+                        && !request.answered()
+                        && Double.isNaN(request.clientLeftAt)
+                        && Double.isNaN(request.closedUnansweredAt))
+                .toList();
+    }
+
     RequestRecord findRequest(String id) {
         return recent.get(id);
     }
--- a/src/main/java/plumpost/lab/soak/SoakRun.java
+++ b/src/main/java/plumpost/lab/soak/SoakRun.java
@@ -51,6 +51,7 @@
     private final SoakWorkers workers;
     private final SoakClients clients;
     private final HostileClients hostileClients;
+    private final BadClients badClients;
     private final List<SchedulerSlot> slots = new ArrayList<>();
     private final ScheduledExecutorService faults = Executors.newScheduledThreadPool(FAULT_THREADS);
     private final Path folder = Files.createTempDirectory("plumpost-soak");
@@ -69,6 +70,7 @@
         workers = new SoakWorkers(loop, wheel, clock, oracle, discovery, random.split());
         clients = new SoakClients(loop, wheel, clock, oracle, random.split(), plan.requestsPerSecond());
         hostileClients = new HostileClients(loop, wheel, clock, oracle, random.split());
+        badClients = new BadClients(loop, wheel, clock, oracle, random.split());
         for (int i = 0; i < plan.workers(); i++) {
             discovery.add(workers.start(0));
         }
@@ -202,6 +204,7 @@
             case RELOADS -> slot.reload(fault.size);
             case OPERATOR_CALLS -> operatorCalls(slot, fault);
             case DEPARTING_CLIENTS -> runOnLoop(() -> hostileClients.depart(slot.currentRun()));
+            case BAD_CLIENTS -> runOnLoop(() -> badClients.play(slot.currentRun()));
             case FLOODING_CLIENT -> runOnLoop(() -> hostileClients.flood(slot.currentRun(), fault.length));
             case REPEATED_IDS -> runOnLoop(() -> hostileClients.comeAgain(slot.currentRun()));
             case CROWD -> runOnLoop(() -> hostileClients.crowd(slot.currentRun(), fault.length));
