--- a/src/main/java/plumpost/platform/ClientConnection.java
+++ b/src/main/java/plumpost/platform/ClientConnection.java
@@ -35,9 +35,6 @@
     /** A connection whose request has been incomplete for this long may be shed. */
     private static final double HALF_REQUEST_MS = 300;
 
-    /** Characters of a rejection's detail that are logged; it may hold a value that the client sent. */
-    private static final int MAX_LOGGED_DETAIL = 200;
-
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     private final HttpFront front;
@@ -51,6 +48,7 @@
     private JobSpec submitted;
 
     private double jobTakenAtMs;
+    private final ClientEvents events;
     private final RequestRouter router;
     private final RequestBacklog backlog;
     /** The bytes just received, while they are being parsed. */
@@ -82,6 +80,7 @@
         this.core = core;
         this.context = context;
         this.connection = connection;
+        events = new ClientEvents(core, context, connection);
         router = new RequestRouter(front, core, context, this);
         backlog = new RequestBacklog(MAX_BODY_BYTES, router::hasKnownId);
         stateSinceMs = nowMs();
@@ -378,7 +377,7 @@
 
     /** Answers a request of a wrong method, and closes the connection. */
     void rejectMethod(String allowed) {
-        recordRejection(405, RejectReason.METHOD, "the path takes " + allowed);
+        events.rejected(reader, 405, RejectReason.METHOD, "the path takes " + allowed);
         answer(405, EMPTY, "Allow: " + allowed + "\r\n", true);
     }
 
@@ -389,25 +388,11 @@
 
     /** Answers a request that is malformed or cannot be served with an error, and closes the connection. */
     void reject(int status, RejectReason reason, String detail) {
-        recordRejection(status, reason, detail);
+        events.rejected(reader, status, reason, detail);
         requestOpen = true;
         answer(status, AnswerEncoder.ascii(detail), "", true);
     }
 
-    private void recordRejection(int status, RejectReason reason, String detail) {
-        context.counters().count("front.bad." + status);
-        context.counters().count("front.rejected." + reason.word());
-        if (core.requestLog().isEnabled()) {
-            String id = reader.hasHead() ? JobRequestReader.loggableId(reader.head()) : "-";
-            core.requestLog()
-                    .event(
-                            id,
-                            "rejected",
-                            "status=" + status + " reason=" + reason.word() + " peer=" + connection.peer() + " detail="
-                                    + detail.substring(0, Math.min(MAX_LOGGED_DETAIL, detail.length())));
-        }
-    }
-
     /** Answers the open job, or refuses an incomplete request, because SIGKILL may follow soon. */
     void endForShutdown() {
         if (job != null) {
@@ -525,7 +510,7 @@
 
     /** Closes the connection after its answers have been written, and logs the reason in one word. */
     void finish(String reason) {
-        logClose(reason);
+        events.closed(job == null ? "-" : job.spec().id(), reason);
         reportOpenJob();
         close();
         connection.finish();
@@ -533,22 +518,12 @@
 
     /** Closes the connection at once, and logs the reason in one word. */
     void abort(String reason) {
-        logClose(reason);
+        events.closed(job == null ? "-" : job.spec().id(), reason);
         reportOpenJob();
         close();
         connection.closeNow();
     }
 
-    private void logClose(String reason) {
-        if (core.requestLog().isEnabled()) {
-            core.requestLog()
-                    .event(
-                            job == null ? "-" : job.spec().id(),
-                            "closed",
-                            "by=" + reason + " peer=" + connection.peer());
-        }
-    }
-
     /** Tells the core that the connection is closed before its open job was answered. */
     private void reportOpenJob() {
         if (job != null) {
--- a/src/test/java/plumpost/cli/UnsoundRequestsIT.java
+++ b/src/test/java/plumpost/cli/UnsoundRequestsIT.java
@@ -70,17 +70,24 @@
 
     /** Returns all that the client receives until the connection ends or the deadline has passed. */
     private static String receive(Socket client, long deadlineNs) throws IOException {
+        return receive(client, deadlineNs, null);
+    }
+
+    /** Returns all that the client receives up to the given text, or until the connection ends or the deadline has passed. */
+    private static String receive(Socket client, long deadlineNs, String end) throws IOException {
         StringBuilder received = new StringBuilder();
         byte[] bytes = new byte[4096];
         try {
-            int read = 0;
-            while (read >= 0) {
-                received.append(new String(bytes, 0, read, StandardCharsets.ISO_8859_1));
+            while (end == null || received.indexOf(end) < 0) {
                 long leftMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - System.nanoTime());
                 client.setSoTimeout((int) Math.max(1, leftMs));
-                read = client.getInputStream().read(bytes);
+                int read = client.getInputStream().read(bytes);
+                if (read < 0) {
+                    return received + "(closed)";
+                }
+                received.append(new String(bytes, 0, read, StandardCharsets.ISO_8859_1));
             }
-            return received + "(closed)";
+            return received.toString();
         } catch (SocketTimeoutException e) {
             return received.toString();
         } catch (IOException e) {
@@ -112,7 +119,7 @@
                 TimeUnit.MILLISECONDS.sleep(1);
             }
             if (moment.afterTheEnd()) {
-                assertThat(receive(owner, deadlineNs(500))).startsWith("HTTP/1.1 200 ");
+                assertThat(receive(owner, deadlineNs(ERROR_WITHIN_MS), "r-a")).startsWith("HTTP/1.1 200 ");
             }
             List<Socket> strangers = new ArrayList<>();
             for (int i = 0; i < STRANGERS; i++) {
@@ -134,7 +141,7 @@
                     .as("log %s", scheduler.log())
                     .allMatch(answer -> answer.matches("(?s)HTTP/1.1 409 .*\\(closed\\)"));
             if (moment != Moment.OWNER_LEAVES && !moment.afterTheEnd()) {
-                assertThat(receive(owner, deadlineNs(500)))
+                assertThat(receive(owner, deadlineNs(ERROR_WITHIN_MS), "r-a"))
                         .startsWith("HTTP/1.1 200 ")
                         .endsWith("r-a");
             }
@@ -165,8 +172,8 @@
             List<UnsoundRequests.Case> sound = UnsoundRequests.sound();
             for (int i = 0; i < sound.size(); i++) {
                 try (Socket client = send(scheduler, sound.get(i).withId("s" + i))) {
-                    String answer = receive(client, deadlineNs(100));
-                    if (!answer.matches("(?s)(HTTP/1.1 100 .*)?HTTP/1.1 200 .*r-s" + i + "(\\(closed\\))?")) {
+                    String answer = receive(client, deadlineNs(ERROR_WITHIN_MS), "r-s" + i);
+                    if (!answer.matches("(?s)(HTTP/1.1 100 .*)?HTTP/1.1 200 .*r-s" + i)) {
                         wrong.add(
                                 sound.get(i) + ": " + answer.lines().findFirst().orElse("nothing"));
                     }
