End requests before SIGKILL also after classes with long deadlines disappeared

Cause: HttpFront.stop took the longest deadline over the core's list of classes, in which the registry keeps every class ever known. GearmanFront.stop took it from the settings of the start.

Ruled out: a late signal (4 ms by the log), workers (sound), the schedule (its own test passed: it was given the wrong number).

Change: JobClassRegistry.longestDeadlineMs counts the classes of the newest file; both fronts run their steps by ShutdownTimers, which a file applied during the shutdown can only bring forward.

--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -211,6 +211,11 @@
         return settings;
     }
 
+    /** Returns the longest deadline in milliseconds of the classes that the newest settings name; removed ones don't count. */
+    public double longestDeadlineMs() {
+        return classes.longestDeadlineMs();
+    }
+
     /** Returns the number of the class with a name if it accepts new jobs, else -1. */
     public int findOfferedClass(String name) {
         return classes.findOffered(name, nowMs());
--- a/src/main/java/plumpost/dispatch/JobClassRegistry.java
+++ b/src/main/java/plumpost/dispatch/JobClassRegistry.java
@@ -91,6 +91,17 @@
         return current;
     }
 
+    /** Returns the longest deadline in milliseconds of the classes that the newest settings name. */
+    public double longestDeadlineMs() {
+        double longestMs = 0;
+        for (int number = 0; number < knownClasses.size(); number++) {
+            if (Double.isNaN(removedAtMs[number])) {
+                longestMs = Math.max(longestMs, knownClasses.get(number).deadlineMs());
+            }
+        }
+        return longestMs;
+    }
+
     /** Returns the number of a class that accepts new jobs at this time, or -1. */
     public int findOffered(String name, double nowMs) {
         int number = indexOf(knownClasses, name);
--- a/src/main/java/plumpost/gearman/GearmanFront.java
+++ b/src/main/java/plumpost/gearman/GearmanFront.java
@@ -18,6 +18,7 @@
 import plumpost.front.Front;
 import plumpost.front.Listeners;
 import plumpost.front.ShutdownSchedule;
+import plumpost.front.ShutdownTimers;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
 import plumpost.net.LoopContext;
@@ -64,6 +65,8 @@
     private long idCount;
     private long acceptedCount;
     private boolean stopping;
+    /** The steps of the shutdown that answer clients of covered orders, or null before it. */
+    private ShutdownTimers shutdownTimers;
     /** Scheduled jobs that are planned with the fleet, or null without a fleet. */
     FleetJobs fleetJobs;
     /** Covered orders, or null if there is no fleet or it covers none. */
@@ -118,13 +121,17 @@
     public void stop(double receivedAtMs, double newClientsMs) {
         context.wheel().schedule(receivedAtMs + newClientsMs, this::refuseNewJobs);
         if (fleetOrders != null) {
-            double longestDeadlineMs = settings.classes().stream()
-                    .mapToDouble(Dispatcher.JobClass::deadlineMs)
-                    .max()
-                    .orElse(0);
-            double lastCallAtMs =
-                    ShutdownSchedule.compute(receivedAtMs, longestDeadlineMs).lastCallAtMs();
-            context.wheel().schedule(lastCallAtMs, fleetOrders::endWaiting);
+            shutdownTimers = new ShutdownTimers(receivedAtMs, context);
+            shutdownTimers.add(ShutdownSchedule::lastCallAtMs, fleetOrders::endWaiting);
+            shutdownTimers.start(core.longestDeadlineMs());
+        }
+    }
+
+    /** Applies new deadlines to a shutdown that has begun. */
+    @Override
+    public void reload(NodeConfig newConfig) {
+        if (shutdownTimers != null) {
+            shutdownTimers.start(core.longestDeadlineMs());
         }
     }
 
--- a/src/main/java/plumpost/platform/HttpFront.java
+++ b/src/main/java/plumpost/platform/HttpFront.java
@@ -3,9 +3,9 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import plumpost.decision.Dispatcher.JobClass;
 import plumpost.dispatch.DispatchCore;
 import plumpost.front.ShutdownSchedule;
+import plumpost.front.ShutdownTimers;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
 import plumpost.net.LoopContext;
@@ -34,6 +34,9 @@
     private boolean reportedReady;
 
     private boolean stopping;
+    /** The steps of the shutdown, or null before it. */
+    private ShutdownTimers shutdownTimers;
+
     private boolean closingIdle;
     private boolean lastCallDone;
 
@@ -79,13 +82,17 @@
      */
     void stop(double signalHandledAtMs) {
         stopping = true;
-        double longestDeadlineMs = core.settings().classes().stream()
-                .mapToDouble(JobClass::deadlineMs)
-                .max()
-                .orElse(0);
-        ShutdownSchedule schedule = ShutdownSchedule.compute(signalHandledAtMs, longestDeadlineMs);
-        context.wheel().schedule(schedule.closeIdleAtMs(), this::closeIdle);
-        context.wheel().schedule(schedule.lastCallAtMs(), this::lastCall);
+        shutdownTimers = new ShutdownTimers(signalHandledAtMs, context);
+        shutdownTimers.add(ShutdownSchedule::closeIdleAtMs, this::closeIdle);
+        shutdownTimers.add(ShutdownSchedule::lastCallAtMs, this::lastCall);
+        shutdownTimers.start(core.longestDeadlineMs());
+    }
+
+    /** Called when new settings are in force: during a shutdown, shorter deadlines bring its steps forward. */
+    void settingsChanged() {
+        if (stopping) {
+            shutdownTimers.start(core.longestDeadlineMs());
+        }
     }
 
     /** Closes idle connections; the others are closed after their next answer. */
--- a/src/main/java/plumpost/platform/Platform.java
+++ b/src/main/java/plumpost/platform/Platform.java
@@ -69,9 +69,10 @@
         return address;
     }
 
-    /** Applies a new address of discovery; jobs, connections and the state of nodes are kept. */
+    /** Applies a new address of discovery, and new deadlines to a shutdown that has begun; jobs, connections and the state of nodes are kept. */
     @Override
     public void reload(NodeConfig newConfig) {
+        front.settingsChanged();
         if (newConfig.discovery() == null) {
             context.log().accept("reloaded, the file names no discovery: the old address stays");
         } else {
--- a/src/test/java/plumpost/SocketRig.java
+++ b/src/test/java/plumpost/SocketRig.java
@@ -118,6 +118,12 @@
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     }
 
+    /** Applies new settings in JSON to the core and the front, as at SIGHUP. */
+    public void applySettings(String json) {
+        core.retune(SettingsReader.settings(Json.object("settings", json.getBytes(StandardCharsets.UTF_8))));
+        platform.reload(config);
+    }
+
     /** A copy of the configuration with another discovery address, as after a reload. */
     public NodeConfig configWithDiscovery(InetSocketAddress discoveryAddress) {
         return new NodeConfig(
--- a/src/test/java/plumpost/platform/ConnectionClosingTest.java
+++ b/src/test/java/plumpost/platform/ConnectionClosingTest.java
@@ -171,6 +171,39 @@
         }
     }
 
+    /**
+     * Guards requests that were unanswered at SIGKILL (review case 10): it comes as early as the deadlines in force allow, also
+     * where classes with longer ones have disappeared, or get shorter ones while the process ends.
+     */
+    @ParameterizedTest
+    @CsvSource({"before,1200,1900", "before,2400,3100", "after,1200,1900", "after,2400,3100"})
+    void removedLongDeadlinesDoNotDelayTheShutdown(String sighup, String deadline, double killAfterMs)
+            throws IOException {
+        try (SocketRig rig = new SocketRig(Scenario.SETTINGS, 1)) {
+            String shorter =
+                    settingsWithDeadline(deadline).replace("\"name\":\"route-plan\"", "\"name\":\"route-plan-r2\"");
+            rig.platform.ready();
+            Peer client = rig.client();
+            client.send(LIVENESS_REQUEST);
+            client.expect("200 OK");
+            if (sighup.equals("before")) {
+                rig.applySettings(shorter);
+                rig.advance(7_000);
+            }
+            rig.platform.stop(rig.nowMs, 700);
+            double stoppedAtMs = rig.nowMs;
+            rig.advance(300);
+            if (sighup.equals("after")) {
+                rig.applySettings(shorter);
+            }
+            client.send(SocketRig.jobRequest("route-plan-r2", "a", "", "x")); // no node answers it
+            rig.advance(stoppedAtMs + killAfterMs - rig.nowMs - 100);
+            assertThat(client.text()).as("answered by the time of SIGKILL").contains("HTTP/1.1 5");
+            assertThat(client.isClosed()).isTrue();
+            assertThat(rig.core.openJobCount()).isZero();
+        }
+    }
+
     /** Guards an open job against its own client's pipelined requests: its answer comes first, then the answers to all of them. */
     @Test
     void manyPipelinedRequestsWaitForTheOpenJob() throws IOException {
