--- a/src/main/java/plumpost/decision/Dispatcher.java
+++ b/src/main/java/plumpost/decision/Dispatcher.java
@@ -142,11 +142,17 @@
             double overShareWorth,
             double granularityMs,
             double minTimeLeftMs) {
+        /** Number of classes that one process may know, over all settings that it is given; bounds its memory. */
+        public static final int MAX_CLASSES = 1024;
+
         /** Checks the settings; throws {@link IllegalArgumentException} with the name of an illegal one. */
         public Settings {
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
             require(!classes.isEmpty(), "classes must not be empty");
+            require(
+                    classes.size() <= MAX_CLASSES,
+                    "classes must not be more than " + MAX_CLASSES + ", not " + classes.size());
             require(balancers >= 1, "balancers must be at least 1");
             require(zones >= 1 && kinds >= 1, "zones and kinds must be at least 1");
             require(limits.maxAttempts() >= 1, "maxAttempts must be at least 1");
--- a/src/main/java/plumpost/dispatch/JobClassRegistry.java
+++ b/src/main/java/plumpost/dispatch/JobClassRegistry.java
@@ -12,8 +12,6 @@
  * omits is rejected after a grace period, in which jobs sent before the change still arrive. Callers pass the time.
  */
 public final class JobClassRegistry {
-    /** Class names that one process may accumulate; a file that exceeds this is rejected, so memory stays bounded. */
-    public static final int MAX_CLASSES = 256;
     /** Time for which a removed class still accepts jobs, since some sent before the change are still to arrive. */
     public static final double REMOVED_CLASS_GRACE_MS = 2_000;
 
@@ -39,7 +37,7 @@
      * numbered after the others; a known name that is omitted stops accepting jobs after
      * {@link #REMOVED_CLASS_GRACE_MS}.
      *
-     * @throws IllegalArgumentException with the count, if more than {@link #MAX_CLASSES} names would be known
+     * @throws IllegalArgumentException with the count, if more than {@link Settings#MAX_CLASSES} names would be known
      */
     public Settings retune(Settings next, double nowMs) {
         List<JobClass> merged = new ArrayList<>(knownClasses);
@@ -54,8 +52,9 @@
             }
             present[number] = true;
         }
-        if (merged.size() > MAX_CLASSES) {
-            throw new IllegalArgumentException("classes: " + merged.size() + " names in all, more than " + MAX_CLASSES);
+        if (merged.size() > Settings.MAX_CLASSES) {
+            throw new IllegalArgumentException(
+                    "classes: " + merged.size() + " names in all, more than " + Settings.MAX_CLASSES);
         }
         double[] newRemovedAtMs = Arrays.copyOf(removedAtMs, merged.size());
         for (int i = 0; i < merged.size(); i++) {
