Let the Gearman front ask for the settings in force in place of those of the start

Cause: GearmanFront.settings was a copy of the settings of the start. The effect of covered and planned jobs, the deadline of Gearman's jobs and the time that a client is kept for the fleet's answer came from it.

Ruled out: the core (it reported the order as stalled, by its new effect) and the ledger (it does what the order's "repeatable" says).

Change: the copy is gone, GearmanFront.classOf asks the core.

--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -146,7 +146,7 @@
         String clientKey = unique.equals("-") ? digestOf(data) : unique;
         double patienceMs = inBackground
                 ? front.config.backgroundMs()
-                : front.settings.classes().get(function.classIndex).deadlineMs();
+                : front.core.settings().classes().get(function.classIndex).deadlineMs();
         return new JobSpec(
                 front.newId(),
                 function.classIndex,
--- a/src/main/java/plumpost/gearman/FleetJobs.java
+++ b/src/main/java/plumpost/gearman/FleetJobs.java
@@ -36,8 +36,7 @@
         byte[] body = new byte[request.body().remaining()];
         request.body().duplicate().get(body);
         String unique = request.work().unique();
-        boolean mayRunTwice =
-                front.settings.classes().get(request.classIndex()).effect() != Dispatcher.Effect.SINGLE_SHOT;
+        boolean mayRunTwice = front.classOf(request).effect() != Dispatcher.Effect.SINGLE_SHOT;
         fleet.plan(
                 new Fleet.Job(
                         front.handleOf(request.id()),
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -57,7 +57,7 @@
 
     /** Whether the ledger covers the job's class. */
     boolean covers(JobSpec request) {
-        return ledger.covers(front.settings.classes().get(request.classIndex()).name());
+        return ledger.covers(front.classOf(request).name());
     }
 
     /** Whether a job in this core is a covered order, whose id is its handle. */
@@ -119,7 +119,7 @@
         byte[] body = new byte[request.body().remaining()];
         request.body().duplicate().get(body);
         String unique = request.work().unique();
-        boolean mayRunTwice = front.settings.classes().get(request.classIndex()).effect() != Effect.SINGLE_SHOT;
+        boolean mayRunTwice = front.classOf(request).effect() != Effect.SINGLE_SHOT;
         ledger.take(
                 new Ledger.Order(
                         front.handleOf(request.id()),
--- a/src/main/java/plumpost/gearman/GearmanFront.java
+++ b/src/main/java/plumpost/gearman/GearmanFront.java
@@ -46,7 +46,6 @@
 
     final DispatchCore core;
     final LoopContext context;
-    final Dispatcher.Settings settings;
     final GearmanConfig config;
     final FunctionTable functions;
     final WorkerHistory workerHistory;
@@ -84,10 +83,9 @@
         this.idBase = node.seed() ^ Double.doubleToLongBits(context.unixTime().nowMs()) * 0x9E3779B97F4A7C15L;
         this.core = core;
         this.context = context;
-        this.settings = node.settings();
         this.shutdown = shutdown;
         maxConnections = config.limits().connections() > 0 ? config.limits().connections() : node.sockets() / 8;
-        functions = new FunctionTable(settings.classes(), config);
+        functions = new FunctionTable(node.settings().classes(), config);
         workerHistory = new WorkerHistory(config.returnMs());
         schedule = new Schedule(config.limits().scheduled(), config.limits().scheduledBytes());
         adminCommands = new AdminCommands(this, version);
@@ -196,6 +194,11 @@
         connections.remove(connection);
     }
 
+    /** Returns the class of a job that is being submitted, by the settings in force. */
+    Dispatcher.JobClass classOf(JobSpec request) {
+        return core.settings().classes().get(request.classIndex());
+    }
+
     // ---- the fleet ----
 
     /** Passes scheduled jobs to a fleet from now on, and hands its covered orders to its ledger if it has one. */
@@ -206,7 +209,7 @@
 
     /** Returns for how long a client of the job's class may wait until the fleet has agreed on its job. */
     double fleetAnswerLimitMs(JobSpec request) {
-        double deadlineMs = settings.classes().get(request.classIndex()).deadlineMs();
+        double deadlineMs = classOf(request).deadlineMs();
         return Math.max(deadlineMs / 2, deadlineMs - FLEET_ANSWER_MARGIN_MS);
     }
 
