Number classes and Gearman functions apart, so that neither's jobs run as the other's

Cause: FunctionTable numbered functions after the classes of the start, JobClassRegistry gave a new class the same number; module, entries and RuleGuard compare nothing else.

Ruled out: joined jobs and kept outcomes (other keys), the route node (it got no request), the file (in force, by the log).

Change: WorkKind, a type made of a class's or a function's number, each with a range of its own. Functions and rules follow SIGHUP (they were those of the start, the same cause); rules name their class.

--- a/src/main/java/plumpost/config/GearmanConfig.java
+++ b/src/main/java/plumpost/config/GearmanConfig.java
@@ -34,8 +34,8 @@
         Set<String> allowedAdminCommands,
         Limits limits) {
 
-    /** Assigns the functions whose names match to a class, given by its index. */
-    public record Rule(Pattern match, int classIndex) {}
+    /** Assigns the functions whose names match to a class, given by its name. */
+    public record Rule(Pattern match, String className) {}
 
     /**
      * The front's resource limits.
@@ -93,8 +93,9 @@
         for (Object item : section.listOrEmpty("functions")) {
             Fields rule = Json.fields(section.context() + ".functions[" + rules.size() + "]", item);
             rule.allowOnly("match", "class");
-            rules.add(new Rule(
-                    globPattern(rule, rule.text("match")), requiredIndex(classes, rule, "class", rule.text("class"))));
+            String className = rule.text("class");
+            requiredIndex(classes, rule, "class", className);
+            rules.add(new Rule(globPattern(rule, rule.text("match")), className));
         }
         Set<String> allowed = new java.util.HashSet<>();
         Fields admin = section.objectOrEmpty("admin");
--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -121,7 +121,7 @@
     }
 
     /** Returns the live counts of open jobs for a kind of work. */
-    public OpenJobCounts.Tally tally(int kind) {
+    public OpenJobCounts.Tally tally(WorkKind kind) {
         return ledger.counts().forKind(kind);
     }
 
@@ -343,7 +343,7 @@
                         spec.slots(),
                         spec.memory(),
                         spec.retry(),
-                        spec.work().kind(),
+                        spec.work().kind().number(),
                         spec.work().priority(),
                         spec.work().aimMs())));
         return job;
--- a/src/main/java/plumpost/dispatch/JobSpec.java
+++ b/src/main/java/plumpost/dispatch/JobSpec.java
@@ -42,14 +42,14 @@
     /**
      * The kind of work and scheduling properties of a job besides its class.
      *
-     * @param kind number of the kind of work: the class's index, or a number above all classes
+     * @param kind the kind of work
      * @param name the front's name for the work, or null if it is the class
      * @param unique the unique key as the client sent it, or null
      * @param reducer function that combines its partial results, or null
      * @param priority above 0 to run before other jobs of its age, below 0 to run after them
      * @param aimMs target time for its completion, or NaN to use that of its class
      */
-    public record Work(int kind, String name, String unique, String reducer, int priority, double aimMs) {}
+    public record Work(WorkKind kind, String name, String unique, String reducer, int priority, double aimMs) {}
 
     /** Creates a job without header fields. */
     public JobSpec(
@@ -96,6 +96,6 @@
                 key,
                 retry,
                 unique,
-                new Work(cls, null, unique, null, 0, Double.NaN));
+                new Work(WorkKind.ofClass(cls), null, unique, null, 0, Double.NaN));
     }
 }
--- a/src/main/java/plumpost/dispatch/OpenJobCounts.java
+++ b/src/main/java/plumpost/dispatch/OpenJobCounts.java
@@ -1,7 +1,7 @@
 package plumpost.dispatch;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.HashMap;
+import java.util.Map;
 
 /** Counts open jobs by kind of work; updated on every change, so that reading a count takes constant time. */
 public final class OpenJobCounts {
@@ -27,14 +27,11 @@
         }
     }
 
-    private final List<Tally> byKind = new ArrayList<>();
+    private final Map<WorkKind, Tally> byKind = new HashMap<>();
 
     /** Returns the live counts of a kind of work; all are 0 if it never had a job. */
-    public Tally forKind(int kind) {
-        while (byKind.size() <= kind) {
-            byKind.add(new Tally());
-        }
-        return byKind.get(kind);
+    public Tally forKind(WorkKind kind) {
+        return byKind.computeIfAbsent(kind, newKind -> new Tally());
     }
 
     void added(OpenJob job) {
--- a/src/main/java/plumpost/dispatch/RuleGuard.java
+++ b/src/main/java/plumpost/dispatch/RuleGuard.java
@@ -56,7 +56,7 @@
         if (worker == null
                 || !worker.isServing()
                 || banned
-                || !worker.listing.entry().runsWork(job.spec.work().kind(), limits.classes())) {
+                || !worker.listing.entry().runsWork(job.spec.work().kind().number(), limits.classes())) {
             return Violation.DRAIN;
         }
         if (job.outstandingAttempt() != null) {
--- a/src/main/java/plumpost/gearman/AdminCommands.java
+++ b/src/main/java/plumpost/gearman/AdminCommands.java
@@ -189,7 +189,7 @@
         boolean inUse = function.workers > 0
                 || front.core.tally(function.kind).open() > 0
                 || front.schedule.entries().stream()
-                        .anyMatch(job -> job.request().work().kind() == function.kind);
+                        .anyMatch(job -> job.request().work().kind().equals(function.kind));
         return !inUse && front.functions.remove(function)
                 ? OK
                 : "ERR there are still connected workers or executing clients\n";
--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -137,6 +137,13 @@
             reject("stopping", "this scheduler takes no more jobs");
             return null;
         }
+        int classNumber = function.hasClass() ? front.core.findOfferedClass(function.className()) : -1;
+        if (classNumber < 0) {
+            reject(
+                    "unknown_function",
+                    name + ": its class " + function.className() + " is not in the settings any more");
+            return null;
+        }
         ByteBuffer data = packet.arguments().get(dataIndex);
         String unique = packet.text(1);
         if (unique.length() > MAX_UNIQUE_LENGTH) {
@@ -146,10 +153,10 @@
         String clientKey = unique.equals("-") ? digestOf(data) : unique;
         double patienceMs = inBackground
                 ? front.config.backgroundMs()
-                : front.core.settings().classes().get(function.classIndex).deadlineMs();
+                : front.core.settings().classes().get(classNumber).deadlineMs();
         return new JobSpec(
                 front.newId(),
-                function.classIndex,
+                classNumber,
                 null,
                 data,
                 patienceMs,
--- a/src/main/java/plumpost/gearman/FleetJobs.java
+++ b/src/main/java/plumpost/gearman/FleetJobs.java
@@ -66,7 +66,7 @@
         double patienceMs = front.config.backgroundMs();
         JobSpec request = new JobSpec(
                 front.newId(),
-                function.classIndex,
+                front.functions.classNumber(function),
                 null,
                 ByteBuffer.wrap(job.body()),
                 patienceMs,
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -226,7 +226,7 @@
         String unique = order.unique().isEmpty() ? null : order.unique();
         JobSpec request = new JobSpec(
                 order.id(),
-                function.classIndex,
+                front.functions.classNumber(function),
                 null,
                 ByteBuffer.wrap(order.body()),
                 order.patienceMs(),
--- a/src/main/java/plumpost/gearman/GearmanFront.java
+++ b/src/main/java/plumpost/gearman/GearmanFront.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import plumpost.config.GearmanConfig;
 import plumpost.config.NodeConfig;
 import plumpost.decision.Dispatcher;
@@ -85,7 +86,9 @@
         this.context = context;
         this.shutdown = shutdown;
         maxConnections = config.limits().connections() > 0 ? config.limits().connections() : node.sockets() / 8;
-        functions = new FunctionTable(node.settings().classes(), config);
+        functions = new FunctionTable(
+                Math.max(config.limits().functions(), node.settings().classes().size()));
+        applyFunctions(node);
         workerHistory = new WorkerHistory(config.returnMs());
         schedule = new Schedule(config.limits().scheduled(), config.limits().scheduledBytes());
         adminCommands = new AdminCommands(this, version);
@@ -125,9 +128,20 @@
         }
     }
 
-    /** Applies new deadlines to a shutdown that has begun. */
+    /** Applies the classes and rules of functions of a configuration, whose settings the core has in force. */
+    private void applyFunctions(NodeConfig node) {
+        Set<String> offered = node.settings().classes().stream()
+                .map(Dispatcher.JobClass::name)
+                .collect(Collectors.toSet());
+        boolean hasSection =
+                node.gearman() != null; // a file at SIGHUP may leave the address empty, which needs a restart
+        functions.apply(core.classNames(), offered, hasSection ? node.gearman().functions() : functions.rules());
+    }
+
+    /** Applies the classes of new settings, the rules of functions, and new deadlines to a shutdown that has begun. */
     @Override
     public void reload(NodeConfig newConfig) {
+        applyFunctions(newConfig);
         if (shutdownTimers != null) {
             shutdownTimers.start(core.longestDeadlineMs());
         }
--- a/src/main/java/plumpost/gearman/WorkerSession.java
+++ b/src/main/java/plumpost/gearman/WorkerSession.java
@@ -71,7 +71,7 @@
         }
         listed = true;
         BitSet kinds = new BitSet();
-        timeoutsMs.keySet().forEach(function -> kinds.set(function.kind));
+        timeoutsMs.keySet().forEach(function -> kinds.set(function.kind.number()));
         reportedPhase = lost
                 ? Phase.DELETED
                 : timeoutsMs.isEmpty() || withheld || busy && running == null ? Phase.DRAINING : Phase.SERVING;
@@ -190,7 +190,7 @@
             function.workers--;
             reportNode();
             for (Attempt attempt : List.copyOf(queued)) {
-                if (attempt.spec().work().kind() == function.kind) {
+                if (attempt.spec().work().kind().equals(function.kind)) {
                     queued.remove(attempt);
                     attempt.ended(Ending.FULL, null);
                 }
--- a/src/main/java/plumpost/platform/JobRequestReader.java
+++ b/src/main/java/plumpost/platform/JobRequestReader.java
@@ -5,6 +5,7 @@
 import plumpost.config.Json.Fields;
 import plumpost.decision.Dispatcher.JobClass;
 import plumpost.dispatch.JobSpec;
+import plumpost.dispatch.WorkKind;
 import plumpost.http.Head;
 import plumpost.http.RequestReader;
 import plumpost.time.TimerWheel;
@@ -51,7 +52,7 @@
                 fields.isRetry(),
                 KEY_PREFIX + id,
                 true,
-                new JobSpec.Work(classIndex, null, null, null, 0, Double.NaN));
+                new JobSpec.Work(WorkKind.ofClass(classIndex), null, null, null, 0, Double.NaN));
     }
 
     /** Returns the id of a request for logs, or {@code "-"} if it has none of the form of ids. */
--- a/src/test/java/plumpost/Scenario.java
+++ b/src/test/java/plumpost/Scenario.java
@@ -150,6 +150,36 @@
         return wheel;
     }
 
+    /** Returns a configuration of the Gearman front with the given rules of functions in JSON. */
+    public static GearmanConfig gearmanConfig(String settings, String functionRules) {
+        String section = "{\"listen\":\"127.0.0.1:4730\",\"grabHoldMs\":0,\"functions\":" + functionRules + "}";
+        return NodeConfig.gearman(
+                Json.object("gearman", section.getBytes(StandardCharsets.UTF_8)),
+                Json.object("settings", settings.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** Applies new settings in JSON and new rules of functions, as at SIGHUP. */
+    public Scenario applyFile(String settings, String functionRules) {
+        Json.Fields raw = Json.object("settings", settings.getBytes(StandardCharsets.UTF_8));
+        NodeConfig file = new NodeConfig(
+                config.name(),
+                config.listen(),
+                config.discovery(),
+                config.seed(),
+                config.sockets(),
+                SettingsReader.settings(raw),
+                raw,
+                config.lastNodeList(),
+                gearmanConfig(settings, functionRules),
+                null,
+                config.ops());
+        core.retune(file.settings());
+        platform.reload(file);
+        gearman.reload(file);
+        runPendingEvents();
+        return this;
+    }
+
     /** A copy of the configuration with another discovery address, as after a reload. */
     public NodeConfig configWithDiscovery(String discovery) {
         return new NodeConfig(
