Let one decision say whether a job is taken, so that none is answered and dropped

Cause: ClientSession.submit asked for room among open jobs, and DispatchCore.submit also refuses while outcomes fill their memory; that refusal went to a submission without a client. The same gap was in due scheduled jobs, planned jobs and held orders.

Ruled out: workers (eight slept), the limit on open jobs, the module, deadlines. jobs.overfull could not tell the limits apart; it is now counted by reason.

Change: DispatchCore.findRefusal is the one decision, for submit and for all who tell somebody that a job is taken.

--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -130,9 +130,24 @@
         ledger.view().forEach(visitor);
     }
 
-    /** Returns whether the bounds allow one more open job with a body of the given size. */
-    public boolean hasCapacity(long bodyBytes) {
-        return ledger.hasCapacity(bodyBytes);
+    /**
+     * Returns why a job would be refused now, or null if {@link #submit} would accept it. This is the only place where the bounds are
+     * checked: what a front tells its client as accepted must have passed it.
+     */
+    public Refusal findRefusal(JobSpec spec) {
+        if (!ledger.hasCapacity(spec)) {
+            return Refusal.OPEN_JOBS;
+        }
+        if (!knownIds.hasCapacity(spec.outlivesClients(settings.classes().get(spec.classIndex())))) {
+            return Refusal.OUTCOMES;
+        }
+        return RuleGuard.tooLittleLeft(spec.patienceMs()) ? Refusal.TOO_LATE : null;
+    }
+
+    /** Returns whether a job under the spec's unique key is open or its outcome is kept, so that no new job is needed. */
+    public boolean joinsKnownJob(JobSpec spec) {
+        return spec.unique() != null
+                && (ledger.findByUniqueKey(spec.unique()) != null || knownIds.findOutcome(spec.unique()) != null);
     }
 
     /** Returns the open job with an id, or null. */
@@ -314,12 +329,9 @@
             return null;
         }
         OpenJob job = new OpenJob(spec, jobClass, nowMs() + spec.patienceMs(), leaseAuthority);
-        boolean full = !ledger.hasCapacity(spec) || !knownIds.hasCapacity(job);
-        if (full || RuleGuard.tooLittleLeft(spec.patienceMs())) {
-            counters.count(full ? "jobs.overfull" : "jobs.too_late");
-            requestLog.event(spec.id(), "refused", full ? "reason=overfull" : "reason=too_late");
-            counters.count("jobs.refused." + jobClass.name());
-            replyTo.refused(full ? 1000 : 0);
+        Refusal refusal = findRefusal(spec);
+        if (refusal != null) {
+            refuseAtOnce(spec, jobClass, refusal, replyTo);
             return null;
         }
         job.recipients.add(replyTo);
@@ -349,6 +361,18 @@
         return job;
     }
 
+    private void refuseAtOnce(JobSpec spec, Dispatcher.JobClass jobClass, Refusal refusal, ReplyTo replyTo) {
+        if (refusal == Refusal.TOO_LATE) {
+            counters.count("jobs.too_late");
+        } else {
+            counters.count("jobs.overfull");
+            counters.count("jobs.overfull." + refusal.text());
+        }
+        requestLog.event(spec.id(), "refused", "reason=" + refusal.text());
+        counters.count("jobs.refused." + jobClass.name());
+        replyTo.refused(refusal.retryAfterMs());
+    }
+
     /**
      * Removes a client that has left. When none is left the job is abandoned, unless it may have run and either may not be
      * repeated or may be joined: then it goes on to its end, since another run must not follow or others may ask for its outcome.
--- a/src/main/java/plumpost/dispatch/JobLedger.java
+++ b/src/main/java/plumpost/dispatch/JobLedger.java
@@ -54,14 +54,9 @@
         return counts;
     }
 
-    /** Returns whether the bounds allow one more job with a body of the given size. */
-    boolean hasCapacity(long bodyBytes) {
-        return byId.size() < bounds.openJobs() && heldBytes + ENTRY_OVERHEAD_BYTES + bodyBytes <= bounds.bodyBytes();
-    }
-
     /** Returns whether the bounds allow this job. */
     boolean hasCapacity(JobSpec spec) {
-        return hasCapacity(sizeBytes(spec) - ENTRY_OVERHEAD_BYTES);
+        return byId.size() < bounds.openJobs() && heldBytes + sizeBytes(spec) <= bounds.bodyBytes();
     }
 
     void add(OpenJob job) {
--- a/src/main/java/plumpost/dispatch/JobSpec.java
+++ b/src/main/java/plumpost/dispatch/JobSpec.java
@@ -1,6 +1,7 @@
 package plumpost.dispatch;
 
 import java.nio.ByteBuffer;
+import plumpost.decision.Dispatcher;
 
 /**
  * A job as a front submits it.
@@ -51,6 +52,31 @@
      */
     public record Work(WorkKind kind, String name, String unique, String reducer, int priority, double aimMs) {}
 
+    /** Returns whether its run counts beyond its clients: it may not simply be repeated, or others may join it. */
+    boolean outlivesClients(Dispatcher.JobClass jobClass) {
+        return unique != null && (!exclusive || jobClass.effect() != Dispatcher.Effect.FREE);
+    }
+
+    /** Returns the same job without its unique key: nobody joins it here, and its outcome is not kept here. */
+    public JobSpec withoutUniqueKey() {
+        return new JobSpec(
+                id,
+                classIndex,
+                target,
+                fields,
+                body,
+                patienceMs,
+                costMs,
+                slots,
+                memory,
+                tenant,
+                key,
+                retry,
+                null,
+                false,
+                work);
+    }
+
     /** Creates a job without header fields. */
     public JobSpec(
             String id,
--- a/src/main/java/plumpost/dispatch/KnownIds.java
+++ b/src/main/java/plumpost/dispatch/KnownIds.java
@@ -51,9 +51,9 @@
         return keptOutcomes.find(uniqueKey);
     }
 
-    /** Returns whether the outcome of one more job can be kept if that is needed. */
-    boolean hasCapacity(OpenJob job) {
-        return !job.outlivesClients() || keptOutcomes.hasCapacity(ledger.countOutcomesToKeep());
+    /** Returns whether the outcome of one more job can be kept, if that is needed because it outlives its clients. */
+    boolean hasCapacity(boolean outlivesClients) {
+        return !outlivesClients || keptOutcomes.hasCapacity(ledger.countOutcomesToKeep());
     }
 
     /** Records the end of a job, which is not closed yet, with its result or null. */
--- a/src/main/java/plumpost/dispatch/OpenJob.java
+++ b/src/main/java/plumpost/dispatch/OpenJob.java
@@ -3,7 +3,6 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import plumpost.decision.Dispatcher.Effect;
 import plumpost.decision.Dispatcher.JobClass;
 import plumpost.decision.Dispatcher.WorkerEntry;
 import plumpost.time.TimerWheel;
@@ -58,7 +57,7 @@
 
     /** Returns whether its run counts beyond its clients: it may not simply be repeated, or others may join it. */
     boolean outlivesClients() {
-        return spec.unique() != null && (!spec.exclusive() || jobClass.effect() != Effect.FREE);
+        return spec.outlivesClients(jobClass);
     }
 
     /** Returns the first attempt that may have run, or null. */
--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import plumpost.dispatch.JobSpec;
 import plumpost.dispatch.OpenJob;
+import plumpost.dispatch.Refusal;
 import plumpost.gearman.FunctionTable.Function;
 import plumpost.gearman.Packet.Type;
 import plumpost.peers.Fleet;
@@ -203,10 +204,7 @@
             answerPlanned(planned, inBackground);
             return;
         }
-        boolean joins = request.unique() != null
-                && (front.core.findJobByUniqueKey(request.unique()) != null
-                        || front.core.isOutcomeKept(request.unique()));
-        if (!joins && rejectIfFull(request)) {
+        if (!front.core.joinsKnownJob(request) && rejectIfFull(request)) {
             return;
         }
         if (!inBackground && clientDisconnected()) {
@@ -220,6 +218,11 @@
             submission.handle = front.handleOf(openJob.spec().id());
         }
         submission.openJob = openJob;
+        if (inBackground && submission.isRefused()) { // nobody would hear of the refusal after JOB_CREATED
+            awaited.remove(submission);
+            reject("full", "the job was refused; try again after 1000 ms");
+            return;
+        }
         submission.announce(connection);
         if (inBackground && awaited.remove(submission) && openJob != null && !submission.isDone()) {
             openBackgroundJobs++;
@@ -263,7 +266,7 @@
             joinOrder(existing.id(), request.patienceMs(), inBackground);
         } else if (planned != null) {
             answerPlanned(planned, inBackground);
-        } else if (startMs > 0 || !rejectIfFull(request)) {
+        } else if (startMs > 0 || !rejectIfFull(request.withoutUniqueKey())) { // the ledger keeps its outcome
             answerOrder.awaitAnswer();
             double submittedAtMs = front.context.clock().nowMs();
             front.fleetOrders.submit(request, inBackground, startMs, answer -> {
@@ -327,14 +330,19 @@
         }
         int maxPerClient = front.config.limits().jobsPerClient();
         int maxInQueue = front.config.limits().queue();
+        Refusal refusal = front.core.findRefusal(request);
         if (maxQueued > 0 && waitingAtPriority >= maxQueued) {
             reject("queue_full", "maxqueue of " + function.name + " is " + maxQueued);
         } else if (maxInQueue > 0 && waitingInAll >= maxInQueue) {
             reject("queue_full", function.name + ": limits.queue is " + maxInQueue);
         } else if (awaited.size() + openBackgroundJobs >= maxPerClient) {
             reject("jobs_per_client", "limits.jobsPerClient is " + maxPerClient);
-        } else if (!front.core.hasCapacity(request.body().remaining())) {
+        } else if (refusal == Refusal.OPEN_JOBS) {
             reject("full", "limits.openJobs or limits.jobBytes is used up; try again after 1000 ms");
+        } else if (refusal == Refusal.OUTCOMES) {
+            reject("full", "limits.keptOutcomes or the memory for outcomes is used up; try again after 1000 ms");
+        } else if (refusal == Refusal.TOO_LATE) {
+            reject("too_late", Math.round(request.patienceMs()) + " ms are too little time for a job");
         } else {
             return false;
         }
--- a/src/main/java/plumpost/gearman/FleetJobs.java
+++ b/src/main/java/plumpost/gearman/FleetJobs.java
@@ -59,7 +59,7 @@
     /** Submits a planned job to the core. Returns false if it cannot be accepted now. */
     boolean run(Fleet.Job job) {
         Function function = front.functions.findOrAdd(job.function());
-        if (function == null || front.stopping() || !front.core.hasCapacity(job.body().length)) {
+        if (function == null || front.stopping()) {
             return false;
         }
         String unique = job.unique().isEmpty() ? null : job.unique();
@@ -78,6 +78,9 @@
                 false,
                 unique == null ? null : ClientSession.uniqueKey(function, unique),
                 new JobSpec.Work(function.kind, function.name, unique, null, 0, patienceMs));
+        if (!front.core.joinsKnownJob(request) && front.core.findRefusal(request) != null) {
+            return false;
+        }
         Reply reply = new Reply(job.id());
         OpenJob openJob = front.core.submit(request, reply);
         if (openJob != null && !reply.ended) {
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -12,6 +12,7 @@
 import plumpost.dispatch.JobSpec;
 import plumpost.dispatch.LeaseAuthority;
 import plumpost.dispatch.OpenJob;
+import plumpost.dispatch.Refusal;
 import plumpost.dispatch.ReplyTo;
 import plumpost.dispatch.WorkerResult;
 import plumpost.gearman.FunctionTable.Function;
@@ -220,7 +221,7 @@
     @Override
     public boolean hold(Ledger.Order order) {
         Function function = front.functions.findOrAdd(order.function());
-        if (function == null || front.stopping() || !front.core.hasCapacity(order.body().length)) {
+        if (function == null || front.stopping()) {
             return false;
         }
         String unique = order.unique().isEmpty() ? null : order.unique();
@@ -244,6 +245,10 @@
                         null,
                         order.priority(),
                         order.background() ? order.patienceMs() : Double.NaN));
+        Refusal refusal = front.core.findRefusal(request);
+        if (refusal != null && refusal != Refusal.TOO_LATE) { // a late one is refused for good, by the core
+            return false;
+        }
         Reply reply = new Reply(order.id(), order.background());
         replies.put(order.id(), reply);
         OpenJob openJob = front.core.submit(request, reply, this);
--- a/src/main/java/plumpost/gearman/GearmanFront.java
+++ b/src/main/java/plumpost/gearman/GearmanFront.java
@@ -264,16 +264,14 @@
         scheduleTimer = context.wheel().schedule(context.clock().nowMs() + waitMs, this::submitDueJobs);
     }
 
-    /** Submits the scheduled jobs that are due, while there is room for them. */
+    /** Submits the scheduled jobs that are due, while the core accepts them. */
     private void submitDueJobs() {
         scheduleTimer = null;
         double nowUnixMs = context.unixTime().nowMs();
         for (Schedule.Entry entry = schedule.firstDue(nowUnixMs);
                 entry != null && !stopping;
                 entry = schedule.firstDue(nowUnixMs)) {
-            boolean joinsOpenJob = entry.request().unique() != null
-                    && core.findJobByUniqueKey(entry.request().unique()) != null;
-            if (!joinsOpenJob && !core.hasCapacity(entry.request().body().remaining())) {
+            if (!core.joinsKnownJob(entry.request()) && core.findRefusal(entry.request()) != null) {
                 context.counters().count("gearman.schedule_waits");
                 startScheduleTimer(nowUnixMs + FULL_RETRY_MS);
                 return;
--- a/src/main/java/plumpost/gearman/Submission.java
+++ b/src/main/java/plumpost/gearman/Submission.java
@@ -18,6 +18,7 @@
 
     private Runnable whenDone;
     private boolean done;
+    private boolean refused;
     /** Bytes of the result that were sent as WORK_DATA, and are left out of WORK_COMPLETE. */
     private int sentBytes;
 
@@ -42,6 +43,11 @@
         return client == null ? "-" : client.endReason();
     }
 
+    /** Returns whether the core has refused the job, which therefore never runs. */
+    boolean isRefused() {
+        return refused;
+    }
+
     boolean isDone() {
         return done;
     }
@@ -94,6 +100,7 @@
 
     @Override
     public void refused(double retryAfterMs) {
+        refused = true;
         finish(() -> {
             if (client.exceptions()) {
                 client.write(
--- a/src/test/java/plumpost/gearman/GearmanSettingsTest.java
+++ b/src/test/java/plumpost/gearman/GearmanSettingsTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -35,49 +34,6 @@
         return SettingsReader.settings(Json.object("settings", json.getBytes(StandardCharsets.UTF_8)));
     }
 
-    /** A fleet whose ledger covers all classes, and which records what it is given and answers nothing. */
-    private static final class RecordingFleet {
-        final List<Ledger.Order> orders = new ArrayList<>();
-        final List<Fleet.Job> plannedJobs = new ArrayList<>();
-        final List<Double> limitsMs = new ArrayList<>();
-        boolean takesStartTimes;
-
-        final Ledger ledger = (Ledger) Proxy.newProxyInstance(
-                Ledger.class.getClassLoader(), new Class<?>[] {Ledger.class}, (proxy, method, arguments) -> {
-                    switch (method.getName()) {
-                        case "covers" -> {
-                            return true;
-                        }
-                        case "takesStartTimes" -> {
-                            return takesStartTimes;
-                        }
-                        case "take" -> {
-                            orders.add((Ledger.Order) arguments[0]);
-                            limitsMs.add((Double) arguments[1]);
-                            return null;
-                        }
-                        default -> {
-                            return null;
-                        }
-                    }
-                });
-        final Fleet fleet = (Fleet) Proxy.newProxyInstance(
-                Fleet.class.getClassLoader(), new Class<?>[] {Fleet.class}, (proxy, method, arguments) -> {
-                    switch (method.getName()) {
-                        case "ledger" -> {
-                            return ledger;
-                        }
-                        case "plan" -> {
-                            plannedJobs.add((Fleet.Job) arguments[0]);
-                            return null;
-                        }
-                        default -> {
-                            return null;
-                        }
-                    }
-                });
-    }
-
     /**
      * Guards orders that ran twice (review case 7): whether an order may run twice, and how long its client is kept waiting for the
      * fleet, follow the settings in force when it is submitted, and not those of the start.
