--- a/src/main/java/plumpost/dispatch/DispatchCore.java
+++ b/src/main/java/plumpost/dispatch/DispatchCore.java
@@ -87,7 +87,8 @@
         this.guard = new RuleGuard(counters, log);
         this.starter = new AttemptStarter(this, workers, guard, ledger, counters, wheel);
         this.audit = new JobAudit(ledger, guard, clock, wheel, this::failAndForget);
-        this.logic = dispatcherFactory.apply(new ActionQueue());
+        this.logic = dispatcherFactory.apply(
+                new ModuleActions(this, ledger, workers, eventQueue, starter, wheel, counters, log));
         this.knownIds = new KnownIds(ledger, clock, counters, bounds);
     }
 
@@ -498,7 +499,7 @@
         }
     }
 
-    private void withdraw(OpenJob job, Ending ending) {
+    void withdraw(OpenJob job, Ending ending) {
         Attempt attempt = job.outstandingAttempt();
         if (attempt != null && attempt.onHold) {
             ended(attempt, Ending.MOOT, null, null);
@@ -614,7 +615,7 @@
                         report)));
     }
 
-    private void fail(OpenJob job) {
+    void fail(OpenJob job) {
         answer(job, "failed", null, reply -> {
             if (job.failureText == null) {
                 reply.failed();
@@ -624,7 +625,7 @@
         });
     }
 
-    private void refuse(OpenJob job, double retryAfterMs) {
+    void refuse(OpenJob job, double retryAfterMs) {
         if (guard.mayRefuse(job)) {
             answer(job, "refused", null, reply -> reply.refused(retryAfterMs));
         } else {
@@ -649,7 +650,7 @@
         job.recipients.clear();
     }
 
-    private void process(Runnable event) {
+    void process(Runnable event) {
         eventQueue.process(event);
     }
 
@@ -661,89 +662,13 @@
                 nowMs(), new Outcome(job.spec.id(), attempt.number, attempt.node, Ending.MOOT, 0, job.answered, null)));
     }
 
-    private void cancel(String jobId, int number) {
-        OpenJob job = ledger.find(jobId);
-        if (job != null && number < job.attempts.size() && job.attempts.get(number) == job.outstandingAttempt()) {
-            withdraw(job, Ending.CANCELLED);
-        }
+    /** Tells the module that a timer which it requested is due. */
+    void onTimer(long token) {
+        process(() -> logic.onTimer(nowMs(), token));
     }
 
-    private void probe(String node) {
-        WorkerRegistry.Node worker = workers.find(node);
-        counters.count("probes.out");
-        double sentAtMs = nowMs();
-        Probe reply = (ending, report) -> {
-            counters.count("probes." + ending.name().toLowerCase(Locale.ROOT));
-            process(() -> logic.onProbeResult(nowMs(), node, ending, nowMs() - sentAtMs, report));
-        };
-        if (worker == null) {
-            reply.ended(Ending.MOOT, null);
-        } else {
-            worker.listing.link().probe(reply);
-        }
-    }
-
-    /** Queues the actions that the module requests; they are carried out once the module has returned. */
-    private final class ActionQueue implements Dispatcher.Actions {
-        @Override
-        public void assign(String jobId, String worker, double timeoutMs) {
-            OpenJob job = ledger.find(jobId); // resolved now: its client may leave before this is carried out
-            eventQueue.addAction(() -> {
-                starter.start(jobId, job, worker);
-                Attempt attempt = job == null ? null : job.outstandingAttempt();
-                if (timeoutMs > 0 && attempt != null) {
-                    wheel.schedule(attempt.sentAtMs + timeoutMs, () -> {
-                        if (attempt.ending == null) {
-                            withdraw(job, Ending.TIMEOUT);
-                        }
-                    });
-                }
-            });
-        }
-
-        @Override
-        public void refuse(String jobId, double retryAfterMs) {
-            finish(jobId, job -> DispatchCore.this.refuse(job, retryAfterMs));
-        }
-
-        @Override
-        public void fail(String jobId) {
-            finish(jobId, DispatchCore.this::fail);
-        }
-
-        private void finish(String jobId, Consumer<OpenJob> action) {
-            eventQueue.addAction(() -> {
-                OpenJob job = ledger.find(jobId);
-                if (job != null) {
-                    action.accept(job);
-                    withdraw(job, Ending.CANCELLED);
-                }
-            });
-        }
-
-        @Override
-        public void cancel(String jobId, int number) {
-            eventQueue.addAction(() -> DispatchCore.this.cancel(jobId, number));
-        }
-
-        @Override
-        public void probe(String worker) {
-            eventQueue.addAction(() -> DispatchCore.this.probe(worker));
-        }
-
-        @Override
-        public void requestTimer(double atMs, long token) {
-            wheel.schedule(atMs, () -> process(() -> logic.onTimer(nowMs(), token)));
-        }
-
-        @Override
-        public void requestWorkerList() {
-            eventQueue.addAction(workers::subscribe);
-        }
-
-        @Override
-        public void log(String text) {
-            log.accept(text);
-        }
+    /** Tells the module how a probe has ended. */
+    void onProbeResult(String node, Ending ending, double waitMs, LoadReport report) {
+        process(() -> logic.onProbeResult(nowMs(), node, ending, waitMs, report));
     }
 }
