Have the soak change settings under load and play Gearman, with each job checked

Change: the kind "settings" draws files (classes appear, disappear, get stricter or shorter deadlines; in half SIGTERM 1.5 s later, SIGKILL by the file in force), "gearman-burst" plays both fronts. A worker may get a job once and only under its function, a client only that job's result, and a taken background job must run or be known. Unanswered requests are counted by the reason that frees them; those of clients that left are "judged.left", since no attempt may begin for them.

--- a/src/main/java/plumpost/lab/SchedulerProcess.java
+++ b/src/main/java/plumpost/lab/SchedulerProcess.java
@@ -130,6 +130,15 @@
         return front;
     }
 
+    /** Returns the address of the Gearman front, or null if the configuration has none. */
+    public InetSocketAddress gearmanFront() {
+        return log.stream()
+                .filter(line -> line.contains(" gearman /"))
+                .findFirst()
+                .map(line -> NodeListReader.parseAddress("gearman", line.replaceAll(".* gearman /([0-9.:]+).*", "$1")))
+                .orElse(null);
+    }
+
     /** Returns the lines logged so far, including the counters that it logs at its end. */
     public List<String> log() {
         return List.copyOf(log);
--- a/src/main/java/plumpost/lab/soak/FaultKind.java
+++ b/src/main/java/plumpost/lab/soak/FaultKind.java
@@ -22,6 +22,10 @@
     FAILING_DISK(2),
     /** Several SIGHUPs, with valid, empty and truncated settings files. */
     RELOADS(1),
+    /** A settings file whose classes appear, disappear and get stricter, in half of the cases followed by SIGTERM. */
+    SETTINGS(4),
+    /** Gearman jobs with large results and background jobs come several times as often. */
+    GEARMAN_BURST(3),
     /** An operator takes a worker offline and puts it online again. */
     OPERATOR_CALLS(2),
     /** Discovery is unavailable, unresponsive or slow, or its open watches send nothing more. */
--- a/src/main/java/plumpost/lab/soak/HostileClients.java
+++ b/src/main/java/plumpost/lab/soak/HostileClients.java
@@ -8,7 +8,6 @@
 import plumpost.http.AnswerEncoder;
 import plumpost.http.AnswerReader;
 import plumpost.http.BadMessageException;
-import plumpost.lab.soak.RequestRecord.RequestClass;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
 import plumpost.net.SelectorLoop;
--- a/src/main/java/plumpost/lab/soak/Oracle.java
+++ b/src/main/java/plumpost/lab/soak/Oracle.java
@@ -6,12 +6,12 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
 import plumpost.lab.soak.RequestRecord.AttemptEnd;
 import plumpost.lab.soak.RequestRecord.AttemptRecord;
-import plumpost.lab.soak.RequestRecord.RequestClass;
 
 /**
  * Checks a soak against the users' rules, using only what the emulated clients, workers and discovery observed and no internal
@@ -128,7 +128,7 @@
         }
         boolean refused = status == 503 || status == 429;
         boolean mayHaveRun = request.attempts.stream().anyMatch(AttemptRecord::mayHaveRun);
-        if (refused && request.requestClass == RequestClass.ORDER && mayHaveRun) {
+        if (refused && request.requestClass.runsOnce() && mayHaveRun) {
             recordViolation(Rule.UNSAFE_REFUSAL, request + " was refused at " + Math.round(now));
         }
     }
@@ -143,7 +143,7 @@
         count("attempts");
         attempt.receivedAt = now;
         for (AttemptRecord earlier : request.attempts) {
-            if (earlier != attempt && request.requestClass == RequestClass.ORDER && earlier.mayHaveRun()) {
+            if (earlier != attempt && request.requestClass.runsOnce() && earlier.mayHaveRun()) {
                 recordViolation(Rule.DUPLICATE, request + " on " + attempt.worker + " after " + earlier.worker);
             }
         }
@@ -202,24 +202,31 @@
         left.forEach(this::judge);
     }
 
+    /** Judges one request and counts which rule, or which freedom that the pages give, has decided. */
     private void judge(RequestRecord request) {
         checkConcurrency(request);
-        if (Double.isNaN(request.sentAt) || !Double.isNaN(request.clientLeftAt)) {
-            count("requests.left_or_unsent");
-            return;
-        }
-        if (request.answered()) {
+        if (Double.isNaN(request.sentAt)) {
+            count("free.unsent");
+        } else if (!Double.isNaN(request.clientLeftAt)) {
+            count("judged.left"); // no attempt may begin for it: checked at each attempt
+        } else if (request.answered()) {
+            count("judged.answered");
             if (request.answeredAt > request.deadlineAt() + LATE_ANSWER_MS + slackMs()) {
                 recordViolation(Rule.LOST, request + " answered only at " + Math.round(request.answeredAt));
             }
-            return;
-        }
-        String why = lossReason(request);
-        if (why == null) {
-            count("requests.free");
         } else {
+            judgeUnanswered(request);
+        }
+    }
+
+    private void judgeUnanswered(RequestRecord request) {
+        FreeReason reason = freeReason(request);
+        if (reason == null) {
             recordViolation(
-                    Rule.LOST, request + " " + why + ", forwarded: " + request.forwarded() + attemptTimes(request));
+                    Rule.LOST,
+                    request + " " + lossText(request) + ", forwarded: " + request.forwarded() + attemptTimes(request));
+        } else {
+            count("free." + reason.name().toLowerCase(Locale.ROOT));
         }
     }
 
@@ -236,27 +243,47 @@
         return text.toString();
     }
 
-    /** Returns why an unanswered request counts as lost, or null where the rules allow it to go unanswered. */
-    private static String lossReason(RequestRecord request) {
+    /** Why the pages allow a request to go unanswered. */
+    private enum FreeReason {
+        /** An injected network fault broke its connection. */
+        CONNECTION_BROKEN,
+        /** SIGKILL cut it off, and it came at most 0.7 s after SIGTERM. */
+        CUT_OFF,
+        /** Its connection was closed after SIGTERM before it was read. */
+        UNREAD_AT_SHUTDOWN,
+        /** Its process was killed without notice. */
+        KILLED,
+        /** It crossed the close of a resting connection; the client sends it once more. */
+        CROSSED
+    }
+
+    /** Returns why an unanswered request breaks no rule, or null if it counts as lost. */
+    private static FreeReason freeReason(RequestRecord request) {
         SchedulerRun life = request.schedulerRun;
         boolean killed = life.hasEnded() && life.endedAt <= request.deadlineAt() + LATE_ANSWER_MS;
         boolean closed = !Double.isNaN(request.closedUnansweredAt);
         if (life.connectionsMayBreak && closed) {
-            return null; // an injected network fault broke its connection
+            return FreeReason.CONNECTION_BROKEN;
         }
         if (life.wasTerminated()) {
             boolean early = request.sentAt <= life.terminatedAt + ACCEPT_AFTER_TERM_MS;
-            boolean unread = closed && !request.forwarded();
-            boolean cutOff = killed && !life.endedCleanly;
-            return cutOff && early || unread
-                    ? null
-                    : "had no answer in the shutdown of " + Math.round(life.terminatedAt);
+            if (killed && !life.endedCleanly && early) {
+                return FreeReason.CUT_OFF;
+            }
+            return closed && !request.forwarded() ? FreeReason.UNREAD_AT_SHUTDOWN : null;
         }
         if (killed) {
-            return null; // killed without notice
+            return FreeReason.KILLED;
+        }
+        return closed && !request.forwarded() && !request.onNewConnection ? FreeReason.CROSSED : null;
+    }
+
+    private static String lossText(RequestRecord request) {
+        SchedulerRun life = request.schedulerRun;
+        if (life.wasTerminated()) {
+            return "had no answer in the shutdown of " + Math.round(life.terminatedAt);
         }
-        boolean crossed = closed && !request.forwarded() && !request.onNewConnection;
-        return crossed ? null : closed ? "was closed unanswered" : "had no answer";
+        return Double.isNaN(request.closedUnansweredAt) ? "had no answer" : "was closed unanswered";
     }
 
     /** Reports attempts that overlap: the earlier one ended later than the tolerance after the next one was received. */
--- a/src/main/java/plumpost/lab/soak/RequestRecord.java
+++ b/src/main/java/plumpost/lab/soak/RequestRecord.java
@@ -8,32 +8,6 @@
  * happened.
  */
 final class RequestRecord {
-    /** Classes of requests, which differ in whether a request that may have run can be sent again. */
-    enum RequestClass {
-        /** Safe to repeat. */
-        PLAN("plan", 4_000),
-        /** Must run at most once. */
-        ORDER("order", 6_000),
-        /** Workers discard duplicates within a time window. */
-        ISSUE("issue", 3_500);
-
-        private final String path;
-        private final double deadlineMs;
-
-        RequestClass(String path, double deadlineMs) {
-            this.path = path;
-            this.deadlineMs = deadlineMs;
-        }
-
-        String path() {
-            return path;
-        }
-
-        double deadlineMs() {
-            return deadlineMs;
-        }
-    }
-
     /** How an attempt ended at its worker. */
     enum AttemptEnd {
         OPEN,
--- a/src/main/java/plumpost/lab/soak/SchedulerRun.java
+++ b/src/main/java/plumpost/lab/soak/SchedulerRun.java
@@ -10,7 +10,13 @@
     final int scheduler;
     final int number;
     final InetSocketAddress front;
+    /** The address of its Gearman front. */
+    final InetSocketAddress gearman;
+
     final double readyAt;
+    /** The classes that its clients use. */
+    final ClassesInUse classes;
+
     double terminatedAt = Double.NaN;
     /** When the process was killed or had exited. */
     double endedAt = Double.NaN;
@@ -19,7 +25,15 @@
     /** Whether an injected fault may have broken its connections. */
     boolean connectionsMayBreak;
 
-    SchedulerRun(int scheduler, int number, InetSocketAddress front, double readyAt) {
+    SchedulerRun(
+            int scheduler,
+            int number,
+            InetSocketAddress front,
+            InetSocketAddress gearman,
+            double readyAt,
+            SettingsFile file) {
+        this.gearman = gearman;
+        this.classes = new ClassesInUse(file);
         this.scheduler = scheduler;
         this.number = number;
         this.front = front;
--- a/src/main/java/plumpost/lab/soak/SchedulerSlot.java
+++ b/src/main/java/plumpost/lab/soak/SchedulerSlot.java
@@ -19,8 +19,11 @@
  * scheduler exclude each other.
  */
 final class SchedulerSlot implements AutoCloseable {
-    /** The protocol guarantees at least this time between SIGTERM and SIGKILL for deadlines of 3 s and more. */
-    private static final long KILL_AFTER_MS = 3_700;
+    /** How long a killed process may take to end. */
+    private static final long END_AFTER_KILL_MS = 3_700;
+
+    /** How long a process runs with new settings before it may be told to end; classes are in use after 1.2 s. */
+    private static final long SETTINGS_BEFORE_RESTART_MS = 1_500;
 
     /** The memory limit of each process; see {@link #configuration}. */
     private static final int MEMORY_LIMIT_MB = 192;
@@ -59,6 +62,7 @@
     private SchedulerProcess process;
     private SchedulerRun currentRun;
     private int runCount;
+    private SettingsFile settingsFile = SettingsFile.initial();
     private boolean changeInProgress;
     private boolean breakingConnections;
     private final AtomicBoolean holdingUp = new AtomicBoolean();
@@ -106,7 +110,8 @@
             events.recordViolation(
                     Oracle.Rule.CRASH, "scheduler " + index + " was ready only after " + Math.round(tookMs) + " ms");
         }
-        SchedulerRun started = new SchedulerRun(index, runCount++, process.front(), events.nowMs());
+        SchedulerRun started = new SchedulerRun(
+                index, runCount++, process.front(), process.gearmanFront(), events.nowMs(), settingsFile);
         started.connectionsMayBreak = breakingConnections;
         currentRun = started;
         events.onReady(started);
@@ -152,18 +157,19 @@
             double now = events.nowMs();
             events.runOnLoop(() -> ending.terminatedAt = now);
             process.terminate();
+            long killAfterMs = settingsFile.killAfterMs();
             boolean secondSignal = runCount % 2 == 0;
-            int code = process.awaitEnd(secondSignal ? SECOND_SIGNAL_MS : KILL_AFTER_MS);
+            int code = process.awaitEnd(secondSignal ? SECOND_SIGNAL_MS : killAfterMs);
             if (secondSignal && code < 0) {
                 process.terminate();
-                code = process.awaitEnd(KILL_AFTER_MS - SECOND_SIGNAL_MS);
+                code = process.awaitEnd(killAfterMs - SECOND_SIGNAL_MS);
             }
             int exitCode = code;
             if (code > 0) {
                 events.recordViolation(Oracle.Rule.CRASH, ending + " ended with " + code);
             }
             process.kill();
-            process.awaitEnd(KILL_AFTER_MS);
+            process.awaitEnd(END_AFTER_KILL_MS);
             double endedAt = events.nowMs();
             events.runOnLoop(() -> {
                 ending.endedAt = endedAt;
@@ -186,7 +192,7 @@
             double now = events.nowMs();
             events.runOnLoop(() -> ending.endedAt = now);
             process.kill();
-            process.awaitEnd(KILL_AFTER_MS);
+            process.awaitEnd(END_AFTER_KILL_MS);
             Thread.sleep(pauseMs);
             start();
         } finally {
@@ -251,6 +257,30 @@
         }
     }
 
+    /** Announces a settings file with other classes by SIGHUP, after clients have stopped using those that it leaves out. */
+    void changeSettings(SettingsFile file) throws IOException, InterruptedException {
+        if (!tryBeginChange()) {
+            return;
+        }
+        try {
+            settingsFile = file;
+            SchedulerRun run = currentRun;
+            String text = configuration(events.knownWorkers());
+            events.runOnLoop(() -> run.classes.replace(file, events.nowMs()));
+            Files.writeString(settings, text);
+            process.reload();
+        } finally {
+            endChange();
+        }
+    }
+
+    /** Announces a settings file, and restarts the process soon after. */
+    void changeSettingsAndRestart(SettingsFile file, long pauseMs) throws IOException, InterruptedException {
+        changeSettings(file);
+        Thread.sleep(SETTINGS_BEFORE_RESTART_MS);
+        restart(pauseMs);
+    }
+
     /** Takes a worker offline or online as an operator does; returns whether the call was acknowledged. */
     boolean callOperator(String worker, boolean offline) {
         String ready = process.log().stream()
@@ -274,25 +304,16 @@
         return "{\"name\":\"s" + index + "\",\"listen\":\"127.0.0.1:0\",\"ops\":\"127.0.0.1:0\",\"seed\":\"" + runCount
                 + index + "\",\"discovery\":\"" + discovery
                 + "\",\"limits\":{\"memory_mb\":" + MEMORY_LIMIT_MB + ",\"sockets\":1024},\"known\":"
-                + knownWorkers + ",\"settings\":" + settings() + "}";
+                + knownWorkers + ",\"gearman\":{\"listen\":\"127.0.0.1:0\",\"functions\":[{\"match\":\""
+                + GearmanPeers.FUNCTION_PREFIX + "*\",\"class\":\"" + RequestClass.ORDER.path() + "\"}]},\"settings\":"
+                + settings() + "}";
     }
 
     private String settings() {
-        StringBuilder classes = new StringBuilder();
-        for (RequestRecord.RequestClass each : RequestRecord.RequestClass.values()) {
-            String effect =
-                    switch (each) {
-                        case PLAN -> "free";
-                        case ORDER -> "single_shot";
-                        case ISSUE -> "guarded";
-                    };
-            classes.append(classes.isEmpty() ? "" : ",")
-                    .append("{\"name\":\"" + each.path() + "\",\"sloMs\":400.0,\"deadlineMs\":" + each.deadlineMs()
-                            + ",\"effect\":\"" + effect + "\",\"keyScope\":\"all\",\"windowMs\":2000.0}");
-        }
         return "{\"balancers\":" + plan.schedulers() + ",\"index\":" + index + ",\"dcs\":[\"p\"],\"shapes\":[\"k\"],"
-                + "\"membershipMode\":\"on_request\",\"granularityMs\":2.0,\"classes\":[" + classes
-                + "],\"familyInfo\":{\"tellsStart\":true,\"reportX0\":\"free slots\"},\"report\":{\"via\":\"pull\",\"fields\":"
+                + "\"membershipMode\":\"on_request\",\"granularityMs\":2.0,\"classes\":"
+                + settingsFile.classesJson()
+                + ",\"familyInfo\":{\"tellsStart\":true,\"reportX0\":\"free slots\"},\"report\":{\"via\":\"pull\",\"fields\":"
                 + "[\"inflight\",\"queue\",\"x0\"]},\"ceilings\":{\"maxAttempts\":4,\"cancelling\":true,\"probes\":true,"
                 + "\"dialTimeoutMs\":250.0,\"keepaliveMs\":5000.0},\"rules\":{\"coldFrom\":0.32,\"coldMs\":3000.0,"
                 + "\"fallMs\":1000.0,\"fallMultiple\":3.0,\"graceToAnswerMs\":8.0,\"mustAskInMs\":10000.0,"
--- a/src/main/java/plumpost/lab/soak/SoakClients.java
+++ b/src/main/java/plumpost/lab/soak/SoakClients.java
@@ -10,7 +10,6 @@
 import plumpost.http.AnswerEncoder;
 import plumpost.http.AnswerReader;
 import plumpost.http.BadMessageException;
-import plumpost.lab.soak.RequestRecord.RequestClass;
 import plumpost.net.Connection;
 import plumpost.net.ConnectionHandler;
 import plumpost.net.SelectorLoop;
@@ -93,7 +92,8 @@
             client = new Client(schedulerRun);
             runClients.add(client);
         }
-        if (client != null) {
+        boolean anyClass = !schedulerRun.classes.at(clock.nowMs()).isEmpty();
+        if (client != null && anyClass) {
             client.sendRequest();
         }
     }
@@ -121,8 +121,8 @@
 
         void sendRequest() {
             double draw = random.nextDouble();
-            RequestClass[] classes = RequestClass.values();
-            RequestClass requestClass = classes[random.nextInt(classes.length)];
+            List<RequestClass> classes = schedulerRun.classes.at(clock.nowMs());
+            RequestClass requestClass = classes.get(random.nextInt(classes.size()));
             double remaining = draw < VERY_SHORT_DEADLINE_FRACTION
                     ? Math.floor(random.nextDouble() * 50)
                     : draw < SHORT_DEADLINE_FRACTION
--- a/src/main/java/plumpost/lab/soak/SoakRun.java
+++ b/src/main/java/plumpost/lab/soak/SoakRun.java
@@ -52,6 +52,7 @@
     private final SoakClients clients;
     private final HostileClients hostileClients;
     private final BadClients badClients;
+    private final GearmanPeers gearmanPeers;
     private final List<SchedulerSlot> slots = new ArrayList<>();
     private final ScheduledExecutorService faults = Executors.newScheduledThreadPool(FAULT_THREADS);
     private final Path folder = Files.createTempDirectory("plumpost-soak");
@@ -71,6 +72,7 @@
         clients = new SoakClients(loop, wheel, clock, oracle, random.split(), plan.requestsPerSecond());
         hostileClients = new HostileClients(loop, wheel, clock, oracle, random.split());
         badClients = new BadClients(loop, wheel, clock, oracle, random.split());
+        gearmanPeers = new GearmanPeers(loop, wheel, clock, oracle, random.split());
         for (int i = 0; i < plan.workers(); i++) {
             discovery.add(workers.start(0));
         }
@@ -100,13 +102,17 @@
             faults.schedule(() -> begin(fault), fault.atMs, TimeUnit.MILLISECONDS);
         }
         Thread.sleep(plan.seconds() * 1_000L);
-        labLoop.run(clients::stop);
+        labLoop.run(() -> {
+            clients.stop();
+            gearmanPeers.stop();
+        });
         Thread.sleep(SETTLE_MS);
         faults.shutdown();
         faults.awaitTermination(30, TimeUnit.SECONDS);
         labLoop.run(() -> {
             oracle.judge(nowMs());
             oracle.judgeAll();
+            gearmanPeers.judgeAll();
         });
         for (SchedulerSlot slot : slots) {
             slot.checkMemory();
@@ -202,6 +208,8 @@
                 library.failDisk(FaultLibrary.DiskError.NONE, 0);
             }
             case RELOADS -> slot.reload(fault.size);
+            case SETTINGS -> changeSettings(slot, fault, pause);
+            case GEARMAN_BURST -> runOnLoop(() -> gearmanPeers.burst(slot.currentRun(), fault.length));
             case OPERATOR_CALLS -> operatorCalls(slot, fault);
             case DEPARTING_CLIENTS -> runOnLoop(() -> hostileClients.depart(slot.currentRun()));
             case BAD_CLIENTS -> runOnLoop(() -> badClients.play(slot.currentRun()));
@@ -213,6 +221,18 @@
         }
     }
 
+    private void changeSettings(SchedulerSlot slot, Fault fault, long pauseMs)
+            throws IOException, InterruptedException {
+        SplittableRandom random = new SplittableRandom(plan.seed() * 31 + fault.atMs);
+        SettingsFile file = SettingsFile.draw(random, "plan-" + fault.atMs);
+        runOnLoop(() -> oracle.count(fault.direction ? "settings.with_restart" : "settings.files"));
+        if (fault.direction) {
+            slot.changeSettingsAndRestart(file, pauseMs);
+        } else {
+            slot.changeSettings(file);
+        }
+    }
+
     private void operatorCalls(SchedulerSlot slot, Fault fault) throws InterruptedException {
         String worker = labLoop.callOnLoop(() -> {
             List<Worker> up = workers.serving();
@@ -282,7 +302,10 @@
 
     @Override
     public void onReady(SchedulerRun schedulerRun) throws InterruptedException {
-        runOnLoop(() -> clients.onReady(schedulerRun));
+        runOnLoop(() -> {
+            clients.onReady(schedulerRun);
+            gearmanPeers.onReady(schedulerRun);
+        });
     }
 
     @Override
--- a/src/test/java/plumpost/lab/soak/SoakIT.java
+++ b/src/test/java/plumpost/lab/soak/SoakIT.java
@@ -48,6 +48,17 @@
                         FaultKind.HANGING_WORKERS));
     }
 
+    /**
+     * Settings that come, go and grow stricter under load with SIGTERM soon after, and bursts on both fronts: guards jobs that ran as
+     * another function, were taken and dropped, or had no answer at SIGKILL (review cases 6, 8 and 10).
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {4, 5})
+    @Timeout(120)
+    void settingsChangeUnderBurstsOnBothFronts(long seed) throws Exception {
+        play(seed, 3, 15, 3, EnumSet.of(FaultKind.SETTINGS, FaultKind.GEARMAN_BURST, FaultKind.HANGING_WORKERS));
+    }
+
     /** All kinds of faults, overlapping. */
     @ParameterizedTest
     @ValueSource(longs = {11, 12})
