Follow the tenants, plants, models and probes of the settings in force

Callers would see (by the test; not seen in service): after a SIGHUP with fewer tenants no job reached a worker; with dcs or shapes in another order a class that needs a model went to the others.

Cause: the module sized its tenants, and took its permission to probe, from the settings of the start; nodes are numbered by the lists of the start, the file's locality and classKind by its own.

Ruled out by reading: attempts, cold rules, list mode, priorities and cancelling are asked for at each use.

--- a/src/main/java/plumpost/cli/Serve.java
+++ b/src/main/java/plumpost/cli/Serve.java
@@ -15,6 +15,7 @@
 import plumpost.config.Json;
 import plumpost.config.Json.BadInput;
 import plumpost.config.NodeConfig;
+import plumpost.config.StartNumbers;
 import plumpost.control.ControlOperations;
 import plumpost.control.ControlServer;
 import plumpost.control.SharedBans;
@@ -74,6 +75,8 @@
     /** The last applied file; a later one that lacks any of its keys is rejected. */
     private Json.Fields lastFile;
 
+    private final StartNumbers startNumbers;
+
     private double stopRequestedAtMs = Double.NaN;
 
     /** This scheduler's fleet member, or null if it is in no fleet. */
@@ -83,6 +86,7 @@
         this.file = file;
         lastFile = NodeConfig.parse(file);
         config = NodeConfig.from(lastFile, System.getenv());
+        startNumbers = new StartNumbers(config.rawSettings());
         log = Logs.sink(
                 config.name(),
                 config.peers() != null && config.log().format() == null
@@ -334,7 +338,7 @@
         try {
             Json.Fields newFile = NodeConfig.parse(file);
             NodeConfig newConfig = NodeConfig.reload(lastFile, newFile, System.getenv());
-            core.retune(newConfig.settings());
+            core.retune(startNumbers.apply(newConfig.settings(), newConfig.rawSettings()));
             lastFile = newFile;
             counters.count("config.applied");
             fronts.forEach(front -> front.reload(newConfig));
--- a/src/main/java/plumpost/decision/Dispatcher.java
+++ b/src/main/java/plumpost/decision/Dispatcher.java
@@ -145,6 +145,9 @@
         /** Number of classes that one process may know, over all settings that it is given; bounds its memory. */
         public static final int MAX_CLASSES = 1024;
 
+        /** Number of tenants that new settings may have without a restart, if there were fewer at the start. */
+        public static final int MAX_TENANTS = 1024;
+
         /** Checks the settings; throws {@link IllegalArgumentException} with the name of an illegal one. */
         public Settings {
             classes = List.copyOf(classes);
@@ -177,6 +180,30 @@
                     "times of the rules must not be negative");
         }
 
+        /** Returns the same settings with another own zone and other classes. */
+        public Settings with(int newZone, List<JobClass> newClasses) {
+            return new Settings(
+                    balancers,
+                    index,
+                    newZone,
+                    zones,
+                    kinds,
+                    newClasses,
+                    tenants,
+                    limits,
+                    rules,
+                    fees,
+                    reports,
+                    reportsFreeSlots,
+                    listOnRequest,
+                    tellsStart,
+                    progressMs,
+                    worthByWork,
+                    overShareWorth,
+                    granularityMs,
+                    minTimeLeftMs);
+        }
+
         private static void require(boolean condition, String message) {
             if (!condition) {
                 throw new IllegalArgumentException("illegal settings: " + message);
--- a/src/main/java/plumpost/decision/Logic.java
+++ b/src/main/java/plumpost/decision/Logic.java
@@ -113,7 +113,6 @@
     // By class, grown as classes come: the longest patience seen.
     private double[] maxPatienceMs;
     private final double maxImportance;
-    private final boolean probesEnabled;
     private int costHintCount;
     private int ejectedCount;
     private int openProbes;
@@ -138,12 +137,11 @@
         Arrays.setAll(workerKinds = new WorkerKind[settings.kinds()], kind -> new WorkerKind());
         lateStartShare = new double[settings.zones()];
         Arrays.setAll(startDelayMs = new double[settings.zones()], zone -> zone == settings.zone() ? 20 : 60);
-        probesEnabled = settings.reports() == Reports.PULL && settings.limits().probes();
         maxImportance = settings.classes().stream()
                 .mapToDouble(JobClass::importance)
                 .max()
                 .orElse(1);
-        Arrays.fill(tenantCredit = new double[settings.tenants().size()], 3);
+        Arrays.fill(tenantCredit = new double[Math.max(settings.tenants().size(), Settings.MAX_TENANTS)], 3);
         tenantCreditAt = new double[tenantCredit.length];
         maxPatienceMs = new double[settings.classes().size()];
     }
@@ -359,7 +357,8 @@
 
     /** Takes a credit if the tenant is within its quota, of which each dispatcher grants an equal part. */
     private boolean takeTenantCredit(int tenant) {
-        if (tenant < 0 || tenant >= tenantCredit.length) return true;
+        if (tenant < 0
+                || tenant >= Math.min(tenantCredit.length, settings.tenants().size())) return true;
         double ratePerMs = settings.tenants().get(tenant).quotaPerS() / 1000 / settings.balancers();
         tenantCredit[tenant] = Math.min(
                 tenantCredit[tenant] + (now - tenantCreditAt[tenant]) * ratePerMs, Math.max(3, ratePerMs * 2000));
@@ -662,12 +661,12 @@
         boolean sameZone = worker.zone == settings.zone();
         double fee = (hasIdleConnection(worker) ? 0 : settings.fees().handshake())
                 + (sameZone ? 0 : settings.fees().crossZone());
-        double penalty = fee * FEE_WEIGHT + (probesEnabled ? 0 : lateStartShare[worker.zone]);
+        double penalty = fee * FEE_WEIGHT + (probesEnabled() ? 0 : lateStartShare[worker.zone]);
         double expectedEndMs = request.costMs / speed(worker)
                 + missingSlots * meanRunMs / workerKinds[worker.kind].slots
                 + (sameZone ? 0 : startDelayMs[worker.zone]);
         if (worker.failures > 0 && request.jobClass.effect() != Effect.FREE) penalty += 1;
-        return Math.max(probesEnabled ? 0 : request.aimAt - now, expectedEndMs)
+        return Math.max(probesEnabled() ? 0 : request.aimAt - now, expectedEndMs)
                 + penalty * Math.max(0, request.aimAt - now);
     }
 
@@ -679,7 +678,7 @@
 
     /** True while a job must find fresh evidence of a free slot before the default slot limit applies. */
     private boolean shouldProbe(Request request) {
-        return probesEnabled && request.probeRounds < MAX_PROBE_ROUNDS;
+        return probesEnabled() && request.probeRounds < MAX_PROBE_ROUNDS;
     }
 
     /** Free slots by evidence while it is fresh; with its age the default slot limit takes over. */
@@ -751,7 +750,7 @@
         if (!Double.isNaN(totalSlots))
             freeSlots = Math.min(freeSlots, Math.max(kind.slots, totalSlots) - worker.ownSlots);
         // A report with an answer is old: it shows the size of the worker, not its free slots.
-        if (!Double.isNaN(freeSlots) && probesEnabled) recordEvidence(worker, freeSlots);
+        if (!Double.isNaN(freeSlots) && probesEnabled()) recordEvidence(worker, freeSlots);
         worker.lastReportAt = now;
     }
 
@@ -820,6 +819,10 @@
         settings = next;
     }
 
+    private boolean probesEnabled() {
+        return settings.reports() == Reports.PULL && settings.limits().probes();
+    }
+
     @Override
     public int ejectedWorkers(double atMs) {
         return (int) sharedWorkers.stream()
--- a/src/main/java/plumpost/dispatch/JobClassRegistry.java
+++ b/src/main/java/plumpost/dispatch/JobClassRegistry.java
@@ -67,26 +67,7 @@
         knownClasses.clear();
         knownClasses.addAll(merged);
         removedAtMs = newRemovedAtMs;
-        current = new Settings(
-                next.balancers(),
-                next.index(),
-                next.zone(),
-                next.zones(),
-                next.kinds(),
-                merged,
-                next.tenants(),
-                next.limits(),
-                next.rules(),
-                next.fees(),
-                next.reports(),
-                next.reportsFreeSlots(),
-                next.listOnRequest(),
-                next.tellsStart(),
-                next.progressMs(),
-                next.worthByWork(),
-                next.overShareWorth(),
-                next.granularityMs(),
-                next.minTimeLeftMs());
+        current = next.with(next.zone(), merged);
         return current;
     }
 
