Store only the fleet's free jobs as repeatable, since its log has no window

Cause: every effect but single_shot was stored as "may run twice", and the ledger hands such an order out again when its lease has run out.

Ruled out: the core, which ends its own repeats with the window; the ledger, which knows no window.

Change: GearmanFront.mayRunTwice, for covered and planned jobs alike.

Test, onlyFreeJobsOfTheFleetAreRepeatable: failed with the src/main before, passes now.

--- a/src/main/java/plumpost/gearman/FleetJobs.java
+++ b/src/main/java/plumpost/gearman/FleetJobs.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import plumpost.decision.Dispatcher;
 import plumpost.dispatch.JobSpec;
 import plumpost.dispatch.OpenJob;
 import plumpost.dispatch.ReplyTo;
@@ -36,7 +35,6 @@
         byte[] body = new byte[request.body().remaining()];
         request.body().duplicate().get(body);
         String unique = request.work().unique();
-        boolean mayRunTwice = front.classOf(request).effect() != Dispatcher.Effect.SINGLE_SHOT;
         fleet.plan(
                 new Fleet.Job(
                         front.handleOf(request.id()),
@@ -44,7 +42,7 @@
                         unique == null ? "" : unique,
                         body,
                         atMs,
-                        mayRunTwice),
+                        front.mayRunTwice(request)),
                 front.fleetAnswerLimitMs(request),
                 onAnswer);
     }
--- a/src/main/java/plumpost/gearman/FleetOrders.java
+++ b/src/main/java/plumpost/gearman/FleetOrders.java
@@ -120,7 +120,6 @@
         byte[] body = new byte[request.body().remaining()];
         request.body().duplicate().get(body);
         String unique = request.work().unique();
-        boolean mayRunTwice = front.classOf(request).effect() != Effect.SINGLE_SHOT;
         ledger.take(
                 new Ledger.Order(
                         front.handleOf(request.id()),
@@ -129,7 +128,7 @@
                         body,
                         request.work().priority(),
                         request.patienceMs(),
-                        mayRunTwice,
+                        front.mayRunTwice(request),
                         background,
                         startMs),
                 front.fleetAnswerLimitMs(request),
--- a/src/main/java/plumpost/gearman/GearmanFront.java
+++ b/src/main/java/plumpost/gearman/GearmanFront.java
@@ -213,6 +213,14 @@
         return core.settings().classes().get(request.classIndex());
     }
 
+    /**
+     * Returns whether a job of the fleet may run again whenever its worker is lost. A guarded one may only within a window from its first
+     * run, which the fleet's log does not record, so that it is not run again.
+     */
+    boolean mayRunTwice(JobSpec request) {
+        return classOf(request).effect() == Dispatcher.Effect.FREE;
+    }
+
     // ---- the fleet ----
 
     /** Passes scheduled jobs to a fleet from now on, and hands its covered orders to its ledger if it has one. */
--- a/src/test/java/plumpost/gearman/GearmanSettingsTest.java
+++ b/src/test/java/plumpost/gearman/GearmanSettingsTest.java
@@ -53,6 +53,29 @@
         assertThat(recording.plannedJobs).extracting(Fleet.Job::repeatable).containsExactly(true, false);
     }
 
+    /**
+     * Guards orders that ran again after their window (play GuardedWindow of the second review): the fleet's log has no window, so
+     * that it may hand only jobs of a class without one out again.
+     */
+    @Test
+    void onlyFreeJobsOfTheFleetAreRepeatable() {
+        for (String effect : List.of("free", "guarded", "single_shot")) {
+            Scenario scenario = new Scenario(0);
+            RecordingFleet recording = new RecordingFleet();
+            scenario.gearman.joinFleet(recording.fleet);
+            String settings =
+                    Scenario.SETTINGS.replace(FREE_CLASS, "\"deadlineMs\":8000.0,\"effect\":\"" + effect + "\"");
+            scenario.core.retune(settings(settings));
+            scenario.play(
+                    "plug1 send SUBMIT_JOB|route-plan|a|x\nplug2 send SUBMIT_JOB_EPOCH|route-plan|b|4000000000|x");
+            recording.takesStartTimes = true;
+            scenario.play("plug3 send SUBMIT_JOB_EPOCH|route-plan|c|4000000000|x");
+            boolean expected = effect.equals("free");
+            assertThat(recording.orders).extracting(Ledger.Order::repeatable).containsExactly(expected, expected);
+            assertThat(recording.plannedJobs).extracting(Fleet.Job::repeatable).containsExactly(expected);
+        }
+    }
+
     /** Guards a client that waits past its time: a job's deadline is that of its class when it is submitted. */
     @ParameterizedTest
     @CsvSource({"2000", "12000"})
