--- a/src/main/java/plumpost/lab/soak/GearmanPeer.java
+++ b/src/main/java/plumpost/lab/soak/GearmanPeer.java
@@ -15,18 +15,17 @@
 
     private final PacketReader reader = new PacketReader(Packet.RESPONSE, false, MAX_PACKET_BYTES);
     private final Connection connection;
+    private final Oracle oracle;
     private boolean closed;
 
-    GearmanPeer(SelectorLoop loop, InetSocketAddress address) {
+    GearmanPeer(SelectorLoop loop, InetSocketAddress address, Oracle oracle) {
+        this.oracle = oracle;
         connection = loop.dial(address, made -> this);
     }
 
     /** Handles a packet. */
     abstract void onPacket(Packet packet);
 
-    /** Called when the other side has sent what is no packet. */
-    abstract void onMalformed(String reason);
-
     /** Called once when the other side or a fault has ended the connection. */
     abstract void onEnded();
 
@@ -50,7 +49,7 @@
                 onPacket(packet);
             }
         } catch (PacketReader.BadPacket e) {
-            onMalformed(e.toString());
+            oracle.recordViolation(Oracle.Rule.FORGED, "a Gearman peer got what is no packet: " + e);
             close();
         }
     }
--- a/src/main/java/plumpost/lab/soak/GearmanPeers.java
+++ b/src/main/java/plumpost/lab/soak/GearmanPeers.java
@@ -175,7 +175,7 @@
         private final GearmanJob job;
 
         Client(GearmanJob job) {
-            super(loop, job.schedulerRun.gearman);
+            super(loop, job.schedulerRun.gearman, oracle);
             this.job = job;
         }
 
@@ -228,11 +228,6 @@
             close();
         }
 
-        @Override
-        void onMalformed(String reason) {
-            forged("a Gearman client got what is no packet: " + reason);
-        }
-
         @Override
         void onEnded() {
             job.connectionEndedAt = clock.nowMs();
@@ -244,7 +239,7 @@
         private final GearmanJob job;
 
         Lookup(GearmanJob job) {
-            super(loop, job.schedulerRun.gearman);
+            super(loop, job.schedulerRun.gearman, oracle);
             this.job = job;
         }
 
@@ -266,11 +261,6 @@
             close();
         }
 
-        @Override
-        void onMalformed(String reason) {
-            forged("a Gearman client got what is no packet: " + reason);
-        }
-
         @Override
         void onEnded() {
             oracle.count("gearman.free.not_looked_up");
@@ -283,7 +273,7 @@
         private final GearmanFunction function;
 
         Worker(SchedulerRun run, GearmanFunction function) {
-            super(loop, run.gearman);
+            super(loop, run.gearman, oracle);
             this.run = run;
             this.function = function;
         }
@@ -323,11 +313,6 @@
             });
         }
 
-        @Override
-        void onMalformed(String reason) {
-            forged("a Gearman worker got what is no packet: " + reason);
-        }
-
         @Override
         void onEnded() {
             if (!run.hasEnded() && !run.wasTerminated()) {
--- a/src/test/java/plumpost/gearman/GearmanSettingsTest.java
+++ b/src/test/java/plumpost/gearman/GearmanSettingsTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import plumpost.Scenario;
 import plumpost.config.GearmanConfig;
 import plumpost.config.Json;
@@ -76,6 +77,33 @@
         }
     }
 
+    /**
+     * Guards clients of covered orders that had no answer at SIGKILL (related to review case 10): they are answered as early as the
+     * deadlines in force ask, whether those got shorter before or after SIGTERM.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void clientsOfCoveredOrdersAreAnsweredBeforeTheDeadlinesInForceAllowSigkill(boolean sighupFirst) {
+        Scenario scenario = new Scenario(0);
+        RecordingFleet recording = new RecordingFleet();
+        recording.agrees = true;
+        scenario.gearman.joinFleet(recording.fleet);
+        String shorter = Scenario.SETTINGS
+                .replace("\"deadlineMs\":8000.0", "\"deadlineMs\":1000.0")
+                .replace(
+                        "\"name\":\"pickup-order\",\"sloMs\":400.0,\"deadlineMs\":20000.0",
+                        "\"name\":\"r2\",\"sloMs\":400.0,\"deadlineMs\":1000.0");
+        scenario.play("plug1 send SUBMIT_JOB|pickup-order|a|x\nplug1 expect JOB_CREATED|*");
+        if (sighupFirst) {
+            scenario.applyFile(shorter, "[]");
+        }
+        scenario.gearman.stop(scenario.nowMs, 700);
+        if (!sighupFirst) {
+            scenario.applyFile(shorter, "[]");
+        }
+        scenario.play("wait 900\nplug1 expect nothing\nwait 300\nplug1 expect WORK_FAIL|*");
+    }
+
     /** Guards a client that waits past its time: a job's deadline is that of its class when it is submitted. */
     @ParameterizedTest
     @CsvSource({"2000", "12000"})
--- a/src/test/java/plumpost/gearman/RecordingFleet.java
+++ b/src/test/java/plumpost/gearman/RecordingFleet.java
@@ -3,6 +3,7 @@
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import plumpost.peers.Fleet;
 import plumpost.peers.Ledger;
 
@@ -12,6 +13,8 @@
     final List<Fleet.Job> plannedJobs = new ArrayList<>();
     final List<Double> limitsMs = new ArrayList<>();
     boolean takesStartTimes;
+    /** Whether orders are agreed on at once; else nothing is answered. */
+    boolean agrees;
 
     final Ledger ledger = (Ledger) Proxy.newProxyInstance(
             Ledger.class.getClassLoader(), new Class<?>[] {Ledger.class}, (proxy, method, arguments) -> {
@@ -25,6 +28,10 @@
                     case "take" -> {
                         orders.add((Ledger.Order) arguments[0]);
                         limitsMs.add((Double) arguments[1]);
+                        if (agrees) {
+                            Consumer<Fleet.Reply> callback = callback(arguments[2]);
+                            callback.accept(new Fleet.Reply(Fleet.Result.AGREED, ((Ledger.Order) arguments[0]).id()));
+                        }
                         return null;
                     }
                     default -> {
@@ -47,4 +54,9 @@
                     }
                 }
             });
+
+    @SuppressWarnings("unchecked")
+    private static Consumer<Fleet.Reply> callback(Object argument) {
+        return (Consumer<Fleet.Reply>) argument;
+    }
 }
