Submit a taken background job again when the core refuses it later

Change: BackgroundSubmission hands it in again, under its handle and key, until its time is over, unless the scheduler ends.

Test, aTakenJobThatIsRefusedLaterIsSubmittedAgain: failed on the commit before (GET_STATUS does not know it), passes now.

--- a/src/main/java/plumpost/dispatch/JobSpec.java
+++ b/src/main/java/plumpost/dispatch/JobSpec.java
@@ -57,6 +57,26 @@
         return unique != null && (!exclusive || jobClass.effect() != Dispatcher.Effect.FREE);
     }
 
+    /** Returns the same job for a client that still waits for {@code newPatienceMs}. */
+    public JobSpec withPatience(double newPatienceMs) {
+        return new JobSpec(
+                id,
+                classIndex,
+                target,
+                fields,
+                body,
+                newPatienceMs,
+                costMs,
+                slots,
+                memory,
+                tenant,
+                key,
+                retry,
+                unique,
+                exclusive,
+                work);
+    }
+
     /** Returns the same job without its unique key: nobody joins it here, and its outcome is not kept here. */
     public JobSpec withoutUniqueKey() {
         return new JobSpec(
--- a/src/main/java/plumpost/gearman/ClientSession.java
+++ b/src/main/java/plumpost/gearman/ClientSession.java
@@ -211,7 +211,9 @@
             front.context.counters().count("gearman.gone_before");
             return;
         }
-        Submission submission = new Submission(inBackground ? null : this, front.handleOf(request.id()));
+        Submission submission = inBackground
+                ? new BackgroundSubmission(front, request)
+                : new Submission(this, front.handleOf(request.id()));
         awaited.add(submission);
         OpenJob openJob = front.core.submit(request, submission);
         if (openJob != null) {
--- a/src/main/java/plumpost/gearman/GearmanFront.java
+++ b/src/main/java/plumpost/gearman/GearmanFront.java
@@ -260,6 +260,12 @@
         startScheduleTimer(atMs);
     }
 
+    /** Submits a job that was taken and refused once more, after the time that the core asks for. */
+    void resubmitLater(JobSpec request, double afterMs) {
+        context.counters().count("gearman.resubmitted");
+        scheduleJob(request, context.unixTime().nowMs() + Math.max(afterMs, FULL_RETRY_MS));
+    }
+
     /** Starts the timer for the given Unix time or the first scheduled job, whichever is earlier. */
     private void startScheduleTimer(double unixMs) {
         if (scheduleTimer != null) {
@@ -285,9 +291,7 @@
                 return;
             }
             schedule.remove(entry);
-            core.submit(
-                    entry.request(),
-                    new Submission(null, handleOf(entry.request().id())));
+            core.submit(entry.request(), new BackgroundSubmission(this, entry.request()).taken());
         }
         if (!schedule.entries().isEmpty()) {
             startScheduleTimer(schedule.entries().iterator().next().atMs());
--- a/src/main/java/plumpost/gearman/Submission.java
+++ b/src/main/java/plumpost/gearman/Submission.java
@@ -9,7 +9,7 @@
 import plumpost.gearman.Packet.Type;
 
 /** One submitted job: sends JOB_CREATED, progress and exactly one final packet to the client that waits for it. */
-final class Submission implements ReplyTo {
+class Submission implements ReplyTo {
     private final ClientSession client;
     String handle;
     OpenJob openJob;
--- a/src/test/java/plumpost/gearman/TakenJobsTest.java
+++ b/src/test/java/plumpost/gearman/TakenJobsTest.java
@@ -82,6 +82,43 @@
         assertThat(scenario.counters.get("gearman.schedule_waits")).isPositive();
     }
 
+    /**
+     * Guards taken background jobs that the module gives up after its attempts, none of which ran: they are submitted again, under the
+     * same handle and key, until a worker gets them, and once only.
+     */
+    @Test
+    void aTakenJobThatIsRefusedLaterIsSubmittedAgain() {
+        String oneAttempt = Scenario.SETTINGS.replace("\"maxAttempts\":6", "\"maxAttempts\":1");
+        Scenario scenario = new Scenario(0, oneAttempt).play("""
+                plug8 send CAN_DO|pickup-order
+                plug8 send GRAB_JOB_UNIQ
+                plug8 expect NO_JOB
+                plug8 send PRE_SLEEP
+                wait 500
+                plug1 send SUBMIT_JOB_BG|pickup-order|order|towels
+                plug1 expect JOB_CREATED|*
+                plug8 expect NOOP
+                """);
+        scenario.play("plug8 close\nwait 50\nplug1 send GET_STATUS|$\nplug1 expect STATUS_RES|*|1|0|0|*")
+                .play("plug1 send SUBMIT_JOB_BG|pickup-order|order|towels\nplug1 expect JOB_CREATED|*")
+                .play("""
+                plug9 send CAN_DO|pickup-order
+                plug9 send GRAB_JOB_UNIQ
+                plug9 expect NO_JOB
+                plug9 send PRE_SLEEP
+                wait 2500
+                plug9 expect NOOP
+                plug9 send GRAB_JOB_UNIQ
+                plug9 expect JOB_ASSIGN_UNIQ|*|pickup-order|order|towels
+                plug9 send WORK_COMPLETE|$|van
+                wait 5000
+                plug9 send GRAB_JOB_UNIQ
+                plug9 expect NO_JOB
+                """);
+        assertThat(scenario.counters.get("gearman.resubmitted")).isPositive();
+        assertThat(scenario.core.openJobCount()).isZero();
+    }
+
     /** A planned job of the fleet that the core refuses is not taken over, so the fleet gives it to another scheduler. */
     @Test
     void aPlannedJobThatTheCoreRefusesIsNotTaken() {
